--- /dev/null
+++ b/src/cloud.rs
@@ -0,0 +1,351 @@
+//! Dealings with the cloud: what to rent and return is decided elsewhere; here
+//! calls are paced, repeated until clear, and boot times are learned.
+
+use crate::ids::MachineId;
+use crate::msg::{Call, CallError, Now, Outcome, Target};
+use crate::store::TokenBucket;
+use crate::wire::{self, Catalog, ListedMachine, MachineList, MachineNames, Rent};
+use std::collections::{BTreeSet, VecDeque};
+use std::rc::Rc;
+
+/// The protocol's most for one call.
+const RELEASE_MAX: usize = 100;
+pub const RENT_MAX: u32 = 50;
+const LIST_PAGE: usize = 500;
+
+/// A kind of rental: type, zone, spot or steady.
+#[derive(Clone, PartialEq, Eq, Hash, Debug, PartialOrd, Ord)]
+pub struct Offer {
+    pub machine_type: Rc<str>,
+    pub zone: Rc<str>,
+    pub spot: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// Never reused, by any node: term, counter.
+    pub name: String,
+    pub offer: Offer,
+    pub count: u32,
+    retry_ms: u64,
+    in_flight: bool,
+    unclear: bool,
+}
+
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum CloudCall {
+    Catalog,
+    List,
+    Rent(String),
+    Release(Vec<MachineId>),
+}
+
+#[derive(Debug)]
+pub enum CloudEvent {
+    Catalog(Catalog),
+    /// All machines, as of some while ago.
+    Listed(Vec<ListedMachine>),
+    Rented(Offer, Vec<MachineId>),
+    NoCapacity(Offer),
+    /// The order can't be placed now; decide anew later.
+    Unavailable(Offer),
+    /// Gone with everything on them: proof.
+    Released(Vec<MachineId>),
+}
+
+pub struct Cloud {
+    bucket: TokenBucket,
+    timeout_ms: u64,
+    list_every_ms: u64,
+    orders: Vec<Order>,
+    releases: BTreeSet<MachineId>,
+    releasing: BTreeSet<MachineId>,
+    catalog_due_ms: u64,
+    list_due_ms: u64,
+    listing: Option<Vec<ListedMachine>>,
+    list_after: Option<String>,
+    busy: VecDeque<CloudCall>,
+    /// Nothing is asked before this time: the cloud said 429 or was away.
+    pause_until_ms: u64,
+    trouble: bool,
+    leading: bool,
+}
+
+impl Cloud {
+    pub fn new(rps: f64, list_lag_s: f64) -> Self {
+        Cloud {
+            // Followers ask for the catalogue at most, so the leader may have
+            // nearly all of the rate.
+            bucket: TokenBucket::new(rps * 0.85, 1.5),
+            timeout_ms: 4000,
+            list_every_ms: ((list_lag_s * 500.0) as u64).max(1000),
+            orders: Vec::new(),
+            releases: BTreeSet::new(),
+            releasing: BTreeSet::new(),
+            catalog_due_ms: 0,
+            list_due_ms: 0,
+            listing: None,
+            list_after: None,
+            busy: VecDeque::new(),
+            pause_until_ms: 0,
+            trouble: false,
+            leading: false,
+        }
+    }
+
+    /// A new leader starts with a list; a deposed one forgets its plans. An
+    /// unclear order may still be carried out: its machines will turn up.
+    pub fn lead(&mut self, now: Now, leading: bool) {
+        self.leading = leading;
+        self.orders.clear();
+        self.releases.clear();
+        self.listing = None;
+        self.list_after = None;
+        self.list_due_ms = now.ms;
+    }
+
+    pub fn want_catalog(&mut self, now: Now) {
+        self.catalog_due_ms = self.catalog_due_ms.min(now.ms);
+    }
+
+    pub fn reachable(&self) -> bool {
+        !self.trouble
+    }
+
+    pub fn rent(&mut self, name: String, offer: Offer, count: u32) {
+        self.orders.push(Order {
+            name,
+            offer,
+            count: count.min(RENT_MAX),
+            retry_ms: 0,
+            in_flight: false,
+            unclear: false,
+        });
+    }
+
+    /// Machines that are ordered and not yet named.
+    pub fn ordered(&self, offer: &Offer) -> u32 {
+        self.orders
+            .iter()
+            .filter(|o| o.offer == *offer)
+            .map(|o| o.count)
+            .sum()
+    }
+
+    pub fn orders(&self) -> impl Iterator<Item = (&Offer, u32)> {
+        self.orders.iter().map(|o| (&o.offer, o.count))
+    }
+
+    pub fn release(&mut self, machine: MachineId) {
+        if !self.releasing.contains(&machine) {
+            self.releases.insert(machine);
+        }
+    }
+
+    pub fn pump(&mut self, now: Now, mut send: impl FnMut(CloudCall, Call)) {
+        if now.ms < self.pause_until_ms {
+            return;
+        }
+        let timeout_ms = self.timeout_ms;
+        let post = |path: &str, body: Vec<u8>| Call {
+            target: Target::Cloud,
+            method: "POST",
+            path: path.to_string(),
+            body,
+            timeout_ms,
+        };
+        let get = |path: String| Call {
+            target: Target::Cloud,
+            method: "GET",
+            path,
+            body: Vec::new(),
+            timeout_ms,
+        };
+        if now.ms >= self.catalog_due_ms
+            && !self.busy.contains(&CloudCall::Catalog)
+            && self.bucket.take(now, 1.0)
+        {
+            self.busy.push_back(CloudCall::Catalog);
+            send(CloudCall::Catalog, get(wire::CLOUD_CATALOG.to_string()));
+        }
+        if !self.leading {
+            return;
+        }
+        // Giving machines back is proof that their tasks are gone, so it
+        // comes before renting; the list is only a hint.
+        while !self.releases.is_empty() && self.bucket.take(now, 1.0) {
+            let names: Vec<MachineId> = self.releases.iter().take(RELEASE_MAX).cloned().collect();
+            for name in &names {
+                self.releases.remove(name);
+                self.releasing.insert(name.clone());
+            }
+            let body = MachineNames {
+                machines: names.iter().map(|m| m.to_string()).collect(),
+            };
+            let body = serde_json::to_vec(&body).unwrap_or_default();
+            send(CloudCall::Release(names), post(wire::CLOUD_RELEASE, body));
+        }
+        for order in &mut self.orders {
+            if order.in_flight || now.ms < order.retry_ms || !self.bucket.take(now, 1.0) {
+                continue;
+            }
+            order.in_flight = true;
+            let body = Rent {
+                request: &order.name,
+                machine_type: &order.offer.machine_type,
+                zone: &order.offer.zone,
+                spot: order.offer.spot,
+                count: order.count,
+            };
+            let body = serde_json::to_vec(&body).unwrap_or_default();
+            send(
+                CloudCall::Rent(order.name.clone()),
+                post(wire::CLOUD_MACHINES, body),
+            );
+        }
+        if now.ms >= self.list_due_ms
+            && !self.busy.contains(&CloudCall::List)
+            && self.bucket.take(now, 1.0)
+        {
+            self.busy.push_back(CloudCall::List);
+            let after = self
+                .list_after
+                .as_ref()
+                .map(|a| format!("from={a}&"))
+                .unwrap_or_default();
+            send(
+                CloudCall::List,
+                get(format!("{}?{after}limit={LIST_PAGE}", wire::CLOUD_MACHINES)),
+            );
+        }
+    }
+
+    /// When `pump` should be called next at the latest.
+    pub fn wake_ms(&self, now: Now) -> u64 {
+        let pending = !self.releases.is_empty() || self.orders.iter().any(|o| !o.in_flight);
+        let next = if pending {
+            now.ms + 150
+        } else if self.leading {
+            self.list_due_ms.min(self.catalog_due_ms)
+        } else {
+            self.catalog_due_ms
+        };
+        next.max(self.pause_until_ms).max(now.ms + 50)
+    }
+
+    pub fn answered(&mut self, now: Now, call: CloudCall, outcome: Outcome) -> Option<CloudEvent> {
+        self.busy.retain(|c| *c != call);
+        let away = match &outcome {
+            Ok((429, _)) => {
+                self.bucket.drain(now);
+                self.pause_until_ms = now.ms + 500;
+                true
+            }
+            Ok((503, body)) => !is_no_capacity(body),
+            Ok((status, _)) => *status >= 500,
+            Err(_) => true,
+        };
+        if away && !matches!(outcome, Ok((429, _))) {
+            self.trouble = true;
+            self.pause_until_ms = now.ms + 1000;
+        } else if !away {
+            self.trouble = false;
+        }
+        match call {
+            CloudCall::Catalog => self.on_catalog(now, outcome),
+            CloudCall::List => self.on_list(now, outcome),
+            CloudCall::Rent(name) => self.on_rent(now, &name, outcome),
+            CloudCall::Release(names) => {
+                for name in &names {
+                    self.releasing.remove(name);
+                }
+                if matches!(outcome, Ok((200, _))) {
+                    return Some(CloudEvent::Released(names));
+                }
+                // Repeating it is harmless, and only a 200 is proof.
+                if self.leading {
+                    self.releases.extend(names);
+                }
+                None
+            }
+        }
+    }
+
+    fn on_catalog(&mut self, now: Now, outcome: Outcome) -> Option<CloudEvent> {
+        let catalog = match outcome {
+            Ok((200, body)) => serde_json::from_slice::<Catalog>(&body)
+                .ok()
+                .and_then(Catalog::checked),
+            _ => None,
+        };
+        // Spot prices move; the rest hardly ever does.
+        let pause = if catalog.is_some() { 60_000 } else { 1000 };
+        self.catalog_due_ms = now.ms + pause;
+        catalog.map(CloudEvent::Catalog)
+    }
+
+    fn on_list(&mut self, now: Now, outcome: Outcome) -> Option<CloudEvent> {
+        let page = match outcome {
+            Ok((200, body)) => serde_json::from_slice::<MachineList>(&body).ok(),
+            _ => None,
+        };
+        let Some(page) = page else {
+            self.listing = None;
+            self.list_after = None;
+            self.list_due_ms = now.ms + 1000;
+            return None;
+        };
+        let all = self.listing.get_or_insert_with(Vec::new);
+        self.list_after = page.machines.last().map(|m| m.id.clone());
+        all.extend(page.machines);
+        if page.more && self.list_after.is_some() {
+            self.list_due_ms = now.ms;
+            return None;
+        }
+        self.list_after = None;
+        self.list_due_ms = now.ms + self.list_every_ms;
+        self.listing.take().map(CloudEvent::Listed)
+    }
+
+    fn on_rent(&mut self, now: Now, name: &str, outcome: Outcome) -> Option<CloudEvent> {
+        let index = self.orders.iter().position(|o| o.name == name)?;
+        match outcome {
+            Ok((200, body)) => {
+                let order = self.orders.swap_remove(index);
+                let names: MachineNames = serde_json::from_slice(&body).ok()?;
+                let names = names.machines.iter().map(|m| MachineId::new(m)).collect();
+                Some(CloudEvent::Rented(order.offer, names))
+            }
+            Ok((503, body)) if is_no_capacity(&body) => {
+                let order = self.orders.swap_remove(index);
+                Some(CloudEvent::NoCapacity(order.offer))
+            }
+            Err(CallError::Unclear) => {
+                // The same name again: it rents at most once.
+                let order = &mut self.orders[index];
+                order.in_flight = false;
+                order.unclear = true;
+                order.retry_ms = now.ms + 1000;
+                None
+            }
+            _ if self.orders[index].unclear => {
+                let order = &mut self.orders[index];
+                order.in_flight = false;
+                order.retry_ms = now.ms + 1000;
+                None
+            }
+            _ => {
+                let order = self.orders.swap_remove(index);
+                Some(CloudEvent::Unavailable(order.offer))
+            }
+        }
+    }
+}
+
+fn is_no_capacity(body: &[u8]) -> bool {
+    #[derive(serde::Deserialize)]
+    struct Error {
+        error: String,
+    }
+    serde_json::from_slice::<Error>(body).is_ok_and(|e| e.error.contains("capacity"))
+}
--- /dev/null
+++ b/src/election.rs
@@ -0,0 +1,377 @@
+//! Who leads: a key under a lease, and a durable term raised in the same
+//! transaction. Whatever a leader writes is guarded by its key's revision, so
+//! nothing of a deposed leader can apply, however late it comes.
+
+use crate::ids::{Revision, Term};
+use crate::msg::{Call, Now};
+use crate::store::{self, Answer, StateCall, Urgency};
+use crate::wire::{Items, LeaseGranted, RevisionOnly, Txn, WatchAnswer};
+use serde::{Deserialize, Serialize};
+
+pub const LEADER_PREFIX: &str = "leader/";
+pub const LEADER_KEY: &str = "leader/key";
+pub const TERM_KEY: &str = "leader/term";
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    pub node: String,
+    /// Tells this process from an earlier one of the same name.
+    pub incarnation: u64,
+    pub term: Term,
+}
+
+#[derive(Clone, Copy, PartialEq, Debug, Serialize, Deserialize)]
+struct TermRecord {
+    term: Term,
+}
+
+/// Which question an answer belongs to.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ElectionCall {
+    Read,
+    Lease,
+    Claim,
+    Renew,
+    Watch,
+    End,
+}
+
+#[derive(Clone, PartialEq, Debug)]
+pub enum Role {
+    /// Nothing known yet, or nothing sure any more.
+    Unknown,
+    Follower(LeaderRecord),
+    Leader {
+        term: Term,
+        key_version: Revision,
+    },
+}
+
+/// What the node learns from the election.
+#[derive(Clone, PartialEq, Debug)]
+pub enum Change {
+    Elected { term: Term, key_version: Revision },
+    Deposed,
+}
+
+pub type ElectionOut = Vec<StateCall<ElectionCall>>;
+
+pub struct Election {
+    node: String,
+    incarnation: u64,
+    ttl_ms: u64,
+    pub role: Role,
+    /// Versions as last read: of the leader key (0: absent) and of the term.
+    key_version: u64,
+    term: TermRecord,
+    term_version: u64,
+    leader: Option<LeaderRecord>,
+    revision: Revision,
+    lease: Option<u64>,
+    waiting: Option<ElectionCall>,
+    watching: bool,
+    /// When the next step is due.
+    due_ms: u64,
+    renewed_ms: u64,
+    renew_sent_ms: u64,
+    /// Spreads candidates, so that they don't all claim in one moment.
+    stagger_ms: u64,
+}
+
+impl Election {
+    pub fn new(node: &str, incarnation: u64, ttl_ms: u64, stagger_ms: u64) -> Self {
+        Election {
+            node: node.to_string(),
+            incarnation,
+            ttl_ms,
+            role: Role::Unknown,
+            key_version: 0,
+            term: TermRecord { term: Term(0) },
+            term_version: 0,
+            leader: None,
+            revision: Revision(0),
+            lease: None,
+            waiting: None,
+            watching: false,
+            due_ms: 0,
+            renewed_ms: 0,
+            renew_sent_ms: 0,
+            stagger_ms,
+        }
+    }
+
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader { .. })
+    }
+
+    /// The other controller that leads, as far as this one knows.
+    pub fn other_leader(&self) -> Option<&str> {
+        match &self.role {
+            Role::Follower(record) => Some(&record.node),
+            _ => None,
+        }
+    }
+
+    pub fn known_term(&self) -> Term {
+        self.term.term
+    }
+
+    /// Whether the lease was surely ours a moment ago.
+    pub fn certain(&self, now: Now) -> bool {
+        self.is_leader() && now.ms < self.renewed_ms + self.ttl_ms
+    }
+
+    fn timeout_ms(&self) -> u64 {
+        (self.ttl_ms / 3).max(200)
+    }
+
+    fn ask(&mut self, now: Now, what: ElectionCall, call: (Call, usize), out: &mut ElectionOut) {
+        if what == ElectionCall::Watch {
+            self.watching = true;
+        } else if what != ElectionCall::End {
+            self.waiting = Some(what);
+        }
+        let give_up_ms = now.ms + call.0.timeout_ms;
+        out.push(StateCall {
+            urgency: Urgency::Leadership,
+            call: call.0,
+            writes: call.1,
+            give_up_ms,
+            tag: what,
+        });
+    }
+
+    pub fn tick(&mut self, now: Now, out: &mut ElectionOut) -> u64 {
+        if self.waiting.is_none() && now.ms >= self.due_ms {
+            let timeout = self.timeout_ms();
+            match &self.role {
+                Role::Leader { .. } => {
+                    let lease = self.lease.unwrap_or(0);
+                    self.renew_sent_ms = now.ms;
+                    let call = store::lease_renew(lease, timeout);
+                    self.ask(now, ElectionCall::Renew, (call, 0), out);
+                }
+                _ => {
+                    let call = store::list(LEADER_PREFIX, None, timeout);
+                    self.ask(now, ElectionCall::Read, (call, 0), out);
+                }
+            }
+        }
+        if !self.watching && matches!(self.role, Role::Follower(_)) && self.waiting.is_none() {
+            let wait = self.ttl_ms * 3;
+            let call = store::watch(LEADER_PREFIX, self.revision, wait, wait + self.ttl_ms);
+            self.ask(now, ElectionCall::Watch, (call, 0), out);
+        }
+        if self.waiting.is_some() {
+            now.ms + self.ttl_ms
+        } else {
+            self.due_ms.max(now.ms + 1)
+        }
+    }
+
+    /// Gives leadership up, so that state is read afresh by whoever leads next.
+    pub fn resign(&mut self, now: Now, out: &mut ElectionOut) -> Option<Change> {
+        let was = self.is_leader();
+        if let Some(lease) = self.lease.take() {
+            let call = store::lease_end(lease, self.timeout_ms());
+            self.ask(now, ElectionCall::End, (call, 0), out);
+        }
+        self.role = Role::Unknown;
+        self.due_ms = now.ms + 50;
+        was.then_some(Change::Deposed)
+    }
+
+    /// Word from outside the state service that a later term exists.
+    pub fn superseded(&mut self, now: Now, leader: Option<(&str, Term)>) -> Option<Change> {
+        let was = self.is_leader();
+        if let Some((node, term)) = leader {
+            if term < self.term.term || (term == self.term.term && was) || node == self.node {
+                return None;
+            }
+            if was {
+                self.role = Role::Follower(LeaderRecord {
+                    node: node.to_string(),
+                    incarnation: 0,
+                    term,
+                });
+            }
+        } else {
+            self.role = Role::Unknown;
+        }
+        if was {
+            self.lease = None;
+            self.due_ms = now.ms;
+            return Some(Change::Deposed);
+        }
+        None
+    }
+
+    pub fn answered(
+        &mut self,
+        now: Now,
+        what: ElectionCall,
+        answer: Answer,
+        out: &mut ElectionOut,
+    ) -> Option<Change> {
+        match what {
+            ElectionCall::Watch => self.watching = false,
+            ElectionCall::End => {}
+            _ if self.waiting == Some(what) => self.waiting = None,
+            _ => return None,
+        }
+        match what {
+            ElectionCall::Read => self.on_read(now, &answer, out),
+            ElectionCall::Lease => {
+                self.on_lease(now, &answer, out);
+                None
+            }
+            ElectionCall::Claim => self.on_claim(now, &answer),
+            ElectionCall::Renew => self.on_renew(now, &answer),
+            ElectionCall::Watch => {
+                self.on_watch(now, &answer, out);
+                None
+            }
+            ElectionCall::End => None,
+        }
+    }
+
+    fn retry_soon(&mut self, now: Now) {
+        self.due_ms = now.ms + self.ttl_ms / 10 + self.stagger_ms;
+    }
+
+    fn on_read(&mut self, now: Now, answer: &Answer, out: &mut ElectionOut) -> Option<Change> {
+        let Some(items) = answer.read::<Items>(200) else {
+            self.retry_soon(now);
+            return None;
+        };
+        self.revision = Revision(items.revision);
+        self.leader = None;
+        self.key_version = 0;
+        self.term_version = 0;
+        for item in items.items {
+            if item.key == LEADER_KEY {
+                self.key_version = item.version;
+                self.leader = serde_json::from_value(item.value).ok();
+            } else if item.key == TERM_KEY {
+                self.term_version = item.version;
+                if let Ok(term) = serde_json::from_value(item.value) {
+                    self.term = term;
+                }
+            }
+        }
+        self.decide(now, out)
+    }
+
+    /// Follows, claims, or finds that an unclear claim was won after all.
+    fn decide(&mut self, now: Now, out: &mut ElectionOut) -> Option<Change> {
+        match &self.leader {
+            Some(record) if record.node != self.node => {
+                self.role = Role::Follower(record.clone());
+                // The watch brings changes; this is in case it hangs.
+                self.due_ms = now.ms + self.ttl_ms * 2;
+                None
+            }
+            Some(record) if record.incarnation == self.incarnation && self.lease.is_some() => {
+                let (term, key_version) = (record.term, Revision(self.key_version));
+                Some(self.won(now, term, key_version))
+            }
+            // Nobody, or an earlier process of this very name, which is dead.
+            _ => {
+                self.role = Role::Unknown;
+                let call = store::lease_create(self.ttl_ms, self.timeout_ms());
+                self.ask(now, ElectionCall::Lease, (call, 0), out);
+                None
+            }
+        }
+    }
+
+    fn won(&mut self, now: Now, term: Term, key_version: Revision) -> Change {
+        self.role = Role::Leader { term, key_version };
+        self.term.term = term;
+        self.renewed_ms = now.ms;
+        self.due_ms = now.ms + self.ttl_ms / 4;
+        Change::Elected { term, key_version }
+    }
+
+    fn on_lease(&mut self, now: Now, answer: &Answer, out: &mut ElectionOut) {
+        let Some(granted) = answer.read::<LeaseGranted>(200) else {
+            self.retry_soon(now);
+            return;
+        };
+        self.lease = Some(granted.lease);
+        let term = Term(self.term.term.0 + 1);
+        let record = LeaderRecord {
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            term,
+        };
+        let txn = Txn::default()
+            .guard(LEADER_KEY, self.key_version)
+            .guard(TERM_KEY, self.term_version)
+            .put_leased(
+                LEADER_KEY,
+                serde_json::to_value(&record).unwrap_or_default(),
+                granted.lease,
+            )
+            .put(
+                TERM_KEY,
+                serde_json::to_value(TermRecord { term }).unwrap_or_default(),
+            );
+        let call = store::txn(&txn, self.timeout_ms());
+        self.ask(now, ElectionCall::Claim, call, out);
+    }
+
+    fn on_claim(&mut self, now: Now, answer: &Answer) -> Option<Change> {
+        if let Some(done) = answer.read::<RevisionOnly>(200) {
+            let term = Term(self.term.term.0 + 1);
+            return Some(self.won(now, term, Revision(done.revision)));
+        }
+        // Lost, or unclear: reading tells. A lease that holds no key ends by
+        // itself.
+        if answer.status().is_some() {
+            self.lease = None;
+        }
+        self.due_ms = now.ms + self.stagger_ms;
+        None
+    }
+
+    fn on_renew(&mut self, now: Now, answer: &Answer) -> Option<Change> {
+        match answer.status() {
+            Some(200) => {
+                self.renewed_ms = self.renew_sent_ms;
+                self.due_ms = now.ms + self.ttl_ms / 4;
+                None
+            }
+            Some(404) => {
+                self.lease = None;
+                self.role = Role::Unknown;
+                self.due_ms = now.ms;
+                Some(Change::Deposed)
+            }
+            // Away or unclear: the key is ours until somebody says otherwise.
+            _ => {
+                self.due_ms = now.ms + self.ttl_ms / 10;
+                None
+            }
+        }
+    }
+
+    fn on_watch(&mut self, now: Now, answer: &Answer, _out: &mut ElectionOut) {
+        match answer.read::<WatchAnswer>(200) {
+            Some(seen) if seen.events.is_empty() => {
+                self.revision = Revision(seen.revision.max(self.revision.0));
+            }
+            // Something changed, or the watch is of no use: read.
+            _ => {
+                if !self.is_leader() {
+                    let pause = if answer.status() == Some(200) {
+                        self.stagger_ms
+                    } else {
+                        self.ttl_ms / 10
+                    };
+                    self.due_ms = self.due_ms.min(now.ms + pause);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,201 @@
+//! What each machine may hold, from stored assignments and ordered reports.
+
+use crate::cloud::Offer;
+use crate::ids::{JobId, MachineId, Session, TaskRef, Term, Token};
+use crate::placement::Res;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::rc::Rc;
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Phase {
+    /// Rented; its worker hasn't reported yet.
+    Booting,
+    Up,
+    /// Nothing new goes there; its tasks are stopped or run out.
+    Draining,
+    /// Asked to be returned; gone once the cloud says 200.
+    Releasing,
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub id: MachineId,
+    pub offer: Offer,
+    pub room: Res,
+    pub cache_gb: f64,
+    pub address: Option<String>,
+    pub phase: Phase,
+    pub rented_ms: u64,
+    pub up_ms: Option<u64>,
+    pub heard_ms: u64,
+    pub session: Session,
+    pub seq: u64,
+    /// The token that we give this worker.
+    pub token: Token,
+    /// A report showed a token of our own term.
+    pub evidence: bool,
+    /// Since when answers seem not to reach it.
+    pub deaf_since_ms: Option<u64>,
+    pub notice_until_ms: Option<u64>,
+    /// Assigned tasks that may be on it.
+    pub tasks: BTreeSet<TaskRef>,
+    /// What its assigned tasks take.
+    pub used: Res,
+    /// It runs something that nobody assigned.
+    pub strays: bool,
+    /// Most recently used last.
+    cached: VecDeque<(Rc<str>, f64)>,
+    /// Images on their way, with the tasks that wait.
+    pub fetching: BTreeMap<Rc<str>, u32>,
+    /// Jobs that failed here, without one that succeeded since.
+    pub blamed_by: Vec<JobId>,
+    pub idle_since_ms: Option<u64>,
+    /// The list called it failed.
+    pub listed_failed: bool,
+    /// Commands on their way by the direct path.
+    pub calling: bool,
+}
+
+impl Machine {
+    pub fn new(
+        id: MachineId,
+        offer: Offer,
+        room: Res,
+        cache_gb: f64,
+        term: Term,
+        now_ms: u64,
+    ) -> Self {
+        Machine {
+            id,
+            offer,
+            room,
+            cache_gb,
+            address: None,
+            phase: Phase::Booting,
+            rented_ms: now_ms,
+            up_ms: None,
+            heard_ms: now_ms,
+            session: Session(0),
+            seq: 0,
+            token: Token::new(term, 1),
+            evidence: false,
+            deaf_since_ms: None,
+            notice_until_ms: None,
+            tasks: BTreeSet::new(),
+            used: Res::default(),
+            strays: false,
+            cached: VecDeque::new(),
+            fetching: BTreeMap::new(),
+            blamed_by: Vec::new(),
+            idle_since_ms: Some(now_ms),
+            listed_failed: false,
+            calling: false,
+        }
+    }
+
+    pub fn free(&self) -> Res {
+        let mut free = self.room;
+        free.take(&self.used);
+        free
+    }
+
+    /// Whether a task may be bound to it now.
+    pub fn takes_work(&self, now_ms: u64, fresh_ms: u64) -> bool {
+        self.phase == Phase::Up
+            && self.evidence
+            && !self.strays
+            && self.deaf_since_ms.is_none()
+            && self.notice_until_ms.is_none()
+            && self.blamed_by.len() < 2
+            && now_ms < self.heard_ms + fresh_ms
+    }
+
+    pub fn assign(&mut self, task: TaskRef, need: &Res) {
+        if self.tasks.insert(task) {
+            self.used.add(need);
+        }
+        self.idle_since_ms = None;
+    }
+
+    pub fn unassign(&mut self, task: &TaskRef, need: &Res, now_ms: u64) {
+        if self.tasks.remove(task) {
+            self.used.take(need);
+        }
+        if self.tasks.is_empty() {
+            // Sums of decimals must not leave dust behind.
+            self.used = Res::default();
+            self.idle_since_ms.get_or_insert(now_ms);
+        }
+    }
+
+    pub fn has_image(&self, image: &str) -> bool {
+        self.cached.iter().any(|(i, _)| &**i == image)
+    }
+
+    /// A task with this image runs here, so the image is at hand.
+    pub fn used_image(&mut self, image: &Rc<str>, gb: f64) {
+        if self.cached.back().is_some_and(|(last, _)| last == image) {
+            return;
+        }
+        self.cached.retain(|(i, _)| i != image);
+        self.cached.push_back((image.clone(), gb));
+        let mut total: f64 = self.cached.iter().map(|(_, gb)| gb).sum();
+        while total > self.cache_gb && self.cached.len() > 1 {
+            if let Some((_, gb)) = self.cached.pop_front() {
+                total -= gb;
+            }
+        }
+    }
+
+    /// Raises the token, so that whatever was sent before is refused once the
+    /// worker has seen it. `None`: this term's tokens are used up.
+    pub fn raise_token(&mut self) -> Option<Token> {
+        self.token = self.token.raised()?;
+        Some(self.token)
+    }
+}
+
+/// Splits tasks into (zones, offers) rooms for the scheduler's rounds.
+#[derive(Default)]
+pub struct Fleet {
+    pub machines: BTreeMap<MachineId, Machine>,
+    /// Returned machines, so that lists that lag don't bring them back:
+    /// name, and when it may be forgotten.
+    gone: BTreeMap<MachineId, u64>,
+}
+
+impl Fleet {
+    pub fn clear(&mut self) {
+        self.machines.clear();
+        self.gone.clear();
+    }
+
+    pub fn get(&self, id: &MachineId) -> Option<&Machine> {
+        self.machines.get(id)
+    }
+
+    pub fn get_mut(&mut self, id: &MachineId) -> Option<&mut Machine> {
+        self.machines.get_mut(id)
+    }
+
+    /// The cloud has confirmed that it is gone.
+    pub fn remove(&mut self, id: &MachineId, forget_ms: u64) -> Option<Machine> {
+        self.gone.insert(id.clone(), forget_ms);
+        self.machines.remove(id)
+    }
+
+    pub fn is_gone(&self, id: &MachineId) -> bool {
+        self.gone.contains_key(id)
+    }
+
+    pub fn forget_gone(&mut self, now_ms: u64) {
+        self.gone.retain(|_, until| *until > now_ms);
+    }
+
+    pub fn crowd(&self, zone: &str) -> u32 {
+        self.machines
+            .values()
+            .filter(|m| &*m.offer.zone == zone)
+            .count() as u32
+    }
+}
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,493 @@
+//! Users' requests, on any node. The node writes the job or the cancellation
+//! itself and then answers; whoever leads learns of it from the state service.
+
+use crate::ids::JobId;
+use crate::msg::{ConnId, Now, Reply};
+use crate::settings::Settings;
+use crate::store::{self, Answer, StateCall, Urgency};
+use crate::wire::{self, Catalog, Item, JobSpec, JobState, Kind, MachineType, Txn, UserState};
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+/// Unfinished and cancelled-but-not-yet-cleared jobs.
+pub const JOB_PREFIX: &str = "j/";
+/// Jobs that are over, for good.
+pub const FINAL_PREFIX: &str = "f/";
+
+pub fn job_key(id: &JobId) -> String {
+    format!("{JOB_PREFIX}{id}")
+}
+
+pub fn final_key(id: &JobId) -> String {
+    format!("{FINAL_PREFIX}{id}")
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct JobRecord {
+    pub spec: JobSpec,
+    /// Time of day of the submission, milliseconds.
+    #[serde(rename = "t")]
+    pub submitted: u64,
+    /// Time of day of the cancellation.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub cancelled: Option<u64>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum Final {
+    #[serde(rename = "d")]
+    Done,
+    #[serde(rename = "c")]
+    Cancelled,
+}
+
+impl Final {
+    fn state(self) -> UserState {
+        match self {
+            Final::Done => UserState::Done,
+            Final::Cancelled => UserState::Cancelled,
+        }
+    }
+}
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct FinalRecord {
+    #[serde(rename = "s")]
+    pub state: Final,
+    #[serde(rename = "n")]
+    pub tasks: u32,
+    /// Names the write, so that its author knows it again.
+    #[serde(rename = "w", default)]
+    pub write: u64,
+}
+
+/// What the state service said of a job.
+#[derive(Debug)]
+enum Known {
+    Absent,
+    Live(Box<JobRecord>, u64),
+    Over(FinalRecord),
+}
+
+#[derive(Debug)]
+enum Goal {
+    Submit(Box<JobSpec>),
+    /// A submission that is refused unless the job is known already.
+    Refuse(Reply),
+    Show,
+    Cancel,
+}
+
+#[derive(Debug)]
+struct Task {
+    conn: ConnId,
+    id: JobId,
+    goal: Goal,
+    step: Step,
+    /// Guarded writes that lost a race are tried again a few times.
+    tries: u32,
+    until_ms: u64,
+}
+
+#[derive(Debug, PartialEq, Eq, Clone, Copy)]
+enum Step {
+    ReadLive,
+    ReadFinal,
+    Write,
+}
+
+/// Number of a user's request in work.
+pub type GatewayCall = u64;
+
+#[derive(Default)]
+pub struct GatewayOut {
+    pub replies: Vec<(ConnId, Reply)>,
+    pub calls: Vec<StateCall<GatewayCall>>,
+    /// Jobs just written, for the leader's ears.
+    pub nudges: Vec<JobId>,
+}
+
+/// Requests are answered within this time, come what may; users wait 5 s for
+/// submissions and 2 s for queries.
+const WRITE_PATIENCE_MS: u64 = 3000;
+const READ_PATIENCE_MS: u64 = 1700;
+const MAX_TRIES: u32 = 5;
+/// Final states kept in memory; any other is read again.
+const FINAL_CACHE: usize = 20_000;
+
+pub struct Gateway {
+    settings: Rc<Settings>,
+    catalog: Option<Rc<Catalog>>,
+    finals: HashMap<JobId, (Final, u32)>,
+    finals_order: VecDeque<JobId>,
+    /// Counts for display, hints from the leader.
+    pub counts: HashMap<JobId, (u32, u32)>,
+    tasks: HashMap<GatewayCall, Task>,
+    next: GatewayCall,
+}
+
+impl Gateway {
+    pub fn new(settings: Rc<Settings>) -> Self {
+        Gateway {
+            settings,
+            catalog: None,
+            finals: HashMap::new(),
+            finals_order: VecDeque::new(),
+            counts: HashMap::new(),
+            tasks: HashMap::new(),
+            next: 0,
+        }
+    }
+
+    pub fn set_catalog(&mut self, catalog: Rc<Catalog>) {
+        self.catalog = Some(catalog);
+    }
+
+    pub fn has_catalog(&self) -> bool {
+        self.catalog.is_some()
+    }
+
+    pub fn submit(&mut self, now: Now, conn: ConnId, body: &[u8], out: &mut GatewayOut) {
+        let goal = match JobSpec::parse(body) {
+            Ok(spec) => match self.can_ever_run(&spec) {
+                Some(Ok(())) => Goal::Submit(Box::new(spec)),
+                Some(Err(why)) => Goal::Refuse(Reply::error(422, why)),
+                None => Goal::Refuse(Reply::later(503, "machine types unknown yet", 1)),
+            },
+            Err(why) => Goal::Refuse(Reply::error(400, &why)),
+        };
+        let id = match &goal {
+            Goal::Submit(spec) => Some(spec.id.clone()),
+            // A known job gets its 200 whatever else is wrong with the retry.
+            _ => wire::peek_job_id(body),
+        };
+        match (id, goal) {
+            (Some(id), goal) => self.begin(now, conn, id, goal, out),
+            (None, Goal::Refuse(reply)) => out.replies.push((conn, reply)),
+            (None, _) => out.replies.push((conn, Reply::error(400, "no id"))),
+        }
+    }
+
+    pub fn show(&mut self, now: Now, conn: ConnId, id: &str, out: &mut GatewayOut) {
+        self.begin_named(now, conn, id, Goal::Show, out);
+    }
+
+    pub fn cancel(&mut self, now: Now, conn: ConnId, id: &str, out: &mut GatewayOut) {
+        self.begin_named(now, conn, id, Goal::Cancel, out);
+    }
+
+    fn begin_named(&mut self, now: Now, conn: ConnId, id: &str, goal: Goal, out: &mut GatewayOut) {
+        if wire::valid_job_id(id) {
+            self.begin(now, conn, JobId::new(id), goal, out);
+        } else {
+            out.replies.push((conn, Reply::error(404, "no such job")));
+        }
+    }
+
+    fn begin(&mut self, now: Now, conn: ConnId, id: JobId, goal: Goal, out: &mut GatewayOut) {
+        // What is over stays as it is, so memory may answer.
+        if let Some((state, tasks)) = self.finals.get(&id) {
+            let reply = final_reply(&id, *state, *tasks);
+            out.replies.push((conn, reply));
+            return;
+        }
+        let patience = match goal {
+            Goal::Show => READ_PATIENCE_MS,
+            _ => WRITE_PATIENCE_MS,
+        };
+        let step = match goal {
+            Goal::Submit(_) => Step::Write,
+            _ => Step::ReadLive,
+        };
+        self.next += 1;
+        let task = Task {
+            conn,
+            id,
+            goal,
+            step,
+            tries: 0,
+            until_ms: now.ms + patience,
+        };
+        let number = self.next;
+        match &task.goal {
+            Goal::Submit(spec) => {
+                let txn = create_txn(spec, now);
+                out.calls
+                    .push(write_call(number, &task, Urgency::Submission, txn, now));
+            }
+            _ => out.calls.push(read_call(number, &task, now)),
+        }
+        self.tasks.insert(number, task);
+    }
+
+    /// `None`: machine types unknown, so nobody can tell.
+    fn can_ever_run(&self, spec: &JobSpec) -> Option<Result<(), &'static str>> {
+        let Some(team) = self.settings.team(&spec.team) else {
+            return Some(Err("unknown team"));
+        };
+        let counted = match spec.kind {
+            Kind::Array => 1.0,
+            Kind::Service => f64::from(spec.tasks),
+        };
+        let over = |need: f64, max: f64| max > 0.0 && need * counted > max + 1e-9;
+        if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
+            return Some(Err("more than the team's limit"));
+        }
+        let catalog = self.catalog.as_ref()?;
+        Some(if catalog.types.iter().any(|t| fits_type(spec, t)) {
+            Ok(())
+        } else {
+            Err("a task fits no allowed machine type")
+        })
+    }
+
+    /// The answer to one of our calls.
+    pub fn answered(
+        &mut self,
+        now: Now,
+        number: GatewayCall,
+        answer: Answer,
+        out: &mut GatewayOut,
+    ) {
+        let Some(mut task) = self.tasks.remove(&number) else {
+            return;
+        };
+        match task.step {
+            Step::ReadLive => match read_live(&answer) {
+                Some(Known::Absent) => {
+                    task.step = Step::ReadFinal;
+                    out.calls.push(read_call(number, &task, now));
+                    self.tasks.insert(number, task);
+                }
+                Some(known) => self.known(now, number, task, known, out),
+                None => self.give_up(task, out),
+            },
+            Step::ReadFinal => match read_final(&answer) {
+                Some(known) => self.known(now, number, task, known, out),
+                None => self.give_up(task, out),
+            },
+            Step::Write => self.written(now, number, task, answer, out),
+        }
+    }
+
+    /// A call that was given up before it was sent.
+    pub fn given_up(&mut self, number: GatewayCall, out: &mut GatewayOut) {
+        if let Some(task) = self.tasks.remove(&number) {
+            self.give_up(task, out);
+        }
+    }
+
+    fn give_up(&mut self, task: Task, out: &mut GatewayOut) {
+        let reply = Reply::later(503, "the state service can't be asked now", 1);
+        out.replies.push((task.conn, reply));
+    }
+
+    fn remember(&mut self, id: &JobId, state: Final, tasks: u32) {
+        if self.finals.insert(id.clone(), (state, tasks)).is_none() {
+            self.finals_order.push_back(id.clone());
+        }
+        self.counts.remove(id);
+        while self.finals_order.len() > FINAL_CACHE {
+            if let Some(old) = self.finals_order.pop_front() {
+                self.finals.remove(&old);
+            }
+        }
+    }
+
+    /// A read made for this request has told what the job is.
+    fn known(
+        &mut self,
+        now: Now,
+        number: GatewayCall,
+        mut task: Task,
+        known: Known,
+        out: &mut GatewayOut,
+    ) {
+        let reply = match (&task.goal, known) {
+            (_, Known::Over(record)) => {
+                self.remember(&task.id, record.state, record.tasks);
+                final_reply(&task.id, record.state, record.tasks)
+            }
+            (_, Known::Live(record, _)) if record.cancelled.is_some() => {
+                self.remember(&task.id, Final::Cancelled, record.spec.tasks);
+                final_reply(&task.id, Final::Cancelled, record.spec.tasks)
+            }
+            (Goal::Cancel, Known::Live(mut record, version)) => {
+                record.cancelled = Some(now.wall);
+                let value = serde_json::to_value(&record).unwrap_or_default();
+                let txn = Txn::default()
+                    .guard(job_key(&task.id), version)
+                    .put(job_key(&task.id), value);
+                task.step = Step::Write;
+                out.calls
+                    .push(write_call(number, &task, Urgency::Cancel, txn, now));
+                self.tasks.insert(number, task);
+                return;
+            }
+            (_, Known::Live(_, _)) => self.live_reply(&task.id, 200),
+            (Goal::Refuse(reply), Known::Absent) => reply.clone(),
+            // Our write may still be under way: the retry will find out.
+            (Goal::Submit(_), Known::Absent) => {
+                Reply::later(503, "not known yet whether the job was stored", 1)
+            }
+            (_, Known::Absent) => Reply::error(404, "no such job"),
+        };
+        out.replies.push((task.conn, reply));
+    }
+
+    fn live_reply(&self, id: &JobId, status: u16) -> Reply {
+        let (done, running) = self.counts.get(id).copied().unwrap_or((0, 0));
+        let state = if running > 0 {
+            UserState::Running
+        } else {
+            UserState::Pending
+        };
+        let body = JobState {
+            id,
+            state,
+            done: Some(done),
+            running: Some(running),
+        };
+        Reply::json(status, &body)
+    }
+
+    fn written(
+        &mut self,
+        now: Now,
+        number: GatewayCall,
+        mut task: Task,
+        answer: Answer,
+        out: &mut GatewayOut,
+    ) {
+        match answer {
+            Answer::Status(200, _) => {
+                let reply = match task.goal {
+                    Goal::Cancel => {
+                        self.remember(&task.id, Final::Cancelled, 0);
+                        log::info!("job {} cancelled by its user", task.id);
+                        final_reply(&task.id, Final::Cancelled, 0)
+                    }
+                    _ => {
+                        log::info!("job {} accepted", task.id);
+                        self.live_reply(&task.id, 201)
+                    }
+                };
+                out.nudges.push(task.id);
+                out.replies.push((task.conn, reply));
+            }
+            // Somebody else wrote first, or nobody knows: reading tells.
+            Answer::Status(409, _) | Answer::Unclear if task.tries < MAX_TRIES => {
+                task.tries += 1;
+                task.step = Step::ReadLive;
+                out.calls.push(read_call(number, &task, now));
+                self.tasks.insert(number, task);
+            }
+            _ => self.give_up(task, out),
+        }
+    }
+
+    pub fn in_work(&self) -> usize {
+        self.tasks.len()
+    }
+}
+
+/// Whether a task of the job could ever stand on a machine of this type.
+pub fn fits_type(spec: &JobSpec, t: &MachineType) -> bool {
+    let allowed = spec
+        .types
+        .as_ref()
+        .is_none_or(|types| types.iter().any(|name| *name == t.name));
+    let zone = spec
+        .zone
+        .as_ref()
+        .is_none_or(|zone| t.zones.iter().any(|z| z == zone));
+    let room = spec.cpus <= t.cpus + 1e-9
+        && spec.gpus <= t.gpus + 1e-9
+        && spec.memory_gb <= t.memory_gb + 1e-9;
+    allowed && zone && room
+}
+
+fn final_reply(id: &JobId, state: Final, tasks: u32) -> Reply {
+    let body = JobState {
+        id,
+        state: state.state(),
+        done: (state == Final::Done).then_some(tasks),
+        running: Some(0),
+    };
+    Reply::json(200, &body)
+}
+
+fn create_txn(spec: &JobSpec, now: Now) -> Txn {
+    let record = JobRecord {
+        spec: spec.clone(),
+        submitted: now.wall,
+        cancelled: None,
+    };
+    Txn::default()
+        .guard(job_key(&spec.id), 0)
+        .guard(final_key(&spec.id), 0)
+        .put(
+            job_key(&spec.id),
+            serde_json::to_value(&record).unwrap_or_default(),
+        )
+}
+
+fn read_call(number: GatewayCall, task: &Task, now: Now) -> StateCall<GatewayCall> {
+    let key = match task.step {
+        Step::ReadFinal => final_key(&task.id),
+        _ => job_key(&task.id),
+    };
+    let left = task.until_ms.saturating_sub(now.ms).max(1);
+    StateCall {
+        urgency: match task.goal {
+            Goal::Show => Urgency::Rest,
+            Goal::Cancel => Urgency::Cancel,
+            _ => Urgency::Submission,
+        },
+        call: store::get(&key, left),
+        writes: 0,
+        give_up_ms: task.until_ms,
+        tag: number,
+    }
+}
+
+fn write_call(
+    number: GatewayCall,
+    task: &Task,
+    urgency: Urgency,
+    txn: Txn,
+    now: Now,
+) -> StateCall<GatewayCall> {
+    let left = task.until_ms.saturating_sub(now.ms).max(1);
+    // Half of what is left, so that an unclear write can still be read.
+    let (call, writes) = store::txn(&txn, (left / 2).max(1));
+    StateCall {
+        urgency,
+        call,
+        writes,
+        give_up_ms: task.until_ms,
+        tag: number,
+    }
+}
+
+fn read_live(answer: &Answer) -> Option<Known> {
+    match answer {
+        Answer::Status(404, _) => Some(Known::Absent),
+        _ => {
+            let item = answer.read::<Item>(200)?;
+            let record = serde_json::from_value(item.value).ok()?;
+            Some(Known::Live(Box::new(record), item.version))
+        }
+    }
+}
+
+fn read_final(answer: &Answer) -> Option<Known> {
+    match answer {
+        Answer::Status(404, _) => Some(Known::Absent),
+        _ => {
+            let item = answer.read::<Item>(200)?;
+            Some(Known::Over(serde_json::from_value(item.value).ok()?))
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,23 @@
+//! lilacfork: a scheduler for fleets that serve language models.
+//!
+//! The state service decides; everything else is a hint. The modules below are
+//! actors (plain structs: message and time in, messages out) joined by
+//! [`node`], and one thread of I/O in [`reactor`].
+
+pub mod cloud;
+pub mod election;
+pub mod fleet;
+pub mod gateway;
+pub mod http;
+pub mod ids;
+pub mod msg;
+pub mod node;
+pub mod options;
+pub mod peer;
+pub mod placement;
+pub mod reactor;
+pub mod scheduler;
+pub mod settings;
+pub mod slackfit;
+pub mod store;
+pub mod wire;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,91 @@
+//! The program: reads settings, starts the reactor, and runs until killed.
+
+use clap::Parser;
+use lilacfork::node::Node;
+use lilacfork::options::Options;
+use lilacfork::reactor::{Endpoints, Reactor};
+use lilacfork::settings::Settings;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A scheduler for fleets that serve language models.
+#[derive(Parser)]
+#[command(version, about)]
+struct Args {
+    /// Operators' own settings (INI)
+    #[arg(long, value_name = "FILE")]
+    ini: Option<PathBuf>,
+    /// Check the settings and exit
+    #[arg(long)]
+    check: bool,
+    /// Print the keys an INI may hold, with their defaults, and exit
+    #[arg(long)]
+    keys: bool,
+    /// The platform's settings (TOML)
+    #[arg(long, value_name = "FILE", required_unless_present = "keys")]
+    config: Option<PathBuf>,
+}
+
+fn init_logging() {
+    let env = env_logger::Env::new().filter_or("LOG_LEVEL", "info");
+    env_logger::Builder::from_env(env)
+        .target(env_logger::Target::Stderr)
+        .init();
+}
+
+fn load(args: &Args) -> Result<Option<(Settings, Options)>, String> {
+    let options = match &args.ini {
+        Some(path) => Options::load(path).map_err(|e| e.to_string())?,
+        None => Options::default(),
+    };
+    let Some(config) = &args.config else {
+        return Ok(None);
+    };
+    let settings = Settings::load(config).map_err(|e| e.to_string())?;
+    Ok(Some((settings, options)))
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    if args.keys {
+        print!("{}", Options::describe());
+        return ExitCode::SUCCESS;
+    }
+    init_logging();
+    let (settings, options) = match load(&args) {
+        Ok(Some(loaded)) => loaded,
+        Ok(None) => return ExitCode::from(2),
+        Err(why) => {
+            eprintln!("lilacfork: {why}");
+            return ExitCode::from(2);
+        }
+    };
+    if args.check {
+        println!("settings are fine");
+        return ExitCode::SUCCESS;
+    }
+    let endpoints = Endpoints {
+        client: settings.client_listen,
+        peer: settings.peer_listen,
+        state: settings.services.state,
+        cloud: settings.services.cloud,
+    };
+    let max_connections = settings.site.limits.max_connections;
+    let name = settings.node_name.clone();
+    let mut node = Node::new(settings, options, fastrand::u64(1..1 << 50));
+    let reactor = match Reactor::new(endpoints, max_connections) {
+        Ok(reactor) => reactor,
+        Err(e) => {
+            eprintln!("lilacfork: can't listen: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    log::info!("node {name} started");
+    match reactor.run(&mut node) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::error!("reactor: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,610 @@
+//! One controller: the actors, and who hears what from whom. Messages and
+//! time in, messages out; the reactor does the rest.
+
+use crate::cloud::{Cloud, CloudCall, CloudEvent};
+use crate::election::{Change, Election, ElectionCall, Role};
+use crate::gateway::{Gateway, GatewayCall, GatewayOut};
+use crate::ids::{JobId, Term};
+use crate::msg::{
+    Call, CallError, CallId, ConnId, Effect, Now, Outcome, Port, Reply, Request, Target,
+};
+use crate::options::Options;
+use crate::peer::{self, Hello, JobCount, PEER_PATH};
+use crate::reactor::Handler;
+use crate::scheduler::{Scheduler, SchedulerCall, SchedulerOut, WorkerCall};
+use crate::settings::Settings;
+use crate::store::{self, Answer, StateCall, Store, Urgency};
+use crate::wire::{self, Catalog, Item, Report, ReportTo, Txn};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// Where every controller finds the machine types, even while the cloud is
+/// away.
+pub const CATALOG_KEY: &str = "catalog";
+
+#[derive(Clone, Debug, PartialEq)]
+enum StateTag {
+    Election(ElectionCall),
+    Gateway(GatewayCall),
+    /// With the term that asked: an earlier one's answers mean nothing now.
+    Scheduler(Term, SchedulerCall),
+    ReadCatalog,
+    WriteCatalog,
+}
+
+#[derive(Clone, Debug)]
+enum CallTag {
+    State(u64),
+    Cloud(CloudCall),
+    Worker(Term, WorkerCall),
+    Peer,
+}
+
+#[derive(Debug)]
+struct Peer {
+    name: String,
+    addr: String,
+    /// When it last said that the state service answers it.
+    state_seen_ms: Option<u64>,
+    busy: bool,
+}
+
+pub struct Node {
+    settings: Rc<Settings>,
+    election: Election,
+    store: Store<StateTag>,
+    gateway: Gateway,
+    scheduler: Scheduler,
+    cloud: Cloud,
+    catalog: Option<Rc<Catalog>>,
+    catalog_stored: bool,
+    catalog_read_ms: u64,
+    peers: Vec<Peer>,
+    calls: HashMap<CallId, CallTag>,
+    next_call: u64,
+    hello_ms: u64,
+    hello_every_ms: u64,
+    /// What peers were last told, so that only changes go out.
+    told: HashMap<JobId, (u32, u32)>,
+    nudges: Vec<JobId>,
+    leader_share: f64,
+}
+
+impl Node {
+    /// `incarnation` tells this process from earlier ones of the same name.
+    pub fn new(settings: Settings, options: Options, incarnation: u64) -> Node {
+        let settings = Rc::new(settings);
+        let site = &settings.site;
+        let ttl_ms = (site.workers.lease_s * 1000.0 * options.lease_share) as u64;
+        let ttl_ms = ttl_ms.clamp(200, 600_000);
+        let mut names: Vec<&str> = settings.peers.iter().map(|p| p.name.as_str()).collect();
+        names.push(&settings.node_name);
+        names.sort_unstable();
+        let rank = names
+            .iter()
+            .position(|n| *n == settings.node_name)
+            .unwrap_or(0) as u64;
+        let election = Election::new(&settings.node_name, incarnation, ttl_ms, rank * ttl_ms / 30);
+        let store = Store::new(site.state.rps, site.state.write_rps);
+        let cloud = Cloud::new(site.cloud.rps, site.cloud.list_lag_s);
+        let peers = settings
+            .peers
+            .iter()
+            .filter(|p| p.name != settings.node_name)
+            .map(|p| Peer {
+                name: p.name.clone(),
+                addr: p.addr.to_string(),
+                state_seen_ms: None,
+                busy: false,
+            })
+            .collect();
+        let leader_share = options.leader_share;
+        let mut node = Node {
+            gateway: Gateway::new(settings.clone()),
+            scheduler: Scheduler::new(settings.clone(), options),
+            settings,
+            election,
+            store,
+            cloud,
+            catalog: None,
+            catalog_stored: false,
+            catalog_read_ms: 0,
+            peers,
+            calls: HashMap::new(),
+            next_call: 0,
+            hello_ms: 0,
+            hello_every_ms: ttl_ms / 4,
+            told: HashMap::new(),
+            nudges: Vec::new(),
+            leader_share,
+        };
+        node.set_share(Now::default(), false);
+        node
+    }
+
+    pub fn is_leader(&self) -> bool {
+        self.election.is_leader()
+    }
+
+    /// Everybody's rates together stay near what the services take; a 429
+    /// mends what is over.
+    fn set_share(&mut self, now: Now, leading: bool) {
+        let others = self.peers.len().max(1) as f64;
+        let share = if self.peers.is_empty() {
+            1.0
+        } else if leading {
+            self.leader_share
+        } else {
+            // A little more than an even part: not all are busy at once.
+            ((1.0 - self.leader_share) / others * 1.5).min(1.0)
+        };
+        self.store.set_share(now, share);
+    }
+
+    // ---- requests ----
+
+    fn route(
+        &mut self,
+        now: Now,
+        conn: ConnId,
+        port: Port,
+        request: Request,
+        out: &mut Vec<Effect>,
+    ) {
+        let path = request.path.split('?').next().unwrap_or("");
+        if port == Port::Peer {
+            let reply = match (request.method.as_str(), path) {
+                ("POST", PEER_PATH) => self.on_hello(now, &request.body, out),
+                _ => Reply::error(404, "unknown path"),
+            };
+            out.push(Effect::Reply(conn, reply));
+            return;
+        }
+        let method = request.method.as_str();
+        let mut gateway = GatewayOut::default();
+        let allowed = match path {
+            wire::READY => {
+                if method == "GET" {
+                    out.push(Effect::Reply(conn, self.ready(now)));
+                }
+                method == "GET"
+            }
+            wire::WORKER_REPORT => {
+                if method == "POST" {
+                    self.on_report(now, conn, &request.body, out);
+                }
+                method == "POST"
+            }
+            wire::USER_JOBS => {
+                if method == "POST" {
+                    self.gateway.submit(now, conn, &request.body, &mut gateway);
+                }
+                method == "POST"
+            }
+            _ => match job_path(path) {
+                Some((id, None)) => {
+                    if method == "GET" {
+                        self.gateway.show(now, conn, id, &mut gateway);
+                    }
+                    method == "GET"
+                }
+                Some((id, Some("abort"))) => {
+                    if method == "POST" {
+                        self.gateway.cancel(now, conn, id, &mut gateway);
+                    }
+                    method == "POST"
+                }
+                _ => {
+                    out.push(Effect::Reply(conn, Reply::error(404, "unknown path")));
+                    return;
+                }
+            },
+        };
+        if !allowed {
+            out.push(Effect::Reply(conn, Reply::error(405, "method not allowed")));
+        }
+        self.take_gateway(now, gateway, out);
+    }
+
+    /// Ready means that requests can be taken. While the state service is
+    /// away from everybody it stays so: a 503 at once serves users better
+    /// than a node that balancers come back to slowly. A node that alone is
+    /// cut off steps aside.
+    fn ready(&self, now: Now) -> Reply {
+        if !self.gateway.has_catalog() {
+            return Reply::later(503, "machine types unknown yet", 1);
+        }
+        let patience_ms = self.hello_every_ms * 4;
+        let cut_off = !self.store.reachable()
+            && self
+                .store
+                .last_ok_ms()
+                .is_none_or(|ok| now.ms > ok + patience_ms);
+        let others_reach = self
+            .peers
+            .iter()
+            .any(|p| p.state_seen_ms.is_some_and(|at| now.ms < at + patience_ms));
+        if cut_off && others_reach {
+            return Reply::later(503, "the state service can't be reached from here", 1);
+        }
+        Reply::json(200, &serde_json::json!({ "ready": true }))
+    }
+
+    fn on_report(&mut self, now: Now, conn: ConnId, body: &[u8], out: &mut Vec<Effect>) {
+        if !self.scheduler.leading() {
+            let leader = self.election.other_leader();
+            let reply = match leader {
+                Some(node) => Reply::json(421, &ReportTo { node: Some(node) }),
+                None => Reply::later(503, "no leader known", 1),
+            };
+            out.push(Effect::Reply(conn, reply));
+            return;
+        }
+        let report: Report = match serde_json::from_slice(body) {
+            Ok(report) => report,
+            Err(e) => {
+                out.push(Effect::Reply(conn, Reply::error(400, &e.to_string())));
+                return;
+            }
+        };
+        let mut scheduler = SchedulerOut::default();
+        self.scheduler.report(now, conn, &report, &mut scheduler);
+        self.take_scheduler(now, scheduler, out);
+    }
+
+    // ---- peers ----
+
+    fn on_hello(&mut self, now: Now, body: &[u8], out: &mut Vec<Effect>) -> Reply {
+        let Some(hello) = peer::decode(body) else {
+            return Reply::error(400, "not a hello");
+        };
+        if let Some(peer) = self.peers.iter_mut().find(|p| p.name == hello.node) {
+            if hello.state_reachable {
+                peer.state_seen_ms = Some(now.ms);
+            }
+        }
+        if hello.state_reachable && !hello.leader.is_empty() {
+            let word = Some((hello.leader.as_str(), Term(hello.term)));
+            if let Some(change) = self.election.superseded(now, word) {
+                self.on_change(now, change, out);
+            }
+        }
+        if hello.node == hello.leader {
+            for count in hello.counts {
+                self.gateway
+                    .counts
+                    .insert(JobId::new(&count.job), (count.done, count.running));
+            }
+        }
+        let mut scheduler = SchedulerOut::default();
+        for job in hello.nudges.iter().filter(|id| wire::valid_job_id(id)) {
+            self.scheduler.nudge(now, &JobId::new(job), &mut scheduler);
+        }
+        self.take_scheduler(now, scheduler, out);
+        Reply {
+            status: 200,
+            body: Vec::new(),
+            retry_after_s: None,
+        }
+    }
+
+    fn say_hello(&mut self, now: Now, out: &mut Vec<Effect>) {
+        let urgent = !self.nudges.is_empty() && !self.election.is_leader();
+        if now.ms < self.hello_ms && !urgent {
+            return;
+        }
+        if now.ms >= self.hello_ms {
+            self.hello_ms = now.ms + self.hello_every_ms;
+        }
+        let leader = match &self.election.role {
+            Role::Leader { .. } => self.settings.node_name.clone(),
+            Role::Follower(record) => record.node.clone(),
+            Role::Unknown => String::new(),
+        };
+        let mut hello = Hello {
+            node: self.settings.node_name.clone(),
+            leader,
+            term: self.election.known_term().0,
+            state_reachable: self.store.reachable(),
+            counts: Vec::new(),
+            nudges: self.nudges.drain(..).map(|id| id.to_string()).collect(),
+        };
+        if self.scheduler.active() {
+            let mut told = HashMap::new();
+            for (id, done, running) in self.scheduler.counts() {
+                if self.told.get(id) != Some(&(done, running)) {
+                    hello.counts.push(JobCount {
+                        job: id.to_string(),
+                        done,
+                        running,
+                    });
+                }
+                told.insert(id.clone(), (done, running));
+                self.gateway.counts.insert(id.clone(), (done, running));
+            }
+            self.told = told;
+        }
+        let body = peer::encode(&hello);
+        let timeout_ms = self.hello_every_ms * 2;
+        let calls: Vec<Call> = self
+            .peers
+            .iter_mut()
+            .filter(|p| !p.busy)
+            .map(|p| Call {
+                target: Target::Peer(p.addr.clone()),
+                method: "POST",
+                path: PEER_PATH.to_string(),
+                body: body.clone(),
+                timeout_ms,
+            })
+            .collect();
+        for call in calls {
+            self.send(CallTag::Peer, call, out);
+        }
+    }
+
+    // ---- between the actors ----
+
+    fn send(&mut self, tag: CallTag, call: Call, out: &mut Vec<Effect>) {
+        self.next_call += 1;
+        let id = CallId(self.next_call);
+        self.calls.insert(id, tag);
+        out.push(Effect::Call(id, call));
+    }
+
+    fn take_gateway(&mut self, _now: Now, gateway: GatewayOut, out: &mut Vec<Effect>) {
+        out.extend(
+            gateway
+                .replies
+                .into_iter()
+                .map(|(c, r)| Effect::Reply(c, r)),
+        );
+        for call in gateway.calls {
+            self.store.submit(retag(call, StateTag::Gateway));
+        }
+        self.nudges.extend(gateway.nudges);
+    }
+
+    fn take_scheduler(&mut self, now: Now, scheduler: SchedulerOut, out: &mut Vec<Effect>) {
+        out.extend(
+            scheduler
+                .replies
+                .into_iter()
+                .map(|(c, r)| Effect::Reply(c, r)),
+        );
+        let term = self.scheduler.term();
+        for call in scheduler.state {
+            self.store
+                .submit(retag(call, |tag| StateTag::Scheduler(term, tag)));
+        }
+        for (tag, call) in scheduler.workers {
+            self.send(CallTag::Worker(term, tag), call, out);
+        }
+        let change = if let Some(why) = scheduler.resign {
+            log::error!("leader gives up its term: {why}");
+            let mut calls = Vec::new();
+            let change = self.election.resign(now, &mut calls);
+            self.take_election(calls);
+            change
+        } else if scheduler.superseded {
+            log::info!("a worker has seen a later term");
+            self.election.superseded(now, None)
+        } else {
+            None
+        };
+        if let Some(change) = change {
+            self.on_change(now, change, out);
+        }
+    }
+
+    fn take_election(&mut self, calls: Vec<StateCall<ElectionCall>>) {
+        for call in calls {
+            self.store.submit(retag(call, StateTag::Election));
+        }
+    }
+
+    fn on_change(&mut self, now: Now, change: Change, out: &mut Vec<Effect>) {
+        match change {
+            Change::Elected { term, key_version } => {
+                self.set_share(now, true);
+                self.told.clear();
+                self.cloud.lead(now, true);
+                let mut scheduler = SchedulerOut::default();
+                self.scheduler
+                    .elected(now, term, key_version, &mut scheduler);
+                self.take_scheduler(now, scheduler, out);
+            }
+            Change::Deposed => {
+                self.set_share(now, false);
+                self.cloud.lead(now, false);
+                self.scheduler.deposed();
+            }
+        }
+        // The others should know where to send workers.
+        self.hello_ms = now.ms;
+    }
+
+    fn on_state(&mut self, now: Now, tag: StateTag, answer: Answer, out: &mut Vec<Effect>) {
+        match tag {
+            StateTag::Election(call) => {
+                let mut calls = Vec::new();
+                let change = self.election.answered(now, call, answer, &mut calls);
+                self.take_election(calls);
+                if let Some(change) = change {
+                    self.on_change(now, change, out);
+                }
+            }
+            StateTag::Gateway(number) => {
+                let mut gateway = GatewayOut::default();
+                self.gateway.answered(now, number, answer, &mut gateway);
+                self.take_gateway(now, gateway, out);
+            }
+            StateTag::Scheduler(term, call) => {
+                if term == self.scheduler.term() && self.scheduler.leading() {
+                    let mut scheduler = SchedulerOut::default();
+                    self.scheduler
+                        .state_answered(now, call, answer, &mut scheduler);
+                    self.take_scheduler(now, scheduler, out);
+                }
+            }
+            StateTag::ReadCatalog => {
+                if let Some(item) = answer.read::<Item>(200) {
+                    let catalog = serde_json::from_value::<Catalog>(item.value)
+                        .ok()
+                        .and_then(Catalog::checked);
+                    if let Some(catalog) = catalog.filter(|_| self.catalog.is_none()) {
+                        self.set_catalog(catalog);
+                    }
+                }
+            }
+            StateTag::WriteCatalog => self.catalog_stored = answer.status() == Some(200),
+        }
+    }
+
+    fn set_catalog(&mut self, catalog: Catalog) {
+        let catalog = Rc::new(catalog);
+        self.gateway.set_catalog(catalog.clone());
+        self.scheduler.set_catalog(catalog.clone());
+        self.catalog = Some(catalog);
+    }
+
+    /// Reads the stored catalogue until there is one; stores it as leader.
+    fn tend_catalog(&mut self, now: Now) {
+        if self.catalog.is_none() && now.ms >= self.catalog_read_ms {
+            self.catalog_read_ms = now.ms + 1000;
+            self.store.submit(StateCall {
+                urgency: Urgency::Submission,
+                call: store::get(CATALOG_KEY, 1000),
+                writes: 0,
+                give_up_ms: now.ms + 1000,
+                tag: StateTag::ReadCatalog,
+            });
+        }
+        let Role::Leader { key_version, .. } = self.election.role else {
+            return;
+        };
+        if let (Some(catalog), false) = (&self.catalog, self.catalog_stored) {
+            self.catalog_stored = true;
+            let value = serde_json::to_value(&**catalog).unwrap_or_default();
+            let txn = Txn::default()
+                .guard(crate::election::LEADER_KEY, key_version.0)
+                .put(CATALOG_KEY, value);
+            let (call, writes) = store::txn(&txn, 1000);
+            self.store.submit(StateCall {
+                urgency: Urgency::Rest,
+                call,
+                writes,
+                give_up_ms: now.ms + 2000,
+                tag: StateTag::WriteCatalog,
+            });
+        }
+    }
+
+    /// Lets every actor act, and sends what they want sent.
+    fn pump(&mut self, now: Now, out: &mut Vec<Effect>) -> u64 {
+        let mut calls = Vec::new();
+        let mut wake = self.election.tick(now, &mut calls);
+        self.take_election(calls);
+        let mut scheduler = SchedulerOut::default();
+        wake = wake.min(self.scheduler.tick(now, &mut self.cloud, &mut scheduler));
+        self.take_scheduler(now, scheduler, out);
+        self.tend_catalog(now);
+        let mut cloud_calls = Vec::new();
+        self.cloud
+            .pump(now, |tag, call| cloud_calls.push((tag, call)));
+        for (tag, call) in cloud_calls {
+            self.send(CallTag::Cloud(tag), call, out);
+        }
+        wake = wake.min(self.cloud.wake_ms(now));
+        self.say_hello(now, out);
+        wake = wake.min(self.hello_ms);
+        let mut sent = Vec::new();
+        let mut given_up = Vec::new();
+        self.store
+            .pump(now, |id, call| sent.push((id, call)), &mut given_up);
+        for (id, call) in sent {
+            self.send(CallTag::State(id), call, out);
+        }
+        let gave_up = !given_up.is_empty();
+        for tag in given_up {
+            self.on_state(now, tag, Answer::Refused, out);
+        }
+        if gave_up || self.store.waiting() {
+            wake = wake.min(now.ms + 10);
+        }
+        if self.catalog.is_none() {
+            wake = wake.min(self.catalog_read_ms);
+        }
+        wake.max(now.ms + 1)
+    }
+}
+
+fn retag<A, B>(call: StateCall<A>, f: impl FnOnce(A) -> B) -> StateCall<B> {
+    StateCall {
+        urgency: call.urgency,
+        call: call.call,
+        writes: call.writes,
+        give_up_ms: call.give_up_ms,
+        tag: f(call.tag),
+    }
+}
+
+/// `/v2/runs/ID` or `/v2/runs/ID/VERB`.
+fn job_path(path: &str) -> Option<(&str, Option<&str>)> {
+    let rest = path.strip_prefix(wire::USER_JOBS)?.strip_prefix('/')?;
+    match rest.split_once('/') {
+        Some((id, verb)) => Some((id, Some(verb))),
+        None => Some((rest, None)),
+    }
+}
+
+impl Handler for Node {
+    fn request(
+        &mut self,
+        now: Now,
+        conn: ConnId,
+        port: Port,
+        request: Request,
+        out: &mut Vec<Effect>,
+    ) {
+        self.route(now, conn, port, request, out);
+    }
+
+    fn outcome(&mut self, now: Now, call: CallId, outcome: Outcome, out: &mut Vec<Effect>) {
+        match self.calls.remove(&call) {
+            Some(CallTag::State(id)) => {
+                if let Some((tag, answer)) = self.store.answered(now, id, outcome) {
+                    self.on_state(now, tag, answer, out);
+                }
+            }
+            Some(CallTag::Cloud(tag)) => match self.cloud.answered(now, tag, outcome) {
+                Some(CloudEvent::Catalog(catalog)) => {
+                    if self.catalog.is_none() {
+                        self.catalog_stored = false;
+                    }
+                    self.set_catalog(catalog);
+                }
+                Some(event) => self.scheduler.cloud_event(now, event, &mut self.cloud),
+                None => {}
+            },
+            Some(CallTag::Worker(term, tag)) => {
+                if term == self.scheduler.term() {
+                    let mut scheduler = SchedulerOut::default();
+                    self.scheduler
+                        .worker_answered(now, tag, outcome, &mut scheduler);
+                    self.take_scheduler(now, scheduler, out);
+                }
+            }
+            Some(CallTag::Peer) => {
+                if outcome == Err(CallError::NotSent) {
+                    log::debug!("a peer can't be reached");
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn tick(&mut self, now: Now, out: &mut Vec<Effect>) -> u64 {
+        self.pump(now, out)
+    }
+}
--- /dev/null
+++ b/src/options.rs
@@ -0,0 +1,103 @@
+//! Operators' own settings (INI). Each one is a ratio to a figure of the
+//! platform's file, so that one file suits every deployment. An unknown key is
+//! an error: a misspelt one must not pass for a default.
+
+use std::path::Path;
+use thiserror::Error;
+
+#[derive(Debug, Error)]
+pub enum OptionsError {
+    #[error("{file}: {why}")]
+    Read { file: String, why: String },
+    #[error("{file}: {key}: {why}")]
+    Key {
+        file: String,
+        key: String,
+        why: String,
+    },
+}
+
+macro_rules! options {
+    ($($(#[$doc:meta])* $section:literal $key:ident = $default:literal in $low:literal .. $high:literal;)*) => {
+        #[derive(Clone, Debug, PartialEq)]
+        pub struct Options { $($(#[$doc])* pub $key: f64,)* }
+
+        impl Default for Options {
+            fn default() -> Self { Options { $($key: $default,)* } }
+        }
+
+        impl Options {
+            fn set(&mut self, section: &str, key: &str, value: f64) -> Result<(), String> {
+                match (section, key) {
+                    $(($section, stringify!($key)) => {
+                        if !($low..=$high).contains(&value) {
+                            return Err(format!("must lie between {} and {}", $low, $high));
+                        }
+                        self.$key = value;
+                        Ok(())
+                    })*
+                    _ => Err("unknown key".to_string()),
+                }
+            }
+            /// Every key with its default, as an operator may write it.
+            pub fn describe() -> String {
+                let mut text = String::new();
+                $(text.push_str(&format!("[{}] {} = {}\n", $section, stringify!($key), $default));)*
+                text
+            }
+        }
+    };
+}
+
+options! {
+    /// Leader key's lease as a share of the workers' lease.
+    "election" lease_share = 0.3 in 0.05 .. 0.8;
+    /// The leader's share of the state service's rates.
+    "state" leader_share = 0.6 in 0.2 .. 0.9;
+    /// Latency buckets of the SlackFit choice.
+    "slackfit" buckets = 8.0 in 1.0 .. 64.0;
+    /// Weight of a new sample when times are learned.
+    "slackfit" learning_rate = 0.25 in 0.01 .. 1.0;
+    /// Free room kept for arrivals, in standard deviations of what comes and
+    /// goes within one boot time.
+    "slackfit" headroom = 1.0 in 0.0 .. 5.0;
+    /// A silent machine is given up after this many worker leases.
+    "fleet" silent_leases = 2.5 in 1.0 .. 20.0;
+    /// An idle machine is returned after this share of its boot time.
+    "fleet" idle_boots = 0.6 in 0.0 .. 20.0;
+    /// A machine that doesn't come up is given up after this many boot times.
+    "fleet" late_boots = 3.0 in 1.5 .. 20.0;
+    /// Share of cancel_s after which an unconfirmed machine is returned.
+    "fleet" cancel_share = 0.6 in 0.1 .. 0.9;
+}
+
+impl Options {
+    pub fn load(path: &Path) -> Result<Options, OptionsError> {
+        let file = path.display().to_string();
+        let ini = ini::Ini::load_from_file(path).map_err(|e| OptionsError::Read {
+            file: file.clone(),
+            why: e.to_string().replace('\n', " "),
+        })?;
+        Options::from_ini(&ini, &file)
+    }
+
+    pub fn from_ini(ini: &ini::Ini, file: &str) -> Result<Options, OptionsError> {
+        let mut options = Options::default();
+        for (section, properties) in ini.iter() {
+            let section = section.unwrap_or("");
+            for (key, value) in properties.iter() {
+                let fail = |why: String| OptionsError::Key {
+                    file: file.to_string(),
+                    key: format!("[{section}] {key}"),
+                    why,
+                };
+                let number = value
+                    .trim()
+                    .parse()
+                    .map_err(|_| fail("not a number".to_string()))?;
+                options.set(section, key, number).map_err(fail)?;
+            }
+        }
+        Ok(options)
+    }
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,45 @@
+//! What controllers tell each other: hints only, in protocol buffers. Nothing
+//! here is ever needed for safety.
+
+use prost::Message;
+
+pub const PEER_PATH: &str = "/peer";
+
+/// Sent by every controller to every other a few times per lease.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    #[prost(string, tag = "1")]
+    pub node: String,
+    /// The leader that the sender knows from the state service, if any.
+    #[prost(string, tag = "2")]
+    pub leader: String,
+    #[prost(uint64, tag = "3")]
+    pub term: u64,
+    /// The sender has heard from the state service lately.
+    #[prost(bool, tag = "4")]
+    pub state_reachable: bool,
+    /// From the leader: counts for display.
+    #[prost(message, repeated, tag = "5")]
+    pub counts: Vec<JobCount>,
+    /// A job or cancellation that the sender has just written.
+    #[prost(string, repeated, tag = "6")]
+    pub nudges: Vec<String>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct JobCount {
+    #[prost(string, tag = "1")]
+    pub job: String,
+    #[prost(uint32, tag = "2")]
+    pub done: u32,
+    #[prost(uint32, tag = "3")]
+    pub running: u32,
+}
+
+pub fn encode(hello: &Hello) -> Vec<u8> {
+    hello.encode_to_vec()
+}
+
+pub fn decode(bytes: &[u8]) -> Option<Hello> {
+    Hello::decode(bytes).ok()
+}
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,177 @@
+//! Pure placement: amounts, who may stand where, and which of the fitting
+//! machines is taken. No state, no clock.
+
+use crate::cloud::Offer;
+use crate::gateway::fits_type;
+use crate::wire::{Catalog, JobSpec, MachineType};
+use std::rc::Rc;
+
+/// Rounding of decimal amounts must not turn a machine away.
+const SLOP: f64 = 1e-6;
+
+/// Amounts of a machine, or of what a task takes of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Res {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+impl Res {
+    pub fn of_task(spec: &JobSpec) -> Res {
+        Res {
+            cpus: spec.cpus,
+            gpus: spec.gpus,
+            memory_gb: spec.memory_gb,
+        }
+    }
+    pub fn of_type(t: &MachineType) -> Res {
+        Res {
+            cpus: t.cpus,
+            gpus: t.gpus,
+            memory_gb: t.memory_gb,
+        }
+    }
+    pub fn holds(&self, need: &Res) -> bool {
+        need.cpus <= self.cpus + SLOP
+            && need.gpus <= self.gpus + SLOP
+            && need.memory_gb <= self.memory_gb + SLOP
+    }
+    pub fn add(&mut self, other: &Res) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.memory_gb += other.memory_gb;
+    }
+    pub fn take(&mut self, other: &Res) {
+        self.cpus -= other.cpus;
+        self.gpus -= other.gpus;
+        self.memory_gb -= other.memory_gb;
+    }
+    /// How many times `need` goes in here.
+    pub fn times(&self, need: &Res) -> u32 {
+        let ratio = |have: f64, want: f64| {
+            if want > 0.0 {
+                (have + SLOP) / want
+            } else {
+                f64::INFINITY
+            }
+        };
+        let n = ratio(self.cpus, need.cpus)
+            .min(ratio(self.gpus, need.gpus))
+            .min(ratio(self.memory_gb, need.memory_gb));
+        n.min(f64::from(u32::MAX)).max(0.0) as u32
+    }
+    /// The share of `whole` that this takes, by the scarcest amount.
+    pub fn share_of(&self, whole: &Res) -> f64 {
+        let part = |x: f64, y: f64| if y > 0.0 { x / y } else { 0.0 };
+        part(self.cpus, whole.cpus)
+            .max(part(self.gpus, whole.gpus))
+            .max(part(self.memory_gb, whole.memory_gb))
+    }
+}
+
+/// Where the tasks of a job may still go, given where its others may be.
+#[derive(Clone, Debug, Default)]
+pub struct ZoneUse {
+    /// (zone, tasks that may be there).
+    counts: Vec<(Rc<str>, u32)>,
+}
+
+impl ZoneUse {
+    pub fn add(&mut self, zone: &Rc<str>) {
+        match self.counts.iter_mut().find(|(z, _)| z == zone) {
+            Some((_, n)) => *n += 1,
+            None => self.counts.push((zone.clone(), 1)),
+        }
+    }
+    pub fn count(&self, zone: &str) -> u32 {
+        self.counts
+            .iter()
+            .find(|(z, _)| &**z == zone)
+            .map_or(0, |(_, n)| *n)
+    }
+    /// Whether one more task of the job may stand in `zone`.
+    pub fn allows(&self, spec: &JobSpec, zone: &str) -> bool {
+        if spec.zone.as_ref().is_some_and(|only| &**only != zone) {
+            return false;
+        }
+        if spec.one_zone && self.counts.iter().any(|(z, n)| &**z != zone && *n > 0) {
+            return false;
+        }
+        // At most half of the tasks, rounded up.
+        !spec.spread || self.count(zone) < spec.tasks.div_ceil(2)
+    }
+}
+
+/// Type and kind of machine; the zone is `ZoneUse`'s.
+pub fn allows_offer(spec: &JobSpec, offer: &Offer) -> bool {
+    (spec.spot || !offer.spot)
+        && spec
+            .types
+            .as_ref()
+            .is_none_or(|types| types.contains(&offer.machine_type))
+}
+
+/// Every rental that could hold a task of the job, with its nominal price.
+pub fn offers_for(spec: &JobSpec, catalog: &Catalog) -> Vec<(Offer, f64, Res, f64)> {
+    let mut offers = Vec::new();
+    for t in catalog.types.iter().filter(|t| fits_type(spec, t)) {
+        for zone in &t.zones {
+            if spec.zone.as_ref().is_some_and(|only| only != zone) {
+                continue;
+            }
+            for spot in [true, false] {
+                if spot && (!spec.spot || t.spot_price <= 0.0) {
+                    continue;
+                }
+                let price = if spot { t.spot_price } else { t.price };
+                let offer = Offer {
+                    machine_type: t.name.clone(),
+                    zone: zone.clone(),
+                    spot,
+                };
+                offers.push((offer, price, Res::of_type(t), t.boot_s));
+            }
+        }
+    }
+    offers
+}
+
+/// What the choice between fitting machines looks at.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fit {
+    /// Image there already.
+    pub cached: bool,
+    /// Image on its way for another task.
+    pub coming: bool,
+    /// Other images being fetched, which share the rate.
+    pub fetches: u32,
+    /// The machine is cheap and the job may use it.
+    pub spot: bool,
+    /// Share of the machine that stays free.
+    pub left: f64,
+    /// Tasks of the same job there already: replicas fall together.
+    pub siblings: u32,
+    /// Tasks of the same job in that zone already.
+    pub zone_siblings: u32,
+}
+
+impl Fit {
+    /// Smaller is better. Late work for a second of fetching is worse than
+    /// any packing; among equals, full machines fill up so that others empty.
+    pub fn rank(&self) -> f64 {
+        let fetch = if self.cached {
+            0.0
+        } else if self.coming {
+            0.6
+        } else {
+            1.0 + 0.5 * f64::from(self.fetches)
+        };
+        let dear = if self.spot { 0.0 } else { 0.3 };
+        fetch * 2.0
+            + dear
+            + self.left
+            + 0.15 * f64::from(self.siblings.min(4))
+            + 0.05 * f64::from(self.zone_siblings.min(4))
+    }
+}
--- /dev/null
+++ b/src/reactor.rs
@@ -0,0 +1,715 @@
+//! The one thread of I/O: listeners, connections, timers. It knows HTTP and
+//! sockets, and nothing of jobs.
+
+use crate::http::{self, HttpError};
+use crate::msg::{
+    Call, CallError, CallId, ConnId, Effect, Now, Outcome, Port, Reply, Request, Target,
+};
+use polling::{Event, Events, PollMode, Poller};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// What drives the reactor's owner.
+pub trait Handler {
+    fn request(
+        &mut self,
+        now: Now,
+        conn: ConnId,
+        port: Port,
+        request: Request,
+        out: &mut Vec<Effect>,
+    );
+    fn outcome(&mut self, now: Now, call: CallId, outcome: Outcome, out: &mut Vec<Effect>);
+    /// Called every turn; returns when it wants to be called at the latest.
+    fn tick(&mut self, now: Now, out: &mut Vec<Effect>) -> u64;
+}
+
+pub struct Endpoints {
+    pub client: SocketAddrV4,
+    pub peer: SocketAddrV4,
+    pub state: SocketAddrV4,
+    pub cloud: SocketAddrV4,
+}
+
+const CLIENT_KEY: usize = 0;
+const PEER_KEY: usize = 1;
+const FIRST_CONN: usize = 2;
+/// A server connection without a request for so long is closed.
+const IDLE_MS: u64 = 90_000;
+/// A request that has begun has to be complete within this time.
+const SLOW_REQUEST_MS: u64 = 10_000;
+/// Idle outgoing connections are closed after this time.
+const POOL_IDLE_MS: u64 = 30_000;
+
+#[derive(PartialEq, Eq)]
+enum Role {
+    Server(Port),
+    Client(Target),
+}
+
+struct Conn {
+    stream: TcpStream,
+    role: Role,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    written: usize,
+    interest: (bool, bool),
+    /// Server: a request is with the handler. Client: the call in flight.
+    busy: bool,
+    call: Option<CallId>,
+    /// Client: whether any of the request may have left.
+    sent: bool,
+    connected: bool,
+    close_after: bool,
+    reused: bool,
+    deadline_ms: u64,
+}
+
+/// A call waiting for a free connection.
+struct Waiting {
+    id: CallId,
+    call: Call,
+    deadline_ms: u64,
+}
+
+#[derive(Default)]
+struct Pool {
+    idle: Vec<usize>,
+    open: usize,
+    waiting: VecDeque<Waiting>,
+}
+
+pub struct Reactor {
+    poller: Poller,
+    listeners: [TcpListener; 2],
+    endpoints: Endpoints,
+    conns: HashMap<usize, Conn>,
+    deadlines: BTreeSet<(u64, usize)>,
+    pools: HashMap<Target, Pool>,
+    next_key: usize,
+    max_server: usize,
+    servers: usize,
+    accepting: bool,
+    start: Instant,
+    buffer: Vec<u8>,
+    failed: Vec<(CallId, CallError)>,
+}
+
+fn max_open(target: &Target) -> usize {
+    match target {
+        Target::State => 12,
+        Target::StateWatch => 4,
+        Target::Cloud => 4,
+        Target::Worker(_) => 1,
+        Target::Peer(_) => 2,
+    }
+}
+
+fn listen(addr: SocketAddrV4) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&SocketAddr::V4(addr).into())?;
+    socket.listen(256)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
+
+impl Reactor {
+    pub fn new(endpoints: Endpoints, max_connections: usize) -> io::Result<Reactor> {
+        let poller = Poller::new()?;
+        let listeners = [listen(endpoints.client)?, listen(endpoints.peer)?];
+        for (key, listener) in listeners.iter().enumerate() {
+            // Safety: the listeners live as long as the poller, in one struct.
+            unsafe { poller.add_with_mode(listener, Event::readable(key), PollMode::Level)? };
+        }
+        Ok(Reactor {
+            poller,
+            listeners,
+            endpoints,
+            conns: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            pools: HashMap::new(),
+            next_key: FIRST_CONN,
+            // The rest is for calls to workers, state service, cloud and peers.
+            max_server: max_connections * 3 / 4,
+            servers: 0,
+            accepting: true,
+            start: Instant::now(),
+            buffer: vec![0; 32 * 1024],
+            failed: Vec::new(),
+        })
+    }
+
+    fn now(&self) -> Now {
+        Now {
+            ms: self.start.elapsed().as_millis() as u64 + 1,
+            wall: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |d| d.as_millis() as u64),
+        }
+    }
+
+    /// Runs until the process is killed.
+    pub fn run(mut self, handler: &mut dyn Handler) -> io::Result<()> {
+        let mut events = Events::new();
+        let mut effects = Vec::new();
+        loop {
+            let now = self.now();
+            let wake_ms = handler.tick(now, &mut effects);
+            self.apply(now, &mut effects, handler);
+            let mut next = wake_ms;
+            if let Some((deadline, _)) = self.deadlines.first() {
+                next = next.min(*deadline);
+            }
+            if let Some(w) = self.waiting_deadline() {
+                next = next.min(w);
+            }
+            let timeout = Duration::from_millis(next.saturating_sub(self.now().ms).max(1));
+            events.clear();
+            match self.poller.wait(&mut events, Some(timeout)) {
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) => return Err(e),
+            }
+            for event in events.iter() {
+                let now = self.now();
+                match event.key {
+                    CLIENT_KEY => self.accept(now, Port::Client),
+                    PEER_KEY => self.accept(now, Port::Peer),
+                    key => self.ready(now, key, event, handler, &mut effects),
+                }
+                self.apply(now, &mut effects, handler);
+            }
+            let now = self.now();
+            self.expire(now);
+            self.apply(now, &mut effects, handler);
+        }
+    }
+
+    fn waiting_deadline(&self) -> Option<u64> {
+        self.pools
+            .values()
+            .flat_map(|p| p.waiting.iter().map(|w| w.deadline_ms))
+            .min()
+    }
+
+    /// Carries out effects, and those that their failures cause.
+    fn apply(&mut self, now: Now, effects: &mut Vec<Effect>, handler: &mut dyn Handler) {
+        loop {
+            for effect in std::mem::take(effects) {
+                match effect {
+                    Effect::Reply(conn, reply) => self.reply(now, conn.0 as usize, &reply),
+                    Effect::Call(id, call) => self.call(now, id, call),
+                }
+            }
+            if self.failed.is_empty() {
+                return;
+            }
+            for (id, error) in std::mem::take(&mut self.failed) {
+                handler.outcome(now, id, Err(error), effects);
+            }
+        }
+    }
+
+    fn accept(&mut self, now: Now, port: Port) {
+        // A bounded number per turn, so that a rush can't starve the rest.
+        for _ in 0..32 {
+            if self.servers >= self.max_server && !self.close_idlest() {
+                self.pause_accepting(true);
+                return;
+            }
+            match self.listeners[port as usize].accept() {
+                Ok((stream, _)) => {
+                    if stream.set_nonblocking(true).is_err() {
+                        continue;
+                    }
+                    let _ = stream.set_nodelay(true);
+                    self.servers += 1;
+                    self.insert(now, stream, Role::Server(port), now.ms + IDLE_MS);
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) => {
+                    log::debug!("accept: {e}");
+                    if !self.close_idlest() {
+                        self.pause_accepting(true);
+                    }
+                    return;
+                }
+            }
+        }
+    }
+
+    fn pause_accepting(&mut self, pause: bool) {
+        if self.accepting != pause {
+            return;
+        }
+        self.accepting = !pause;
+        for (key, listener) in self.listeners.iter().enumerate() {
+            let interest = if pause {
+                Event::none(key)
+            } else {
+                Event::readable(key)
+            };
+            let _ = self
+                .poller
+                .modify_with_mode(listener, interest, PollMode::Level);
+        }
+    }
+
+    /// Makes room by closing the server connection that has idled longest.
+    fn close_idlest(&mut self) -> bool {
+        let victim = self.deadlines.iter().map(|(_, key)| *key).find(|key| {
+            self.conns.get(key).is_some_and(|c| {
+                matches!(c.role, Role::Server(_))
+                    && !c.busy
+                    && c.input.is_empty()
+                    && c.output.is_empty()
+            })
+        });
+        match victim {
+            Some(key) => {
+                self.drop_conn(key);
+                true
+            }
+            None => false,
+        }
+    }
+
+    fn insert(
+        &mut self,
+        _now: Now,
+        stream: TcpStream,
+        role: Role,
+        deadline_ms: u64,
+    ) -> Option<usize> {
+        let key = self.next_key;
+        self.next_key += 1;
+        let client = matches!(role, Role::Client(_));
+        let interest = (!client, client);
+        let event = Event::new(key, interest.0, interest.1);
+        // Safety: a connection is deleted from the poller before it is dropped.
+        if let Err(e) = unsafe { self.poller.add_with_mode(&stream, event, PollMode::Level) } {
+            log::debug!("poller: {e}");
+            if !client {
+                self.servers -= 1;
+            }
+            return None;
+        }
+        self.deadlines.insert((deadline_ms, key));
+        self.conns.insert(
+            key,
+            Conn {
+                stream,
+                role,
+                input: Vec::new(),
+                output: Vec::new(),
+                written: 0,
+                interest,
+                busy: false,
+                call: None,
+                sent: false,
+                connected: !client,
+                close_after: false,
+                reused: false,
+                deadline_ms,
+            },
+        );
+        Some(key)
+    }
+
+    fn set_deadline(&mut self, key: usize, deadline_ms: u64) {
+        if let Some(conn) = self.conns.get_mut(&key) {
+            self.deadlines.remove(&(conn.deadline_ms, key));
+            conn.deadline_ms = deadline_ms;
+            self.deadlines.insert((deadline_ms, key));
+        }
+    }
+
+    /// Closes a connection; a call in flight on it has failed.
+    fn drop_conn(&mut self, key: usize) {
+        let Some(conn) = self.conns.remove(&key) else {
+            return;
+        };
+        self.deadlines.remove(&(conn.deadline_ms, key));
+        let _ = self.poller.delete(&conn.stream);
+        match conn.role {
+            Role::Server(_) => {
+                self.servers -= 1;
+                self.pause_accepting(false);
+            }
+            Role::Client(target) => {
+                if let Some(pool) = self.pools.get_mut(&target) {
+                    pool.open -= 1;
+                    pool.idle.retain(|k| *k != key);
+                }
+                if let Some(id) = conn.call {
+                    let error = if conn.sent {
+                        CallError::Unclear
+                    } else {
+                        CallError::NotSent
+                    };
+                    self.failed.push((id, error));
+                }
+                self.next_waiting(&target);
+            }
+        }
+    }
+
+    fn expire(&mut self, now: Now) {
+        while let Some((deadline, key)) = self.deadlines.first().copied() {
+            if deadline > now.ms {
+                break;
+            }
+            self.drop_conn(key);
+        }
+        let failed = &mut self.failed;
+        for pool in self.pools.values_mut() {
+            pool.waiting.retain(|w| {
+                let late = w.deadline_ms <= now.ms;
+                if late {
+                    failed.push((w.id, CallError::NotSent));
+                }
+                !late
+            });
+        }
+        self.pools
+            .retain(|_, pool| pool.open > 0 || !pool.waiting.is_empty());
+    }
+
+    fn reply(&mut self, now: Now, key: usize, reply: &Reply) {
+        let Some(conn) = self.conns.get_mut(&key) else {
+            return;
+        };
+        conn.busy = false;
+        http::write_reply(&mut conn.output, reply, conn.close_after);
+        self.set_deadline(key, now.ms + IDLE_MS);
+        self.flush(key);
+    }
+
+    fn call(&mut self, now: Now, id: CallId, call: Call) {
+        let deadline_ms = now.ms + call.timeout_ms;
+        let waiting = Waiting {
+            id,
+            call,
+            deadline_ms,
+        };
+        self.start_call(waiting);
+    }
+
+    fn next_waiting(&mut self, target: &Target) {
+        let next = self
+            .pools
+            .get_mut(target)
+            .and_then(|p| p.waiting.pop_front());
+        if let Some(waiting) = next {
+            self.start_call(waiting);
+        }
+    }
+
+    fn start_call(&mut self, waiting: Waiting) {
+        let target = waiting.call.target.clone();
+        let pool = self.pools.entry(target.clone()).or_default();
+        let key = match pool.idle.pop() {
+            Some(key) => key,
+            None if pool.open >= max_open(&target) => {
+                pool.waiting.push_back(waiting);
+                return;
+            }
+            None => match self.connect(&target, waiting.deadline_ms) {
+                Some(key) => key,
+                None => {
+                    self.failed.push((waiting.id, CallError::NotSent));
+                    return;
+                }
+            },
+        };
+        self.set_deadline(key, waiting.deadline_ms);
+        let Some(conn) = self.conns.get_mut(&key) else {
+            self.failed.push((waiting.id, CallError::NotSent));
+            return;
+        };
+        conn.call = Some(waiting.id);
+        conn.sent = false;
+        http::write_request(
+            &mut conn.output,
+            waiting.call.method,
+            &waiting.call.path,
+            "lilacfork",
+            &waiting.call.body,
+        );
+        if conn.connected {
+            self.flush(key);
+        }
+    }
+
+    fn connect(&mut self, target: &Target, deadline_ms: u64) -> Option<usize> {
+        let addr: SocketAddrV4 = match target {
+            Target::State | Target::StateWatch => self.endpoints.state,
+            Target::Cloud => self.endpoints.cloud,
+            Target::Worker(addr) | Target::Peer(addr) => addr.parse().ok()?,
+        };
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).ok()?;
+        socket.set_nonblocking(true).ok()?;
+        let _ = socket.set_tcp_nodelay(true);
+        match socket.connect(&SocketAddr::V4(addr).into()) {
+            Ok(()) => {}
+            // EINPROGRESS has no stable kind of its own.
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock || e.raw_os_error() == Some(115) => {}
+            Err(e) => {
+                log::debug!("connect {addr}: {e}");
+                return None;
+            }
+        }
+        let stream: TcpStream = socket.into();
+        let key = self.insert(
+            Now::default(),
+            stream,
+            Role::Client(target.clone()),
+            deadline_ms,
+        )?;
+        self.pools.entry(target.clone()).or_default().open += 1;
+        Some(key)
+    }
+
+    fn flush(&mut self, key: usize) {
+        let Some(conn) = self.conns.get_mut(&key) else {
+            return;
+        };
+        let mut broken = false;
+        while conn.written < conn.output.len() {
+            match conn.stream.write(&conn.output[conn.written..]) {
+                Ok(0) => {
+                    broken = true;
+                    break;
+                }
+                Ok(n) => {
+                    conn.written += n;
+                    conn.sent = true;
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => {
+                    broken = true;
+                    break;
+                }
+            }
+        }
+        if conn.written == conn.output.len() {
+            conn.output.clear();
+            conn.written = 0;
+            if conn.output.capacity() > 16 * 1024 {
+                conn.output = Vec::new();
+            }
+            // An answer that ends its connection is out.
+            broken |= conn.close_after && !conn.busy && matches!(conn.role, Role::Server(_));
+        }
+        if broken {
+            self.drop_conn(key);
+        } else {
+            self.update_interest(key);
+        }
+    }
+
+    fn update_interest(&mut self, key: usize) {
+        let Some(conn) = self.conns.get_mut(&key) else {
+            return;
+        };
+        // A server connection isn't read while its request is worked on:
+        // nobody may pipeline, and the kernel's buffer bounds what waits.
+        let read = conn.connected && !(matches!(conn.role, Role::Server(_)) && conn.busy);
+        let write = !conn.connected || conn.written < conn.output.len();
+        if conn.interest == (read, write) {
+            return;
+        }
+        conn.interest = (read, write);
+        let event = Event::new(key, read, write);
+        if self
+            .poller
+            .modify_with_mode(&conn.stream, event, PollMode::Level)
+            .is_err()
+        {
+            self.drop_conn(key);
+        }
+    }
+
+    fn ready(
+        &mut self,
+        now: Now,
+        key: usize,
+        event: Event,
+        handler: &mut dyn Handler,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(conn) = self.conns.get_mut(&key) else {
+            return;
+        };
+        if !conn.connected {
+            if event.writable {
+                match conn.stream.take_error() {
+                    Ok(None) => conn.connected = true,
+                    _ => {
+                        self.drop_conn(key);
+                        return;
+                    }
+                }
+            }
+        } else if event.readable && !self.read(now, key, handler, effects) {
+            return;
+        }
+        if event.writable {
+            self.flush(key);
+        }
+    }
+
+    /// Reads and handles what has come; false when the connection is gone.
+    fn read(
+        &mut self,
+        now: Now,
+        key: usize,
+        handler: &mut dyn Handler,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(conn) = self.conns.get_mut(&key) else {
+            return false;
+        };
+        let mut ended = false;
+        // At most a few buffers a turn; level-triggered polling brings the rest.
+        for _ in 0..8 {
+            match conn.stream.read(&mut self.buffer) {
+                Ok(0) => {
+                    ended = true;
+                    break;
+                }
+                Ok(n) => {
+                    conn.input.extend_from_slice(&self.buffer[..n]);
+                    if n < self.buffer.len() {
+                        break;
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => {
+                    ended = true;
+                    break;
+                }
+            }
+        }
+        match conn.role {
+            Role::Server(port) => self.read_request(now, key, port, ended, handler, effects),
+            Role::Client(_) => self.read_response(now, key, ended, handler, effects),
+        }
+    }
+
+    fn read_request(
+        &mut self,
+        now: Now,
+        key: usize,
+        port: Port,
+        ended: bool,
+        handler: &mut dyn Handler,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(conn) = self.conns.get_mut(&key) else {
+            return false;
+        };
+        if ended {
+            self.drop_conn(key);
+            return false;
+        }
+        if conn.busy || conn.input.is_empty() {
+            return true;
+        }
+        match http::parse_request(&conn.input) {
+            Ok(None) => {
+                // The clock runs from the request's first byte.
+                let limit = now.ms + SLOW_REQUEST_MS;
+                if conn.deadline_ms > limit {
+                    self.set_deadline(key, limit);
+                }
+                true
+            }
+            Ok(Some(parsed)) => {
+                conn.input.drain(..parsed.size);
+                if conn.input.is_empty() && conn.input.capacity() > 8 * 1024 {
+                    conn.input = Vec::new();
+                }
+                conn.close_after |= parsed.close || !conn.input.is_empty();
+                conn.busy = true;
+                self.set_deadline(key, now.ms + IDLE_MS);
+                self.update_interest(key);
+                handler.request(now, ConnId(key as u64), port, parsed.message, effects);
+                true
+            }
+            Err(error) => {
+                self.refuse(key, error);
+                true
+            }
+        }
+    }
+
+    fn refuse(&mut self, key: usize, error: HttpError) {
+        let Some(conn) = self.conns.get_mut(&key) else {
+            return;
+        };
+        conn.close_after = true;
+        conn.input = Vec::new();
+        let reply = Reply::error(error.status(), &error.to_string());
+        http::write_reply(&mut conn.output, &reply, true);
+        self.flush(key);
+    }
+
+    fn read_response(
+        &mut self,
+        now: Now,
+        key: usize,
+        ended: bool,
+        handler: &mut dyn Handler,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(conn) = self.conns.get_mut(&key) else {
+            return false;
+        };
+        if conn.call.is_none() {
+            // An idle connection says something, or goodbye.
+            self.drop_conn(key);
+            return false;
+        }
+        match http::parse_response(&conn.input, ended) {
+            Ok(None) if ended => {
+                self.drop_conn(key);
+                false
+            }
+            Ok(None) => true,
+            Ok(Some(parsed)) => {
+                conn.input = Vec::new();
+                let id = conn.call.take();
+                conn.reused = true;
+                let close = parsed.close || ended;
+                let Role::Client(target) = &conn.role else {
+                    return false;
+                };
+                let target = target.clone();
+                if close {
+                    self.drop_conn(key);
+                } else {
+                    self.set_deadline(key, now.ms + POOL_IDLE_MS);
+                    if let Some(pool) = self.pools.get_mut(&target) {
+                        pool.idle.push(key);
+                    }
+                    self.next_waiting(&target);
+                }
+                if let Some(id) = id {
+                    handler.outcome(now, id, Ok(parsed.message), effects);
+                }
+                !close
+            }
+            Err(_) => {
+                self.drop_conn(key);
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduler/commit.rs
@@ -0,0 +1,370 @@
+//! What the leader writes: one guarded transaction at a time, holding as many
+//! jobs' changes as the limits allow. An unclear one is sent again, letter by
+//! letter, until the state service says what became of it.
+
+use super::jobs::shard_key;
+use super::{Scheduler, SchedulerCall, SchedulerOut};
+use crate::election::LEADER_KEY;
+use crate::gateway::{final_key, job_key, Final, FinalRecord};
+use crate::ids::{Attempt, JobId};
+use crate::msg::Now;
+use crate::store::{self, Answer, Urgency};
+use crate::wire::{Item, RevisionOnly, Txn};
+
+/// Room for headers and guards below the protocol's 64 KiB.
+const TXN_BYTES: usize = 52 * 1024;
+const TIMEOUT_MS: u64 = 1000;
+const RETRY_MS: u64 = 200;
+
+#[derive(Debug)]
+struct ShardWrite {
+    job: JobId,
+    shard: u32,
+    assigned: Vec<(u32, Attempt)>,
+    ended: Vec<(u32, Attempt)>,
+}
+
+#[derive(Debug)]
+pub struct Batch {
+    write: u64,
+    txn: Txn,
+    shards: Vec<ShardWrite>,
+    finished: Vec<(JobId, Final)>,
+    /// Key whose value names this write, if it was carried out.
+    witness: String,
+    sent: bool,
+    unclear: bool,
+    failed: Vec<String>,
+    due_ms: u64,
+}
+
+impl Scheduler {
+    /// Partial results are stored at leisure: one write then takes several.
+    fn leisure_ms(&self) -> u64 {
+        self.report_ms()
+    }
+
+    pub(super) fn commit_wake_ms(&self, now: Now) -> u64 {
+        match &self.batch {
+            Some(batch) if !batch.sent => batch.due_ms.max(now.ms + 1),
+            Some(_) => u64::MAX,
+            None => self.commit_due_ms.max(now.ms + self.report_ms() / 4),
+        }
+    }
+
+    pub(super) fn commit(&mut self, now: Now, out: &mut SchedulerOut) {
+        if self.batch.is_none() && now.ms >= self.commit_due_ms {
+            self.batch = self.build_batch(now);
+        }
+        let Some(batch) = self
+            .batch
+            .as_mut()
+            .filter(|b| !b.sent && now.ms >= b.due_ms)
+        else {
+            return;
+        };
+        batch.sent = true;
+        let (call, writes) = store::txn(&batch.txn, TIMEOUT_MS);
+        self.ask(
+            now,
+            Urgency::Placement,
+            call,
+            writes,
+            SchedulerCall::Commit,
+            out,
+        );
+    }
+
+    fn build_batch(&mut self, now: Now) -> Option<Batch> {
+        let max_ops = self.settings.site.state.txn_ops;
+        let leisure_ms = self.leisure_ms();
+        self.writes += 1;
+        let write = (self.term.0 << 32) | self.writes;
+        let mut batch = Batch {
+            write,
+            txn: Txn::default().guard(LEADER_KEY, self.key_version),
+            shards: Vec::new(),
+            finished: Vec::new(),
+            witness: String::new(),
+            sent: false,
+            unclear: false,
+            failed: Vec::new(),
+            due_ms: 0,
+        };
+        let mut bytes = 0;
+        // Most important jobs first: what doesn't fit waits for the next one.
+        let mut order: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| !j.stale && !j.finishing)
+            .filter(|(_, j)| {
+                j.all_done()
+                    || (j.cancelled.is_some() && j.assigns.is_empty())
+                    || j.shards.iter().any(|s| s.dirty_ms.is_some())
+            })
+            .map(|(id, j)| (j.spec.priority, j.submitted, id.clone()))
+            .collect();
+        order.sort();
+        for (_, _, id) in order {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            if batch.txn.writes.len() + 2 > max_ops || bytes > TXN_BYTES {
+                break;
+            }
+            let state = match job.cancelled {
+                Some(_) if job.assigns.is_empty() => Some(Final::Cancelled),
+                // What a cancelled job's tasks do needs no record: whoever
+                // leads next stops them all.
+                Some(_) => continue,
+                None if job.all_done() => Some(Final::Done),
+                None => None,
+            };
+            if let Some(state) = state {
+                let record = FinalRecord {
+                    state,
+                    tasks: job.spec.tasks,
+                    write,
+                };
+                let value = serde_json::to_value(record).unwrap_or_default();
+                batch.txn = std::mem::take(&mut batch.txn)
+                    .guard(job_key(&id), job.version)
+                    .put(final_key(&id), value)
+                    .delete(job_key(&id));
+                if batch.witness.is_empty() {
+                    batch.witness = final_key(&id);
+                }
+                for (n, shard) in job.shards.iter().enumerate() {
+                    if shard.version == 0 {
+                        continue;
+                    }
+                    let key = shard_key(&id, n as u32);
+                    if batch.txn.writes.len() < max_ops {
+                        batch.txn = std::mem::take(&mut batch.txn).delete(key);
+                    } else {
+                        self.cleanup.push(key);
+                    }
+                }
+                job.finishing = true;
+                batch.finished.push((id, state));
+                bytes += 200;
+                continue;
+            }
+            let mut guarded = false;
+            for n in 0..job.shards.len() as u32 {
+                if batch.txn.writes.len() >= max_ops || bytes > TXN_BYTES {
+                    break;
+                }
+                let shard = &job.shards[n as usize];
+                let due = shard
+                    .dirty_ms
+                    .is_some_and(|since| shard.urgent || now.ms >= since + leisure_ms);
+                if !due {
+                    continue;
+                }
+                let key = shard_key(&id, n);
+                let record = job.record(n, write, &self.settings.site.zones);
+                let range = n * job.shard_size..(n + 1) * job.shard_size;
+                batch.shards.push(ShardWrite {
+                    job: id.clone(),
+                    shard: n,
+                    assigned: record.assigned.iter().map(|r| (r.0, r.1)).collect(),
+                    ended: job
+                        .unstored
+                        .iter()
+                        .filter(|(task, _)| range.contains(task))
+                        .copied()
+                        .collect(),
+                });
+                bytes += 100 + record.done.len() + 60 * record.assigned.len();
+                let mut txn = std::mem::take(&mut batch.txn);
+                if !guarded {
+                    // Whoever cancelled the job meanwhile wins.
+                    txn = txn.guard(job_key(&id), job.version);
+                    guarded = true;
+                }
+                batch.txn = txn.guard(key.clone(), job.shards[n as usize].version).put(
+                    key.clone(),
+                    serde_json::to_value(record).unwrap_or_default(),
+                );
+                if batch.witness.is_empty() {
+                    batch.witness = key;
+                }
+                let shard = &mut job.shards[n as usize];
+                shard.dirty_ms = None;
+                shard.urgent = false;
+            }
+        }
+        (!batch.txn.writes.is_empty()).then_some(batch)
+    }
+
+    pub(super) fn on_commit(&mut self, now: Now, answer: &Answer, out: &mut SchedulerOut) {
+        let Some(batch) = self.batch.as_mut() else {
+            return;
+        };
+        match answer {
+            Answer::Status(200, _) => match answer.committed() {
+                Some(revision) => self.committed(now, revision.0),
+                None => out.resign = Some("a commit's answer can't be read"),
+            },
+            Answer::Status(409, _) => {
+                batch.failed = answer
+                    .read::<RevisionOnly>(409)
+                    .map(|r| r.failed)
+                    .unwrap_or_default();
+                if batch.unclear {
+                    // Perhaps an earlier copy of it went through.
+                    let call = store::get(&batch.witness, TIMEOUT_MS);
+                    self.ask(
+                        now,
+                        Urgency::Placement,
+                        call,
+                        0,
+                        SchedulerCall::CheckCommit,
+                        out,
+                    );
+                } else {
+                    self.conflicted(now, out);
+                }
+            }
+            Answer::Status(status, _) => {
+                log::error!("commit refused with status {status}");
+                out.resign = Some("a commit was refused");
+            }
+            Answer::Unclear => {
+                batch.unclear = true;
+                batch.sent = false;
+                batch.due_ms = now.ms + RETRY_MS;
+            }
+            Answer::Refused if batch.unclear => {
+                batch.sent = false;
+                batch.due_ms = now.ms + RETRY_MS;
+            }
+            // Certainly not carried out: think again.
+            Answer::Refused => {
+                self.commit_due_ms = now.ms + RETRY_MS;
+                self.take_back(now);
+            }
+        }
+    }
+
+    pub(super) fn on_check_commit(&mut self, now: Now, answer: &Answer, out: &mut SchedulerOut) {
+        let Some(batch) = self.batch.as_ref() else {
+            return;
+        };
+        if let Some(item) = answer.read::<Item>(200) {
+            let write = item.value.get("w").and_then(|w| w.as_u64());
+            if write == Some(batch.write) {
+                self.committed(now, item.version);
+            } else {
+                self.conflicted(now, out);
+            }
+        } else if answer.status() == Some(404) {
+            self.conflicted(now, out);
+        } else {
+            let call = store::get(&batch.witness, TIMEOUT_MS);
+            self.ask(
+                now,
+                Urgency::Placement,
+                call,
+                0,
+                SchedulerCall::CheckCommit,
+                out,
+            );
+        }
+    }
+
+    /// Now it is stored: tasks may start, results may be forgotten by their
+    /// workers.
+    fn committed(&mut self, now: Now, version: u64) {
+        let Some(batch) = self.batch.take() else {
+            return;
+        };
+        for write in batch.shards {
+            let Some(job) = self.jobs.get_mut(&write.job) else {
+                continue;
+            };
+            job.shards[write.shard as usize].version = version;
+            for (task, attempt) in write.assigned {
+                if let Some(assign) = job.assigns.get_mut(&task) {
+                    if assign.attempt == attempt && !assign.recorded {
+                        assign.recorded = true;
+                        self.push.insert(assign.machine.clone());
+                    }
+                }
+            }
+            for ended in write.ended {
+                job.unstored.remove(&ended);
+            }
+        }
+        for (id, state) in batch.finished {
+            if let Some(job) = self.jobs.remove(&id) {
+                log::info!(
+                    "job {id} over state={state:?} class={} after_ms={}",
+                    job.spec.class,
+                    now.wall.saturating_sub(job.submitted)
+                );
+            }
+        }
+    }
+
+    /// The batch was certainly not carried out; its contents are due again.
+    fn take_back(&mut self, now: Now) {
+        let Some(batch) = self.batch.take() else {
+            return;
+        };
+        for write in batch.shards {
+            if let Some(job) = self.jobs.get_mut(&write.job) {
+                job.touch(write.shard * job.shard_size, now.ms, true);
+            }
+        }
+        for (id, _) in batch.finished {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.finishing = false;
+            }
+        }
+    }
+
+    fn conflicted(&mut self, now: Now, out: &mut SchedulerOut) {
+        let failed = match &mut self.batch {
+            Some(batch) => std::mem::take(&mut batch.failed),
+            None => return,
+        };
+        self.take_back(now);
+        for key in failed {
+            match key.strip_prefix(crate::gateway::JOB_PREFIX) {
+                Some(id) => {
+                    let id = JobId::new(id);
+                    if let Some(job) = self.jobs.get_mut(&id) {
+                        job.stale = true;
+                    }
+                    self.read_job(now, &id, out);
+                }
+                // The leader key or a record that is only ours to write.
+                None => out.resign = Some("a guard of ours failed"),
+            }
+        }
+    }
+
+    pub(super) fn clean_up(&mut self, now: Now, out: &mut SchedulerOut) {
+        if self.cleanup.is_empty() || self.cleaning || self.batch.is_some() {
+            return;
+        }
+        let max = self.settings.site.state.txn_ops.min(self.cleanup.len());
+        let keys: Vec<String> = self.cleanup.drain(..max).collect();
+        let mut txn = Txn::default().guard(LEADER_KEY, self.key_version);
+        for key in &keys {
+            txn = txn.delete(key.clone());
+        }
+        self.cleaning = true;
+        let (call, writes) = store::txn(&txn, TIMEOUT_MS);
+        self.ask(
+            now,
+            Urgency::Rest,
+            call,
+            writes,
+            SchedulerCall::Cleanup(keys),
+            out,
+        );
+    }
+}
--- /dev/null
+++ b/src/scheduler/jobs.rs
@@ -0,0 +1,287 @@
+//! Jobs as the leader holds them, and what of them is stored.
+
+use crate::gateway::JobRecord;
+use crate::ids::{Attempt, JobId, MachineId, Session, TaskRef, Token};
+use crate::placement::{Res, ZoneUse};
+use crate::wire::{JobSpec, Kind, TaskPhase};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+pub const PLACEMENT_PREFIX: &str = "p/";
+
+pub fn shard_key(id: &JobId, shard: u32) -> String {
+    format!("{PLACEMENT_PREFIX}{id}/{shard}")
+}
+
+pub fn parse_shard_key(key: &str) -> Option<(JobId, u32)> {
+    let (job, shard) = key.strip_prefix(PLACEMENT_PREFIX)?.rsplit_once('/')?;
+    Some((JobId::new(job), shard.parse().ok()?))
+}
+
+/// Bytes that one assignment may take in a stored record, generously.
+const ROW_BYTES: f64 = 80.0;
+
+/// Tasks per stored record, so that a full one stays under `value_kb`.
+pub fn shard_size(value_kb: f64) -> u32 {
+    ((value_kb * 1024.0 / ROW_BYTES) as u32).clamp(16, 4096)
+}
+
+/// Task, attempt, machine, session, index of the zone in the settings.
+pub type Row = (u32, Attempt, MachineId, Session, u32);
+
+#[derive(Clone, PartialEq, Debug, Default, Serialize, Deserialize)]
+pub struct ShardRecord {
+    /// The next attempt; attempts are never reused within a shard.
+    #[serde(rename = "n")]
+    pub next: Attempt,
+    /// Names the write, so that its author knows it again.
+    #[serde(rename = "w")]
+    pub write: u64,
+    /// Done tasks as ranges: `0-4,7`.
+    #[serde(rename = "d", default, skip_serializing_if = "String::is_empty")]
+    pub done: String,
+    #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
+    pub assigned: Vec<Row>,
+}
+
+pub fn write_ranges(tasks: impl Iterator<Item = u32>) -> String {
+    let mut text = String::new();
+    let mut run: Option<(u32, u32)> = None;
+    let mut put = |run: (u32, u32)| {
+        if !text.is_empty() {
+            text.push(',');
+        }
+        text.push_str(&run.0.to_string());
+        if run.1 > run.0 {
+            text.push('-');
+            text.push_str(&run.1.to_string());
+        }
+    };
+    for t in tasks {
+        match run {
+            Some((from, to)) if t == to + 1 => run = Some((from, t)),
+            Some(old) => {
+                put(old);
+                run = Some((t, t));
+            }
+            None => run = Some((t, t)),
+        }
+    }
+    if let Some(last) = run {
+        put(last);
+    }
+    text
+}
+
+/// The inverse; `None` for anything that `write_ranges` wouldn't write.
+pub fn read_ranges(text: &str, limit: u32) -> Option<Vec<u32>> {
+    let mut tasks = Vec::new();
+    if text.is_empty() {
+        return Some(tasks);
+    }
+    for part in text.split(',') {
+        let (from, to) = part.split_once('-').unwrap_or((part, part));
+        let (from, to): (u32, u32) = (from.parse().ok()?, to.parse().ok()?);
+        if from > to || to >= limit {
+            return None;
+        }
+        tasks.extend(from..=to);
+    }
+    Some(tasks)
+}
+
+/// How to stop a task that runs or may run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StopPlan {
+    pub grace_s: u64,
+    pub since_ms: u64,
+}
+
+/// A task that may be on a machine.
+#[derive(Clone, Debug)]
+pub struct Assign {
+    pub attempt: Attempt,
+    pub machine: MachineId,
+    pub session: Session,
+    pub zone: Rc<str>,
+    /// The state service holds it: only then is it started.
+    pub recorded: bool,
+    pub first_sent_ms: Option<u64>,
+    pub sent_ms: Option<u64>,
+    /// As last reported; `None`: not seen there.
+    pub phase: Option<TaskPhase>,
+    pub running_since_ms: Option<u64>,
+    pub stop: Option<StopPlan>,
+    /// Absence under at least this token proves that it isn't there and
+    /// never will be.
+    pub absent_proof: Option<Token>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Shard {
+    /// Version of the stored record; 0: none.
+    pub version: u64,
+    pub next: Attempt,
+    /// Something has to be written; since when.
+    pub dirty_ms: Option<u64>,
+    /// It has to be written soon, not at leisure.
+    pub urgent: bool,
+}
+
+#[derive(Debug)]
+pub struct Job {
+    pub spec: Rc<JobSpec>,
+    pub need: Res,
+    pub submitted: u64,
+    pub cancelled: Option<u64>,
+    pub version: u64,
+    pub shard_size: u32,
+    pub shards: Vec<Shard>,
+    pub assigns: BTreeMap<u32, Assign>,
+    pub done: BTreeSet<u32>,
+    pub pending: BTreeSet<u32>,
+    /// Ended attempts whose end isn't stored yet; not to be forgotten by
+    /// their workers.
+    pub unstored: BTreeSet<(u32, Attempt)>,
+    /// The final record is being written.
+    pub finishing: bool,
+    pub pause_until_ms: u64,
+    pub failures: u32,
+    pub failed_on: Vec<MachineId>,
+    pub succeeded: bool,
+    /// The record changed under us; read it before the next write.
+    pub stale: bool,
+    pub arrived_ms: u64,
+}
+
+impl Job {
+    pub fn new(record: JobRecord, version: u64, shard_size: u32, now_ms: u64) -> Job {
+        let tasks = record.spec.tasks;
+        Job {
+            need: Res::of_task(&record.spec),
+            submitted: record.submitted,
+            cancelled: record.cancelled,
+            version,
+            shard_size,
+            shards: vec![Shard::default(); tasks.div_ceil(shard_size) as usize],
+            assigns: BTreeMap::new(),
+            done: BTreeSet::new(),
+            pending: (0..tasks).collect(),
+            unstored: BTreeSet::new(),
+            finishing: false,
+            pause_until_ms: 0,
+            failures: 0,
+            failed_on: Vec::new(),
+            succeeded: false,
+            stale: false,
+            arrived_ms: now_ms,
+            spec: Rc::new(record.spec),
+        }
+    }
+
+    pub fn is_service(&self) -> bool {
+        self.spec.kind == Kind::Service
+    }
+
+    pub fn all_done(&self) -> bool {
+        self.done.len() as u32 == self.spec.tasks
+    }
+
+    pub fn running(&self) -> u32 {
+        self.assigns
+            .values()
+            .filter(|a| matches!(a.phase, Some(TaskPhase::Running | TaskPhase::Saving)))
+            .count() as u32
+    }
+
+    pub fn task(&self, index: u32) -> TaskRef {
+        TaskRef {
+            job: self.spec.id.clone(),
+            index,
+        }
+    }
+
+    pub fn touch(&mut self, task: u32, now_ms: u64, urgent: bool) {
+        if let Some(shard) = self.shards.get_mut((task / self.shard_size) as usize) {
+            shard.dirty_ms.get_or_insert(now_ms);
+            shard.urgent |= urgent;
+        }
+    }
+
+    /// The next attempt of the shard that holds this task.
+    pub fn next_attempt(&mut self, task: u32) -> Option<Attempt> {
+        let shard = self.shards.get_mut((task / self.shard_size) as usize)?;
+        shard.next = Attempt(shard.next.0 + 1);
+        Some(shard.next)
+    }
+
+    /// Where the job's tasks may be, for spread and samePlace.
+    pub fn zone_use(&self) -> ZoneUse {
+        let mut zones = ZoneUse::default();
+        for assign in self.assigns.values() {
+            zones.add(&assign.zone);
+        }
+        zones
+    }
+
+    pub fn record(&self, shard: u32, write: u64, zones: &[String]) -> ShardRecord {
+        let range = shard * self.shard_size..(shard + 1) * self.shard_size;
+        ShardRecord {
+            next: self.shards[shard as usize].next,
+            write,
+            done: write_ranges(self.done.range(range.clone()).copied()),
+            assigned: self
+                .assigns
+                .range(range)
+                .map(|(task, a)| {
+                    let zone = zones.iter().position(|z| **z == *a.zone).unwrap_or(0) as u32;
+                    (*task, a.attempt, a.machine.clone(), a.session, zone)
+                })
+                .collect(),
+        }
+    }
+
+    /// Takes over what an earlier leader stored. `false`: not readable.
+    pub fn restore(
+        &mut self,
+        shard: u32,
+        version: u64,
+        record: ShardRecord,
+        zones: &[String],
+    ) -> bool {
+        let Some(slot) = self.shards.get_mut(shard as usize) else {
+            return false;
+        };
+        slot.version = version;
+        slot.next = record.next;
+        let Some(done) = read_ranges(&record.done, self.spec.tasks) else {
+            return false;
+        };
+        for task in done {
+            self.pending.remove(&task);
+            self.done.insert(task);
+        }
+        for (task, attempt, machine, session, zone) in record.assigned {
+            self.pending.remove(&task);
+            let zone = zones.get(zone as usize).map_or("", |z| z.as_str());
+            self.assigns.insert(
+                task,
+                Assign {
+                    attempt,
+                    machine,
+                    session,
+                    zone: Rc::from(zone),
+                    recorded: true,
+                    first_sent_ms: None,
+                    sent_ms: None,
+                    phase: None,
+                    running_since_ms: None,
+                    stop: None,
+                    absent_proof: None,
+                },
+            );
+        }
+        true
+    }
+}
--- /dev/null
+++ b/src/scheduler/learn.rs
@@ -0,0 +1,141 @@
+//! What the leader learns from what it sees: boot times, how wrong estimates
+//! are, how fast work arrives. Small, and slow to believe outliers.
+
+use crate::wire::JobSpec;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+/// A mean that moves by a fixed share, fed with samples that are clamped to
+/// a few times what it knows.
+#[derive(Clone, Copy, Debug)]
+pub struct Learned {
+    pub value: f64,
+    rate: f64,
+}
+
+impl Learned {
+    pub fn new(start: f64, rate: f64) -> Self {
+        Learned { value: start, rate }
+    }
+    pub fn sample(&mut self, x: f64) {
+        if x.is_finite() && x >= 0.0 {
+            let x = x.clamp(self.value / 3.0, self.value * 3.0);
+            self.value += self.rate * (x - self.value);
+        }
+    }
+}
+
+/// Arrivals of one class, over a sliding window.
+#[derive(Clone, Debug, Default)]
+struct Arrivals {
+    /// (when, tasks).
+    seen: VecDeque<(u64, u32)>,
+    latest: Option<Rc<JobSpec>>,
+}
+
+#[derive(Debug)]
+pub struct Learning {
+    rate: f64,
+    boots: BTreeMap<Rc<str>, Learned>,
+    bias: BTreeMap<Rc<str>, Learned>,
+    arrivals: BTreeMap<Rc<str>, Arrivals>,
+    since_ms: u64,
+    window_ms: u64,
+}
+
+/// A class's expected come and go.
+#[derive(Clone, Debug)]
+pub struct Flow {
+    /// The latest job of the class stands for the others.
+    pub spec: Rc<JobSpec>,
+    pub jobs_per_s: f64,
+    /// Mean of the squared number of tasks.
+    pub tasks_squared: f64,
+    pub largest: u32,
+}
+
+impl Learning {
+    pub fn new(rate: f64, window_ms: u64) -> Self {
+        Learning {
+            rate,
+            boots: BTreeMap::new(),
+            bias: BTreeMap::new(),
+            arrivals: BTreeMap::new(),
+            since_ms: 0,
+            window_ms,
+        }
+    }
+
+    /// A new leadership counts arrivals from here on.
+    pub fn start(&mut self, now_ms: u64) {
+        self.since_ms = now_ms;
+        self.arrivals.clear();
+    }
+
+    pub fn booted(&mut self, machine_type: &Rc<str>, nominal_s: f64, took_s: f64) {
+        let rate = self.rate;
+        self.boots
+            .entry(machine_type.clone())
+            .or_insert_with(|| Learned::new(nominal_s, rate))
+            .sample(took_s);
+    }
+
+    pub fn boot_s(&self, machine_type: &str, nominal_s: f64) -> f64 {
+        self.boots.get(machine_type).map_or(nominal_s, |l| l.value)
+    }
+
+    pub fn ran(&mut self, class: &Rc<str>, estimate_s: f64, took_s: f64) {
+        if estimate_s > 0.0 {
+            let rate = self.rate / 2.0;
+            self.bias
+                .entry(class.clone())
+                .or_insert_with(|| Learned::new(1.0, rate))
+                .sample(took_s / estimate_s);
+        }
+    }
+
+    pub fn bias(&self, class: &str) -> f64 {
+        self.bias.get(class).map_or(1.0, |l| l.value)
+    }
+
+    pub fn arrived(&mut self, now_ms: u64, spec: &Rc<JobSpec>) {
+        let entry = self.arrivals.entry(spec.class.clone()).or_default();
+        entry.latest = Some(spec.clone());
+        entry.seen.push_back((now_ms, spec.tasks));
+        while entry.seen.len() > 256 {
+            entry.seen.pop_front();
+        }
+    }
+
+    pub fn flows(&mut self, now_ms: u64) -> Vec<Flow> {
+        let from = now_ms.saturating_sub(self.window_ms).max(self.since_ms);
+        // A short past says little: it counts as if it had been longer.
+        let span_s = (now_ms.saturating_sub(from).max(self.window_ms / 4)) as f64 / 1000.0;
+        let mut flows = Vec::new();
+        for arrivals in self.arrivals.values_mut() {
+            while arrivals.seen.front().is_some_and(|(at, _)| *at < from) {
+                arrivals.seen.pop_front();
+            }
+            let Some(spec) = arrivals
+                .latest
+                .clone()
+                .filter(|_| !arrivals.seen.is_empty())
+            else {
+                continue;
+            };
+            let n = arrivals.seen.len() as f64;
+            let squares: f64 = arrivals
+                .seen
+                .iter()
+                .map(|(_, t)| f64::from(*t).powi(2))
+                .sum();
+            flows.push(Flow {
+                spec,
+                jobs_per_s: n / span_s,
+                tasks_squared: squares / n,
+                largest: arrivals.seen.iter().map(|(_, t)| *t).max().unwrap_or(1),
+            });
+        }
+        flows
+    }
+}
--- /dev/null
+++ b/src/scheduler/mod.rs
@@ -0,0 +1,716 @@
+//! The leader's loop: it joins stored jobs, the fleet's reports, the policy
+//! and the cloud. A plain struct: messages and time in, messages out.
+
+mod commit;
+mod jobs;
+mod learn;
+mod reports;
+mod rounds;
+
+pub use jobs::{
+    parse_shard_key, read_ranges, shard_key, write_ranges, Job, ShardRecord, PLACEMENT_PREFIX,
+};
+
+use crate::cloud::{Cloud, CloudEvent, Offer};
+use crate::fleet::{Fleet, Machine, Phase};
+use crate::gateway::{JobRecord, JOB_PREFIX};
+use crate::ids::{JobId, MachineId, Revision, TaskRef, Term, Token};
+use crate::msg::{Call, ConnId, Now, Outcome, Reply, Target};
+use crate::options::Options;
+use crate::placement::Res;
+use crate::settings::Settings;
+use crate::store::{self, Answer, StateCall, Urgency};
+use crate::wire::{
+    Catalog, DirectCommands, Item, Items, ListedMachine, ListedState, Report, WatchAnswer,
+    WORKER_COMMANDS,
+};
+use commit::Batch;
+use jobs::{shard_size, Assign, StopPlan};
+use learn::Learning;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
+
+/// Which question an answer of the state service belongs to.
+#[derive(Clone, PartialEq, Debug)]
+pub enum SchedulerCall {
+    ListJobs,
+    ListPlacements,
+    Watch,
+    Commit,
+    CheckCommit,
+    ReadJob(JobId),
+    Cleanup(Vec<String>),
+}
+
+/// A call straight to a worker.
+#[derive(Clone, PartialEq, Debug)]
+pub struct WorkerCall {
+    pub machine: MachineId,
+}
+
+#[derive(Default)]
+pub struct SchedulerOut {
+    pub replies: Vec<(ConnId, Reply)>,
+    pub state: Vec<StateCall<SchedulerCall>>,
+    pub workers: Vec<(WorkerCall, Call)>,
+    /// Something can't be made sense of: lead anew from what is stored.
+    pub resign: Option<&'static str>,
+    /// A report showed a term above ours.
+    pub superseded: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Stage {
+    Idle,
+    Loading,
+    Active,
+}
+
+/// Periods of the leader's own, in worker report intervals.
+const ROUND_REPORTS: f64 = 1.0;
+/// Time between two rounds at least, so that a rush is served in gulps.
+const ROUND_GAP_MS: u64 = 20;
+
+pub struct Scheduler {
+    settings: Rc<Settings>,
+    options: Options,
+    catalog: Option<Rc<Catalog>>,
+    stage: Stage,
+    term: Term,
+    key_version: u64,
+    elected_ms: u64,
+    jobs: BTreeMap<JobId, Job>,
+    fleet: Fleet,
+    learning: Learning,
+    shard_size: u32,
+    /// Loading: where the lists have got to.
+    list_after: Option<String>,
+    watch_from: Option<Revision>,
+    watching: bool,
+    watch_due_ms: u64,
+    /// The transaction in flight, if any.
+    batch: Option<Batch>,
+    commit_due_ms: u64,
+    writes: u64,
+    cleanup: Vec<String>,
+    cleaning: bool,
+    round_wanted: bool,
+    round_ms: u64,
+    /// Refused capacity: until when, and the pause that led there.
+    refused: HashMap<Offer, (u64, u64)>,
+    rentals: u64,
+    /// Machines whose commands should go out by the direct path.
+    push: BTreeSet<MachineId>,
+    /// Work of the last round that found no room.
+    rest: Vec<rounds::Rest>,
+    /// Machines that hold room for expected work.
+    reserved: BTreeSet<MachineId>,
+}
+
+impl Scheduler {
+    pub fn new(settings: Rc<Settings>, options: Options) -> Self {
+        let shard_size = shard_size(settings.site.state.value_kb);
+        let window_ms = (settings.site.workers.lease_s * 9000.0) as u64;
+        let learning = Learning::new(options.learning_rate, window_ms);
+        Scheduler {
+            settings,
+            options,
+            catalog: None,
+            stage: Stage::Idle,
+            term: Term(0),
+            key_version: 0,
+            elected_ms: 0,
+            jobs: BTreeMap::new(),
+            fleet: Fleet::default(),
+            learning,
+            shard_size,
+            list_after: None,
+            watch_from: None,
+            watching: false,
+            watch_due_ms: 0,
+            batch: None,
+            commit_due_ms: 0,
+            writes: 0,
+            cleanup: Vec::new(),
+            cleaning: false,
+            round_wanted: false,
+            round_ms: 0,
+            refused: HashMap::new(),
+            rentals: 0,
+            push: BTreeSet::new(),
+            rest: Vec::new(),
+            reserved: BTreeSet::new(),
+        }
+    }
+
+    pub fn set_catalog(&mut self, catalog: Rc<Catalog>) {
+        self.catalog = Some(catalog);
+        self.round_wanted = true;
+    }
+
+    pub fn leading(&self) -> bool {
+        self.stage != Stage::Idle
+    }
+
+    pub fn active(&self) -> bool {
+        self.stage == Stage::Active
+    }
+
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    fn lease_ms(&self) -> u64 {
+        (self.settings.site.workers.lease_s * 1000.0) as u64
+    }
+
+    fn report_ms(&self) -> u64 {
+        (self.settings.site.workers.report_s * 1000.0) as u64
+    }
+
+    /// A new leadership: everything is rebuilt from what is stored.
+    pub fn elected(&mut self, now: Now, term: Term, key_version: Revision, out: &mut SchedulerOut) {
+        self.deposed();
+        self.stage = Stage::Loading;
+        self.term = term;
+        self.key_version = key_version.0;
+        self.elected_ms = now.ms;
+        self.learning.start(now.ms);
+        log::info!("leader term={term} elected, loading");
+        self.list(now, out);
+    }
+
+    pub fn deposed(&mut self) {
+        if self.stage != Stage::Idle {
+            log::info!("leader term={} ends", self.term);
+        }
+        self.stage = Stage::Idle;
+        self.jobs.clear();
+        self.fleet.clear();
+        self.list_after = None;
+        self.watch_from = None;
+        self.watching = false;
+        self.batch = None;
+        self.writes = 0;
+        self.cleanup.clear();
+        self.cleaning = false;
+        self.rentals = 0;
+        self.refused.clear();
+        self.push.clear();
+    }
+
+    // ---- loading and watching ----
+
+    fn ask(
+        &self,
+        now: Now,
+        urgency: Urgency,
+        call: Call,
+        writes: usize,
+        tag: SchedulerCall,
+        out: &mut SchedulerOut,
+    ) {
+        out.state.push(StateCall {
+            urgency,
+            give_up_ms: now.ms + call.timeout_ms,
+            call,
+            writes,
+            tag,
+        });
+    }
+
+    fn list(&mut self, now: Now, out: &mut SchedulerOut) {
+        let after = self.list_after.as_deref();
+        let (prefix, tag) =
+            if self.watch_from.is_none() || after.is_some_and(|a| a.starts_with(JOB_PREFIX)) {
+                (JOB_PREFIX, SchedulerCall::ListJobs)
+            } else {
+                (PLACEMENT_PREFIX, SchedulerCall::ListPlacements)
+            };
+        let call = store::list(prefix, after, 2000);
+        self.ask(now, Urgency::Leadership, call, 0, tag, out);
+    }
+
+    fn on_list(&mut self, now: Now, what: SchedulerCall, answer: &Answer, out: &mut SchedulerOut) {
+        let Some(items) = answer.read::<Items>(200) else {
+            // Away for now; the lease decides whether we get to retry.
+            self.list(now, out);
+            return;
+        };
+        let last = items.items.last().map(|i| i.key.clone());
+        if what == SchedulerCall::ListJobs {
+            self.watch_from.get_or_insert(Revision(items.revision));
+            for item in items.items {
+                self.learn_job(now, &item.key, item.value, item.version, false);
+            }
+        } else {
+            for item in items.items {
+                self.restore(now, item);
+            }
+        }
+        self.list_after = if items.more { last } else { None };
+        if items.more || what == SchedulerCall::ListJobs {
+            self.list(now, out);
+            return;
+        }
+        self.stage = Stage::Active;
+        self.round_wanted = true;
+        let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            self.enforce_cancel(now, &id);
+        }
+        log::info!(
+            "leader term={} active, jobs={} machines={} after_ms={}",
+            self.term,
+            self.jobs.len(),
+            self.fleet.machines.len(),
+            now.ms - self.elected_ms
+        );
+    }
+
+    fn restore(&mut self, now: Now, item: Item) {
+        let Some((id, shard)) = parse_shard_key(&item.key) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            // Its job is over; the record is only litter.
+            self.cleanup.push(item.key);
+            return;
+        };
+        let record = match serde_json::from_value::<ShardRecord>(item.value) {
+            Ok(record) => record,
+            Err(e) => {
+                log::error!("placement record {} can't be read: {e}", item.key);
+                return;
+            }
+        };
+        if !job.restore(shard, item.version, record, &self.settings.site.zones) {
+            log::error!("placement record {} doesn't fit its job", item.key);
+        }
+        let tasks: Vec<(TaskRef, MachineId, Rc<str>)> = job
+            .assigns
+            .iter()
+            .filter(|(task, _)| **task / job.shard_size == shard)
+            .map(|(task, a)| (job.task(*task), a.machine.clone(), a.zone.clone()))
+            .collect();
+        let need = job.need;
+        for (task, machine, zone) in tasks {
+            // Until it reports or is listed, all that is known is its zone.
+            let term = self.term;
+            let machine = self
+                .fleet
+                .machines
+                .entry(machine.clone())
+                .or_insert_with(|| {
+                    let offer = Offer {
+                        machine_type: Rc::from(""),
+                        zone,
+                        spot: false,
+                    };
+                    let mut m = Machine::new(machine, offer, Res::default(), 0.0, term, now.ms);
+                    m.phase = Phase::Up;
+                    m
+                });
+            machine.assign(task, &need);
+        }
+    }
+
+    fn learn_job(
+        &mut self,
+        now: Now,
+        key: &str,
+        value: serde_json::Value,
+        version: u64,
+        fresh: bool,
+    ) {
+        let record: JobRecord = match serde_json::from_value(value) {
+            Ok(record) => record,
+            Err(e) => {
+                log::error!("job record {key} can't be read: {e}");
+                return;
+            }
+        };
+        let id = record.spec.id.clone();
+        match self.jobs.get_mut(&id) {
+            Some(job) => {
+                if version <= job.version {
+                    return;
+                }
+                job.version = version;
+                job.stale = false;
+                if job.cancelled.is_none() {
+                    job.cancelled = record.cancelled;
+                }
+            }
+            None => {
+                if fresh {
+                    log::debug!("job {id} known to the leader");
+                }
+                let job = Job::new(record, version, self.shard_size, now.ms);
+                if fresh && job.is_service() {
+                    self.learning.arrived(now.ms, &job.spec);
+                }
+                self.jobs.insert(id.clone(), job);
+            }
+        }
+        self.round_wanted = true;
+        if self.stage == Stage::Active {
+            self.enforce_cancel(now, &id);
+        }
+    }
+
+    /// Stops what a cancelled job still has on machines.
+    fn enforce_cancel(&mut self, now: Now, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.cancelled.is_none() {
+            return;
+        }
+        for assign in job.assigns.values_mut() {
+            let grace_left = assign.stop.is_none_or(|s| s.grace_s > 0);
+            if grace_left {
+                assign.stop = Some(StopPlan {
+                    grace_s: 0,
+                    since_ms: now.ms,
+                });
+                self.push.insert(assign.machine.clone());
+            }
+        }
+    }
+
+    fn watch(&mut self, now: Now, out: &mut SchedulerOut) {
+        let Some(from) = self.watch_from else {
+            return;
+        };
+        if self.stage != Stage::Active || self.watching || now.ms < self.watch_due_ms {
+            return;
+        }
+        self.watching = true;
+        let wait = self.lease_ms();
+        let call = store::watch(JOB_PREFIX, from, wait, wait * 2);
+        self.ask(now, Urgency::Leadership, call, 0, SchedulerCall::Watch, out);
+    }
+
+    fn on_watch(&mut self, now: Now, answer: &Answer, out: &mut SchedulerOut) {
+        self.watching = false;
+        match answer.read::<WatchAnswer>(200) {
+            Some(seen) => {
+                for event in seen.events {
+                    if let Some(key) = event.put {
+                        self.learn_job(now, &key, event.value, event.version, true);
+                    }
+                }
+                self.watch_from = Some(Revision(seen.revision));
+            }
+            None if answer.status() == Some(410) => {
+                out.resign = Some("the watch fell too far behind");
+            }
+            None => self.watch_due_ms = now.ms + 200,
+        }
+    }
+
+    /// A peer says that it wrote this job; the watch may be late.
+    pub fn nudge(&mut self, now: Now, id: &JobId, out: &mut SchedulerOut) {
+        if self.stage == Stage::Active && !self.jobs.contains_key(id) {
+            self.read_job(now, id, out);
+        }
+    }
+
+    fn read_job(&mut self, now: Now, id: &JobId, out: &mut SchedulerOut) {
+        let call = store::get(&crate::gateway::job_key(id), 1000);
+        let tag = SchedulerCall::ReadJob(id.clone());
+        self.ask(now, Urgency::Placement, call, 0, tag, out);
+    }
+
+    fn on_read_job(&mut self, now: Now, id: &JobId, answer: &Answer, out: &mut SchedulerOut) {
+        if let Some(item) = answer.read::<Item>(200) {
+            self.learn_job(now, &item.key, item.value, item.version, true);
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.stale = false;
+            }
+        } else if self.jobs.get(id).is_some_and(|j| j.stale) {
+            if answer.status() == Some(404) {
+                out.resign = Some("a live job's record is gone");
+            } else {
+                self.read_job(now, id, out);
+            }
+        }
+    }
+
+    // ---- entry points ----
+
+    pub fn state_answered(
+        &mut self,
+        now: Now,
+        call: SchedulerCall,
+        answer: Answer,
+        out: &mut SchedulerOut,
+    ) {
+        match (self.stage, call) {
+            (Stage::Idle, _) => {}
+            (Stage::Loading, call @ (SchedulerCall::ListJobs | SchedulerCall::ListPlacements)) => {
+                self.on_list(now, call, &answer, out);
+            }
+            (Stage::Loading, _) | (_, SchedulerCall::ListJobs | SchedulerCall::ListPlacements) => {}
+            (_, SchedulerCall::Watch) => self.on_watch(now, &answer, out),
+            (_, SchedulerCall::Commit) => self.on_commit(now, &answer, out),
+            (_, SchedulerCall::CheckCommit) => self.on_check_commit(now, &answer, out),
+            (_, SchedulerCall::ReadJob(id)) => self.on_read_job(now, &id, &answer, out),
+            (_, SchedulerCall::Cleanup(keys)) => {
+                self.cleaning = false;
+                if answer.status() != Some(200) {
+                    self.cleanup.extend(keys);
+                }
+            }
+        }
+    }
+
+    pub fn tick(&mut self, now: Now, cloud: &mut Cloud, out: &mut SchedulerOut) -> u64 {
+        if self.stage != Stage::Active {
+            return now.ms + 1000;
+        }
+        self.watch(now, out);
+        let every = (self.report_ms() as f64 * ROUND_REPORTS) as u64;
+        if now.ms >= self.round_ms + every
+            || (self.round_wanted && now.ms >= self.round_ms + ROUND_GAP_MS)
+        {
+            self.round_wanted = false;
+            self.round_ms = now.ms;
+            self.tend_fleet(now, cloud, out);
+            self.place(now);
+            self.rent(now, cloud);
+        }
+        self.commit(now, out);
+        self.push_commands(now, out);
+        self.clean_up(now, out);
+        if self.round_wanted {
+            self.round_ms + ROUND_GAP_MS
+        } else {
+            (self.round_ms + every).min(self.commit_wake_ms(now))
+        }
+    }
+
+    /// Counts for display.
+    pub fn counts(&self) -> impl Iterator<Item = (&JobId, u32, u32)> {
+        self.jobs
+            .iter()
+            .map(|(id, job)| (id, job.done.len() as u32, job.running()))
+    }
+
+    // ---- the cloud ----
+
+    pub fn cloud_event(&mut self, now: Now, event: CloudEvent, cloud: &mut Cloud) {
+        if self.stage != Stage::Active {
+            return;
+        }
+        self.round_wanted = true;
+        match event {
+            CloudEvent::Catalog(_) => {}
+            CloudEvent::Rented(offer, names) => {
+                log::info!(
+                    "rented {} of {} in {} spot={}",
+                    names.len(),
+                    offer.machine_type,
+                    offer.zone,
+                    offer.spot
+                );
+                for name in names {
+                    self.add_machine(now, name, offer.clone(), 0.0);
+                }
+                self.refused.remove(&offer);
+            }
+            CloudEvent::NoCapacity(offer) => {
+                // Twice the pause at each refusal in a row, within bounds
+                // that a boot time sets.
+                let boot_ms = self.boot_ms(&offer);
+                let pause = self
+                    .refused
+                    .get(&offer)
+                    .map_or(boot_ms / 8, |(_, p)| p * 2)
+                    .clamp(1000, boot_ms.max(1000));
+                self.refused.insert(offer, (now.ms + pause, pause));
+            }
+            CloudEvent::Unavailable(offer) => {
+                self.refused
+                    .entry(offer)
+                    .and_modify(|(until, _)| *until = (*until).max(now.ms + 1000))
+                    .or_insert((now.ms + 1000, 500));
+            }
+            CloudEvent::Released(names) => {
+                for name in names {
+                    self.machine_gone(now, &name);
+                }
+            }
+            CloudEvent::Listed(list) => self.on_listed(now, list, cloud),
+        }
+    }
+
+    fn boot_ms(&self, offer: &Offer) -> u64 {
+        let nominal = self
+            .catalog
+            .as_ref()
+            .and_then(|c| c.find(&offer.machine_type))
+            .map_or(self.settings.site.workers.lease_s, |t| t.boot_s);
+        (self.learning.boot_s(&offer.machine_type, nominal) * 1000.0) as u64
+    }
+
+    fn add_machine(&mut self, now: Now, id: MachineId, offer: Offer, age_s: f64) -> &mut Machine {
+        let known = self
+            .catalog
+            .as_ref()
+            .and_then(|c| c.find(&offer.machine_type));
+        let (room, cache) = known.map_or((Res::default(), 0.0), |t| (Res::of_type(t), t.cache_gb));
+        let term = self.term;
+        let rented_ms = now.ms.saturating_sub((age_s * 1000.0) as u64);
+        let machine = self
+            .fleet
+            .machines
+            .entry(id.clone())
+            .or_insert_with(|| Machine::new(id, offer.clone(), room, cache, term, now.ms));
+        if machine.room == Res::default() {
+            // A stub from a stored assignment learns what it is.
+            machine.offer = offer;
+            machine.room = room;
+            machine.cache_gb = cache;
+        }
+        machine.rented_ms = machine.rented_ms.min(rented_ms);
+        machine
+    }
+
+    fn on_listed(&mut self, now: Now, list: Vec<ListedMachine>, cloud: &mut Cloud) {
+        for listed in list {
+            let id = MachineId::new(&listed.id);
+            if self.fleet.is_gone(&id) {
+                continue;
+            }
+            let offer = Offer {
+                machine_type: Rc::from(listed.machine_type.as_str()),
+                zone: Rc::from(listed.zone.as_str()),
+                spot: listed.spot,
+            };
+            let machine = self.add_machine(now, id.clone(), offer, listed.age_s);
+            if machine.address.is_none() && !listed.address.is_empty() {
+                machine.address = Some(listed.address);
+                // A new leader's token should reach it before others' words.
+                if listed.state == ListedState::Running {
+                    self.push.insert(id.clone());
+                }
+            }
+            if listed.state == ListedState::Failed {
+                if let Some(machine) = self.fleet.get_mut(&id) {
+                    // A hint, and a lagging one: returning it is the proof.
+                    machine.listed_failed = true;
+                    machine.phase = Phase::Releasing;
+                    cloud.release(id);
+                }
+            }
+        }
+    }
+
+    /// Proof: the cloud answered 200 to its return.
+    fn machine_gone(&mut self, now: Now, id: &MachineId) {
+        let forget_ms = now.ms + (self.settings.site.cloud.list_lag_s * 4000.0) as u64 + 60_000;
+        let Some(machine) = self.fleet.remove(id, forget_ms) else {
+            return;
+        };
+        log::info!("machine {id} gone, tasks={}", machine.tasks.len());
+        for task in machine.tasks {
+            self.drop_assign(now, &task, "machine gone");
+        }
+    }
+
+    /// It is proven that the task is on no machine: it waits again, or its
+    /// cancelled job is one task nearer to its end.
+    fn drop_assign(&mut self, now: Now, task: &TaskRef, why: &str) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(assign) = job.assigns.remove(&task.index) else {
+            return;
+        };
+        log::debug!(
+            "task {task} attempt={} off {}: {why}",
+            assign.attempt,
+            assign.machine
+        );
+        let need = job.need;
+        if job.cancelled.is_none() {
+            job.pending.insert(task.index);
+        }
+        job.touch(task.index, now.ms, false);
+        if let Some(machine) = self.fleet.get_mut(&assign.machine) {
+            machine.unassign(task, &need, now.ms);
+        }
+        self.round_wanted = true;
+    }
+
+    // ---- commands ----
+
+    /// Sends commands straight to the workers that have something to do.
+    fn push_commands(&mut self, now: Now, out: &mut SchedulerOut) {
+        for id in std::mem::take(&mut self.push) {
+            let Some(machine) = self.fleet.get(&id) else {
+                continue;
+            };
+            let Some(address) = machine.address.clone() else {
+                continue;
+            };
+            if machine.calling {
+                // After the answer it looks again.
+                continue;
+            }
+            let commands = self.commands_for(now, &id, None, out);
+            let Some(machine) = self.fleet.get_mut(&id) else {
+                continue;
+            };
+            if commands.is_empty() && machine.evidence {
+                continue;
+            }
+            machine.calling = true;
+            let body = DirectCommands {
+                token: machine.token,
+                session: machine.session,
+                commands: &commands,
+            };
+            let call = Call {
+                target: Target::Worker(address),
+                method: "POST",
+                path: WORKER_COMMANDS.to_string(),
+                body: serde_json::to_vec(&body).unwrap_or_default(),
+                timeout_ms: self.report_ms() * 2,
+            };
+            out.workers.push((WorkerCall { machine: id }, call));
+        }
+    }
+
+    pub fn worker_answered(
+        &mut self,
+        now: Now,
+        call: WorkerCall,
+        outcome: Outcome,
+        out: &mut SchedulerOut,
+    ) {
+        if self.stage != Stage::Active {
+            return;
+        }
+        if let Some(machine) = self.fleet.get_mut(&call.machine) {
+            machine.calling = false;
+        }
+        // Both 200 and 409 carry the worker's report.
+        if let Ok((200 | 409, body)) = outcome {
+            match serde_json::from_slice::<Report>(&body) {
+                Ok(report) => {
+                    self.take_report(now, &report, out);
+                }
+                Err(e) => log::debug!("answer of {}: {e}", call.machine),
+            }
+        }
+    }
+
+    fn token_of(&self, id: &MachineId) -> Token {
+        self.fleet
+            .get(id)
+            .map_or(Token::new(self.term, 1), |m| m.token)
+    }
+}
--- /dev/null
+++ b/src/scheduler/reports.rs
@@ -0,0 +1,499 @@
+//! Workers' reports: what they prove, and what the workers are told.
+
+use super::{Assign, Scheduler, SchedulerOut, StopPlan};
+use crate::cloud::{Cloud, Offer};
+use crate::fleet::Phase;
+use crate::ids::{Attempt, MachineId, TaskRef, Term};
+use crate::msg::{ConnId, Now, Reply};
+use crate::wire::{Command, EndReason, Report, ReportAnswer, ReportTo, ReportedTask, TaskPhase};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// A start or stop that shows no effect is sent again after this share of
+/// the report interval.
+const RESEND_REPORTS: f64 = 0.9;
+/// After this many report intervals without effect a machine counts as deaf.
+const DEAF_REPORTS: u64 = 5;
+/// A job that failed on so many machines is itself to blame.
+const GUILTY_AFTER: usize = 3;
+const PAUSE_MS: u64 = 500;
+
+impl Scheduler {
+    /// A worker's report: an answer goes out in any case.
+    pub fn report(&mut self, now: Now, conn: ConnId, report: &Report, out: &mut SchedulerOut) {
+        if report.token.term() > self.term {
+            out.superseded = true;
+            out.replies
+                .push((conn, Reply::json(421, &ReportTo { node: None })));
+            return;
+        }
+        let id = MachineId::new(&report.machine);
+        let mut commands = Vec::new();
+        if self.active() && !self.fleet.is_gone(&id) {
+            let fresh = self.take_report(now, report, out);
+            if fresh && report.token.term() == self.term {
+                commands = self.commands_for(now, &id, Some(report), out);
+            }
+        }
+        // A token above ours, or below the worker's, would do no good.
+        let token = self.token_of(&id).max(report.token);
+        let answer = ReportAnswer {
+            token,
+            commands: &commands,
+        };
+        out.replies.push((conn, Reply::json(200, &answer)));
+    }
+
+    /// Learns from a report, however it came. `false`: an old copy.
+    pub(super) fn take_report(
+        &mut self,
+        now: Now,
+        report: &Report,
+        out: &mut SchedulerOut,
+    ) -> bool {
+        if report.token.term() > self.term {
+            out.superseded = true;
+            return false;
+        }
+        let id = MachineId::new(&report.machine);
+        if self.fleet.is_gone(&id) {
+            return false;
+        }
+        let offer = Offer {
+            machine_type: Rc::from(report.machine_type.as_str()),
+            zone: Rc::from(report.zone.as_str()),
+            spot: report.spot,
+        };
+        let known = self.fleet.get(&id).is_some();
+        let term = self.term;
+        let machine = self.add_machine(now, id.clone(), offer, 0.0);
+        if (report.session, report.seq) <= (machine.session, machine.seq) {
+            return false;
+        }
+        machine.session = report.session;
+        machine.seq = report.seq;
+        machine.heard_ms = now.ms;
+        machine.address = Some(report.address.clone()).filter(|a| !a.is_empty());
+        machine.token = machine.token.max(report.token);
+        if machine.phase == Phase::Booting {
+            machine.phase = Phase::Up;
+            machine.up_ms = Some(now.ms);
+            machine.idle_since_ms = Some(now.ms);
+            let took_s = (now.ms - machine.rented_ms) as f64 / 1000.0;
+            let machine_type = machine.offer.machine_type.clone();
+            log::info!("machine {id} up type={machine_type} took_s={took_s:.1} known={known}");
+            if known {
+                if let Some(t) = self.catalog.as_ref().and_then(|c| c.find(&machine_type)) {
+                    let nominal = t.boot_s;
+                    self.learning.booted(&machine_type, nominal, took_s);
+                }
+            }
+            self.round_wanted = true;
+        }
+        if let Some(machine) = self.fleet.get_mut(&id) {
+            let notice = report
+                .notice_s
+                .filter(|s| s.is_finite())
+                .map(|s| now.ms + (s.max(0.0) * 1000.0) as u64);
+            if notice.is_some() != machine.notice_until_ms.is_some() {
+                log::info!("machine {id} notice_s={:?}", report.notice_s);
+                self.round_wanted = true;
+            }
+            machine.notice_until_ms = notice;
+            // Without our token the report may be any old one's echo.
+            if report.token.term() == term {
+                self.round_wanted |= !machine.evidence;
+                machine.evidence = true;
+                self.reconcile(now, &id, report, term, out);
+            }
+        }
+        true
+    }
+
+    /// Compares what is assigned with what the worker has.
+    fn reconcile(
+        &mut self,
+        now: Now,
+        id: &MachineId,
+        report: &Report,
+        _term: Term,
+        out: &mut SchedulerOut,
+    ) {
+        let mut present: HashMap<(TaskRef, Attempt), &ReportedTask> = HashMap::new();
+        for task in &report.tasks {
+            if let Some(name) = TaskRef::parse(&task.task) {
+                present.insert((name, task.attempt), task);
+            }
+        }
+        let Some(machine) = self.fleet.get_mut(id) else {
+            return;
+        };
+        let assigned: Vec<TaskRef> = machine.tasks.iter().cloned().collect();
+        machine.fetching.clear();
+        let mut unheeded = false;
+        for task in assigned {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let Some(assign) = job
+                .assigns
+                .get_mut(&task.index)
+                .filter(|a| a.machine == *id)
+            else {
+                continue;
+            };
+            if assign.session < report.session {
+                // Proof: with its session all a worker's tasks are gone, and
+                // commands of that session are refused.
+                self.drop_assign(now, &task, "session over");
+                continue;
+            }
+            match present.remove(&(task.clone(), assign.attempt)) {
+                Some(seen) if seen.phase == TaskPhase::Ended => {
+                    let reason = seen.reason.unwrap_or(EndReason::Other);
+                    self.ended(now, id, &task, reason);
+                }
+                Some(seen) => {
+                    let image = job.spec.image.clone();
+                    let gb = job.spec.image_gb;
+                    if seen.phase != TaskPhase::Fetching && assign.running_since_ms.is_none() {
+                        assign.running_since_ms = Some(now.ms);
+                        log::info!(
+                            "task {task} running attempt={} on {id} waited_ms={}",
+                            assign.attempt,
+                            now.wall.saturating_sub(job.submitted)
+                        );
+                    }
+                    assign.phase = Some(seen.phase);
+                    if let Some(machine) = self.fleet.get_mut(id) {
+                        if seen.phase == TaskPhase::Fetching {
+                            *machine.fetching.entry(image).or_insert(0) += 1;
+                        } else {
+                            machine.used_image(&image, gb);
+                        }
+                    }
+                }
+                None => {
+                    assign.phase = None;
+                    if assign.stop.is_none() {
+                        unheeded |= assign.first_sent_ms.is_some_and(|at| {
+                            now.ms > at + DEAF_REPORTS * self.settings_report_ms()
+                        });
+                        continue;
+                    }
+                    let proven = match (assign.first_sent_ms, assign.absent_proof) {
+                        // No start of this term was sent, and earlier terms'
+                        // are refused under this report's token.
+                        (None, _) => true,
+                        (_, Some(token)) => report.token >= token,
+                        (_, None) => {
+                            match self.fleet.get_mut(id).and_then(|m| m.raise_token()) {
+                                Some(token) => assign.absent_proof = Some(token),
+                                None => out.resign = Some("tokens used up"),
+                            }
+                            false
+                        }
+                    };
+                    if proven {
+                        self.drop_assign(now, &task, "absent under a raised token");
+                    }
+                }
+            }
+        }
+        let strays = present.values().any(|t| t.phase != TaskPhase::Ended);
+        if let Some(machine) = self.fleet.get_mut(id) {
+            machine.strays = strays;
+            if unheeded {
+                machine.deaf_since_ms.get_or_insert(now.ms);
+            } else {
+                machine.deaf_since_ms = None;
+            }
+        }
+    }
+
+    fn settings_report_ms(&self) -> u64 {
+        (self.settings.site.workers.report_s * 1000.0) as u64
+    }
+
+    /// The worker says that the attempt is over.
+    fn ended(&mut self, now: Now, id: &MachineId, task: &TaskRef, reason: EndReason) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(assign) = job.assigns.remove(&task.index) else {
+            return;
+        };
+        let need = job.need;
+        let cancelled = job.cancelled.is_some();
+        if let Some(machine) = self.fleet.get_mut(id) {
+            machine.unassign(task, &need, now.ms);
+            if reason == EndReason::Done {
+                machine.blamed_by.clear();
+            }
+        }
+        self.round_wanted = true;
+        if cancelled {
+            return;
+        }
+        log::info!(
+            "task {task} ended attempt={} on {id} reason={reason:?}",
+            assign.attempt
+        );
+        // Its worker keeps the result until this is stored.
+        job.unstored.insert((task.index, assign.attempt));
+        if reason == EndReason::Done {
+            job.done.insert(task.index);
+            job.succeeded = true;
+            job.touch(task.index, now.ms, false);
+            if let Some(since) = assign.running_since_ms {
+                let took_s = (now.ms - since) as f64 / 1000.0;
+                let (class, estimate) = (job.spec.class.clone(), job.spec.estimate_s);
+                self.learning.ran(&class, estimate, took_s);
+            }
+            return;
+        }
+        job.pending.insert(task.index);
+        job.touch(task.index, now.ms, false);
+        match reason {
+            EndReason::Error => self.failed(now, id, task),
+            EndReason::Stopped => {}
+            _ => job.pause_until_ms = now.ms + PAUSE_MS,
+        }
+    }
+
+    /// Mostly the machine is faulty; a job that fails everywhere is not
+    /// allowed to condemn machine after machine.
+    fn failed(&mut self, now: Now, id: &MachineId, task: &TaskRef) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        job.failures += 1;
+        if !job.failed_on.contains(id) {
+            job.failed_on.push(id.clone());
+        }
+        let guilty = !job.succeeded && job.failed_on.len() >= GUILTY_AFTER;
+        if guilty {
+            let pause = PAUSE_MS << (job.failures.min(16) - 1).min(7);
+            job.pause_until_ms = now.ms + pause;
+            for machine in self.fleet.machines.values_mut() {
+                machine.blamed_by.retain(|j| *j != task.job);
+            }
+        } else if let Some(machine) = self.fleet.get_mut(id) {
+            // Two tasks of one job count as well: a faulty machine fails all.
+            machine.blamed_by.push(task.job.clone());
+            if machine.blamed_by.len() >= 2 {
+                log::info!("machine {id} fails tasks, avoided");
+            }
+        }
+    }
+
+    /// What this worker is to do. With a report, ended tasks that are stored
+    /// are forgotten too, under a raised token: a late copy of their start is
+    /// then refused.
+    pub(super) fn commands_for(
+        &mut self,
+        now: Now,
+        id: &MachineId,
+        report: Option<&Report>,
+        out: &mut SchedulerOut,
+    ) -> Vec<Command> {
+        let mut commands = Vec::new();
+        let resend_ms = (self.settings_report_ms() as f64 * RESEND_REPORTS) as u64;
+        let Some(machine) = self.fleet.get_mut(id) else {
+            return commands;
+        };
+        if !machine.evidence {
+            return commands;
+        }
+        for task in &machine.tasks {
+            let Some(assign) = self
+                .jobs
+                .get_mut(&task.job)
+                .and_then(|j| j.assigns.get_mut(&task.index))
+                .filter(|a| a.machine == *id)
+            else {
+                continue;
+            };
+            if let Some(command) = wanted(now, task, assign, resend_ms) {
+                commands.push(command);
+            }
+        }
+        let Some(report) = report else {
+            return commands;
+        };
+        let mut forget = false;
+        for seen in &report.tasks {
+            let Some(task) = TaskRef::parse(&seen.task) else {
+                continue;
+            };
+            let job = self.jobs.get(&task.job);
+            let assigned = job.is_some_and(|j| {
+                j.assigns
+                    .get(&task.index)
+                    .is_some_and(|a| a.machine == *id && a.attempt == seen.attempt)
+            });
+            if assigned {
+                continue;
+            }
+            if seen.phase == TaskPhase::Ended {
+                let stored = job.is_none_or(|j| !j.unstored.contains(&(task.index, seen.attempt)));
+                if stored {
+                    forget = true;
+                    commands.push(Command::Forget {
+                        task: seen.task.clone(),
+                        attempt: seen.attempt,
+                    });
+                }
+            } else {
+                commands.push(Command::Stop {
+                    task: seen.task.clone(),
+                    attempt: seen.attempt,
+                    grace_s: 0,
+                });
+            }
+        }
+        if forget {
+            if let Some(machine) = self.fleet.get_mut(id) {
+                if machine.raise_token().is_none() {
+                    out.resign = Some("tokens used up");
+                    return Vec::new();
+                }
+            }
+        }
+        commands
+    }
+
+    /// Looks after every machine and every stop that is due.
+    pub(super) fn tend_fleet(&mut self, now: Now, cloud: &mut Cloud, _out: &mut SchedulerOut) {
+        self.fleet.forget_gone(now.ms);
+        let cancelled: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.cancelled.is_some() && !j.assigns.is_empty())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &cancelled {
+            self.enforce_cancel(now, id);
+        }
+        let lease_ms = self.lease_ms();
+        let silent_ms = (lease_ms as f64 * self.options.silent_leases) as u64;
+        let cancel_ms = self.settings.site.workers.cancel_s * 1000.0 * self.options.cancel_share;
+        let boots: Vec<(MachineId, u64)> = self
+            .fleet
+            .machines
+            .values()
+            .filter(|m| m.phase == Phase::Booting)
+            .map(|m| (m.id.clone(), self.boot_ms(&m.offer)))
+            .collect();
+        let late: Vec<MachineId> = boots
+            .into_iter()
+            .filter(|(id, boot_ms)| {
+                let limit = (*boot_ms as f64 * self.options.late_boots) as u64;
+                self.fleet
+                    .get(id)
+                    .is_some_and(|m| now.ms > m.rented_ms + limit)
+            })
+            .map(|(id, _)| id)
+            .collect();
+        let mut give_up: Vec<(MachineId, &'static str)> =
+            late.into_iter().map(|id| (id, "never came up")).collect();
+        let mut drain = Vec::new();
+        for machine in self.fleet.machines.values() {
+            if machine.phase != Phase::Up {
+                continue;
+            }
+            if now.ms > machine.heard_ms + silent_ms {
+                give_up.push((machine.id.clone(), "silent"));
+            } else if machine
+                .deaf_since_ms
+                .is_some_and(|at| now.ms > at + lease_ms)
+            {
+                give_up.push((machine.id.clone(), "deaf"));
+            } else if machine.notice_until_ms.is_some() && !machine.tasks.is_empty() {
+                drain.push(machine.id.clone());
+            }
+            let overdue = machine.tasks.iter().any(|task| {
+                self.jobs.get(&task.job).is_some_and(|job| {
+                    job.cancelled.is_some()
+                        && job
+                            .assigns
+                            .get(&task.index)
+                            .and_then(|a| a.stop)
+                            .is_some_and(|s| now.ms as f64 > s.since_ms as f64 + cancel_ms)
+                })
+            });
+            if overdue {
+                give_up.push((machine.id.clone(), "doesn't stop a cancelled task"));
+            }
+        }
+        for (id, why) in give_up {
+            if let Some(machine) = self.fleet.get_mut(&id) {
+                log::info!("machine {id} given up: {why}");
+                machine.phase = Phase::Releasing;
+            }
+        }
+        for id in drain {
+            self.drain(now, &id);
+        }
+        for machine in self.fleet.machines.values() {
+            if machine.phase == Phase::Releasing {
+                cloud.release(machine.id.clone());
+            }
+        }
+    }
+
+    /// Stops what a machine runs, letting it save what it can.
+    fn drain(&mut self, now: Now, id: &MachineId) {
+        let Some(machine) = self.fleet.get(id) else {
+            return;
+        };
+        for task in machine.tasks.clone() {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let grace_s = job.spec.save_s.ceil() as u64 + 1;
+            if let Some(assign) = job.assigns.get_mut(&task.index) {
+                if assign.stop.is_none() {
+                    assign.stop = Some(StopPlan {
+                        grace_s,
+                        since_ms: now.ms,
+                    });
+                    assign.sent_ms = None;
+                    self.push.insert(id.clone());
+                }
+            }
+        }
+    }
+}
+
+/// The command that brings a task nearer to what is wanted, unless one was
+/// just sent.
+fn wanted(now: Now, task: &TaskRef, assign: &mut Assign, resend_ms: u64) -> Option<Command> {
+    let just_sent = assign.sent_ms.is_some_and(|at| now.ms < at + resend_ms);
+    match assign.stop {
+        None => {
+            if !assign.recorded || assign.phase.is_some() || just_sent {
+                return None;
+            }
+            assign.first_sent_ms.get_or_insert(now.ms);
+            assign.sent_ms = Some(now.ms);
+            Some(Command::Start {
+                task: task.to_string(),
+                attempt: assign.attempt,
+            })
+        }
+        Some(stop) => {
+            // A task that saves is left alone until its grace is over.
+            let saving = assign.phase == Some(TaskPhase::Saving) && stop.grace_s > 0;
+            if saving || (just_sent && assign.sent_ms > Some(stop.since_ms)) {
+                return None;
+            }
+            assign.sent_ms = Some(now.ms);
+            Some(Command::Stop {
+                task: task.to_string(),
+                attempt: assign.attempt,
+                grace_s: stop.grace_s,
+            })
+        }
+    }
+}
