--- /dev/null
+++ b/src/scheduler/rounds.rs
@@ -0,0 +1,572 @@
+//! A round: waiting work in deadline order takes free room; the rest picks
+//! rental rungs.
+
+use super::learn::Flow;
+use super::{Assign, Scheduler};
+use crate::cloud::{Cloud, Offer, RENT_MAX};
+use crate::fleet::Phase;
+use crate::ids::{JobId, MachineId};
+use crate::msg::Now;
+use crate::placement::{allows_offer, offers_for, Fit, Res, ZoneUse};
+use crate::slackfit::{self, Rung};
+use crate::wire::{JobSpec, Kind, Priority};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+/// A worker that has been silent for so many report intervals gets nothing new.
+const FRESH_REPORTS: u64 = 3;
+/// A new leader listens for so many report intervals before it rents.
+const LISTEN_REPORTS: u64 = 3;
+
+/// One entry of the queue.
+#[derive(Debug)]
+struct Waiting {
+    priority: Priority,
+    /// Beyond what its team is guaranteed.
+    beyond: bool,
+    /// Time of day.
+    deadline: u64,
+    what: Work,
+}
+
+#[derive(Debug)]
+enum Work {
+    Job(JobId),
+    /// Work that is expected, by what was seen.
+    Forecast(Rc<JobSpec>, u32),
+}
+
+/// Free room of a machine during one round.
+#[derive(Debug)]
+struct Room {
+    id: MachineId,
+    offer: Offer,
+    free: Res,
+    whole: Res,
+    fetches: u32,
+    reserved: bool,
+}
+
+/// Tasks that found no room.
+#[derive(Debug)]
+pub(super) struct Rest {
+    spec: Rc<JobSpec>,
+    count: u32,
+    deadline: u64,
+    zones: ZoneUse,
+}
+
+/// Room that isn't there yet.
+struct Coming {
+    offer: Offer,
+    free: Res,
+    new: bool,
+}
+
+impl Scheduler {
+    fn deadline_of(&self, spec: &JobSpec, submitted: u64) -> u64 {
+        let ms = match spec.deadline_s {
+            Some(s) => (s * 1000.0) as u64,
+            None => match self.settings.wait_objective_ms(&spec.class) {
+                Some(ms) => ms,
+                // The design's: twice the estimate.
+                None => (spec.estimate_s * 2000.0) as u64,
+            },
+        };
+        submitted + ms
+    }
+
+    /// Jobs that fit into their team's guarantee together with the team's
+    /// earlier unfinished ones.
+    fn within_guarantee(&self) -> BTreeMap<JobId, bool> {
+        let mut by_team: BTreeMap<&str, Vec<(u64, &JobId)>> = BTreeMap::new();
+        for (id, job) in &self.jobs {
+            if job.cancelled.is_none() {
+                by_team
+                    .entry(&job.spec.team)
+                    .or_default()
+                    .push((job.submitted, id));
+            }
+        }
+        let mut within = BTreeMap::new();
+        for (name, mut jobs) in by_team {
+            let Some(team) = self.settings.team(name) else {
+                continue;
+            };
+            if team.cpus <= 0.0 && team.gpus <= 0.0 {
+                continue;
+            }
+            jobs.sort();
+            let (mut cpus, mut gpus) = (0.0, 0.0);
+            for (_, id) in jobs {
+                let job = &self.jobs[id];
+                let left = f64::from(job.spec.tasks) - job.done.len() as f64;
+                cpus += job.need.cpus * left;
+                gpus += job.need.gpus * left;
+                let fits = (team.cpus <= 0.0 || cpus <= team.cpus + 1e-6)
+                    && (team.gpus <= 0.0 || gpus <= team.gpus + 1e-6);
+                within.insert(id.clone(), fits);
+            }
+        }
+        within
+    }
+
+    /// What each team's tasks may be using now.
+    fn team_use(&self) -> HashMap<Rc<str>, Res> {
+        let mut used: HashMap<Rc<str>, Res> = HashMap::new();
+        for job in self.jobs.values() {
+            let total = used.entry(job.spec.team.clone()).or_default();
+            for _ in &job.assigns {
+                total.add(&job.need);
+            }
+        }
+        used
+    }
+
+    /// Whether the team may take one more such task.
+    fn quota_allows(&self, team: &str, used: &Res, need: &Res) -> bool {
+        let Some(team) = self.settings.team(team) else {
+            return false;
+        };
+        let ok = |used: f64, need: f64, max: f64| max <= 0.0 || used + need <= max + 1e-6;
+        ok(used.cpus, need.cpus, team.cpus_max) && ok(used.gpus, need.gpus, team.gpus_max)
+    }
+
+    /// Room for arrivals: as many standard deviations of what comes and goes
+    /// during one boot as the operator wants, pooled over the classes.
+    fn forecasts(&mut self, now: Now) -> Vec<Waiting> {
+        let Some(catalog) = self.catalog.clone() else {
+            return Vec::new();
+        };
+        let slowest = catalog
+            .types
+            .iter()
+            .map(|t| self.learning.boot_s(&t.name, t.boot_s))
+            .fold(0.0, f64::max);
+        let flows: Vec<Flow> = self
+            .learning
+            .flows(now.ms)
+            .into_iter()
+            .filter(|f| self.settings.wait_objective_ms(&f.spec.class).is_some())
+            .collect();
+        // In the scarcest amount's terms one class can stand in for another.
+        let weigh = |f: &Flow| {
+            let need = Res::of_task(&f.spec);
+            let variance = 2.0 * f.jobs_per_s * slowest * f.tasks_squared;
+            (variance, variance * need.gpus.max(need.cpus / 8.0).powi(2))
+        };
+        let pooled: f64 = flows.iter().map(|f| weigh(f).1).sum::<f64>().sqrt();
+        let apart: f64 = flows.iter().map(|f| weigh(f).1.sqrt()).sum();
+        let ratio = if apart > 0.0 { pooled / apart } else { 0.0 };
+        flows
+            .iter()
+            .map(|f| {
+                let units = self.options.headroom * weigh(f).0.sqrt() * ratio;
+                Waiting {
+                    priority: f.spec.priority,
+                    beyond: true,
+                    deadline: now.wall + (slowest * 1000.0) as u64,
+                    what: Work::Forecast(f.spec.clone(), units.ceil() as u32),
+                }
+            })
+            .collect()
+    }
+
+    fn queue(&mut self, now: Now) -> Vec<Waiting> {
+        let within = self.within_guarantee();
+        let mut queue: Vec<Waiting> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.cancelled.is_none() && !j.pending.is_empty() && !j.stale)
+            .filter(|(_, j)| now.ms >= j.pause_until_ms)
+            .map(|(id, job)| Waiting {
+                priority: job.spec.priority,
+                beyond: !within.get(id).copied().unwrap_or(false),
+                deadline: self.deadline_of(&job.spec, job.submitted),
+                what: Work::Job(id.clone()),
+            })
+            .collect();
+        queue.extend(self.forecasts(now));
+        queue.sort_by_key(|w| (w.priority, w.beyond, w.deadline));
+        queue
+    }
+
+    /// Hands out free room in deadline order; what finds none is kept for
+    /// `rent`.
+    pub(super) fn place(&mut self, now: Now) {
+        let fresh_ms = self.report_ms() * FRESH_REPORTS;
+        let mut rooms: Vec<Room> = self
+            .fleet
+            .machines
+            .values()
+            .filter(|m| m.takes_work(now.ms, fresh_ms))
+            .map(|m| Room {
+                id: m.id.clone(),
+                offer: m.offer.clone(),
+                free: m.free(),
+                whole: m.room,
+                fetches: m.fetching.len() as u32,
+                reserved: false,
+            })
+            .collect();
+        let mut used = self.team_use();
+        let mut rest = Vec::new();
+        for waiting in self.queue(now) {
+            match waiting.what {
+                Work::Job(id) => {
+                    let left = self.place_job(now, &id, waiting.deadline, &mut rooms, &mut used);
+                    rest.extend(left);
+                }
+                Work::Forecast(spec, count) => {
+                    let left = reserve(&spec, count, &mut rooms);
+                    if left > 0 {
+                        rest.push(Rest {
+                            spec,
+                            count: left,
+                            deadline: waiting.deadline,
+                            zones: ZoneUse::default(),
+                        });
+                    }
+                }
+            }
+        }
+        self.rest = rest;
+        self.reserved = rooms
+            .into_iter()
+            .filter(|r| r.reserved)
+            .map(|r| r.id)
+            .collect();
+    }
+
+    fn place_job(
+        &mut self,
+        now: Now,
+        id: &JobId,
+        deadline: u64,
+        rooms: &mut [Room],
+        used: &mut HashMap<Rc<str>, Res>,
+    ) -> Option<Rest> {
+        let job = self.jobs.get(id)?;
+        let (spec, need) = (job.spec.clone(), job.need);
+        let mut zones = job.zone_use();
+        let tasks: Vec<u32> = job.pending.iter().copied().collect();
+        let mut placed = 0;
+        let mut blocked = 0;
+        for task in &tasks {
+            let team = used.entry(spec.team.clone()).or_default();
+            if !self.quota_allows(&spec.team, team, &need) {
+                // Renting wouldn't help it: its team has to give room back.
+                blocked = (tasks.len() - placed) as u32;
+                break;
+            }
+            let Some(index) = self.best_room(&spec, &need, &zones, rooms, id) else {
+                break;
+            };
+            let room = &mut rooms[index];
+            let (Some(job), Some(machine)) = (self.jobs.get_mut(id), self.fleet.get_mut(&room.id))
+            else {
+                break;
+            };
+            let Some(attempt) = job.next_attempt(*task) else {
+                break;
+            };
+            log::debug!(
+                "place {id}/{task} attempt={attempt} on {} zone={} free_gpus={} cached={}",
+                room.id,
+                room.offer.zone,
+                room.free.gpus,
+                machine.has_image(&spec.image)
+            );
+            job.pending.remove(task);
+            job.assigns.insert(
+                *task,
+                Assign {
+                    attempt,
+                    machine: room.id.clone(),
+                    session: machine.session,
+                    zone: room.offer.zone.clone(),
+                    recorded: false,
+                    first_sent_ms: None,
+                    sent_ms: None,
+                    phase: None,
+                    running_since_ms: None,
+                    stop: None,
+                    absent_proof: None,
+                },
+            );
+            job.touch(*task, now.ms, true);
+            machine.assign(job.task(*task), &need);
+            room.free.take(&need);
+            if !machine.has_image(&spec.image) && !machine.fetching.contains_key(&spec.image) {
+                machine.fetching.insert(spec.image.clone(), 1);
+                room.fetches += 1;
+            }
+            zones.add(&room.offer.zone);
+            team.add(&need);
+            placed += 1;
+        }
+        let count = (tasks.len() - placed) as u32 - blocked;
+        (count > 0).then_some(Rest {
+            spec,
+            count,
+            deadline,
+            zones,
+        })
+    }
+
+    fn best_room(
+        &self,
+        spec: &JobSpec,
+        need: &Res,
+        zones: &ZoneUse,
+        rooms: &[Room],
+        id: &JobId,
+    ) -> Option<usize> {
+        let job = self.jobs.get(id)?;
+        let mut best: Option<(f64, usize)> = None;
+        for (index, room) in rooms.iter().enumerate() {
+            if !room.free.holds(need)
+                || !allows_offer(spec, &room.offer)
+                || !zones.allows(spec, &room.offer.zone)
+            {
+                continue;
+            }
+            let Some(machine) = self.fleet.get(&room.id) else {
+                continue;
+            };
+            let mut left = room.free;
+            left.take(need);
+            let fit = Fit {
+                cached: machine.has_image(&spec.image),
+                coming: machine.fetching.contains_key(&spec.image),
+                fetches: room.fetches,
+                spot: room.offer.spot,
+                left: left.share_of(&room.whole),
+                siblings: machine.tasks.iter().filter(|t| t.job == *id).count() as u32,
+                zone_siblings: zones.count(&room.offer.zone),
+            };
+            let mut rank = fit.rank();
+            if job.failed_on.contains(&room.id) {
+                rank += 10.0;
+            }
+            if best.is_none_or(|(r, _)| rank < r) {
+                best = Some((rank, index));
+            }
+        }
+        best.map(|(_, index)| index)
+    }
+
+    /// Rents for the work that found neither free room nor room that is
+    /// already coming, and returns machines that nobody needs.
+    pub(super) fn rent(&mut self, now: Now, cloud: &mut Cloud) {
+        let Some(catalog) = self.catalog.clone() else {
+            return;
+        };
+        if now.ms < self.elected_ms + self.report_ms() * LISTEN_REPORTS || !cloud.reachable() {
+            return;
+        }
+        let mut coming = self.coming(now, cloud);
+        for rest in std::mem::take(&mut self.rest) {
+            self.cover(now, &rest, &catalog, &mut coming);
+        }
+        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
+        for room in coming.iter().filter(|c| c.new) {
+            *wanted.entry(room.offer.clone()).or_insert(0) += 1;
+        }
+        for (offer, count) in wanted {
+            // One order of a kind at a time: its answer says what there is.
+            if cloud.ordered(&offer) > 0 {
+                continue;
+            }
+            self.rentals += 1;
+            let name = format!("lf-{}-{}", self.term, self.rentals);
+            log::info!(
+                "rent {count} of {} in {} spot={} order={name}",
+                offer.machine_type,
+                offer.zone,
+                offer.spot
+            );
+            cloud.rent(name, offer, count.min(RENT_MAX));
+        }
+        self.return_idle(now, cloud);
+    }
+
+    /// Room that is on its way: machines booting, ordered, or not heard yet.
+    fn coming(&self, now: Now, cloud: &Cloud) -> Vec<Coming> {
+        let mut coming: Vec<Coming> = Vec::new();
+        let fresh_ms = self.report_ms() * FRESH_REPORTS;
+        for machine in self.fleet.machines.values() {
+            let boots = machine.phase == Phase::Booting
+                && now.ms < machine.rented_ms + self.boot_ms(&machine.offer) * 2;
+            // It will be back or be given up soon.
+            let quiet = machine.phase == Phase::Up
+                && !machine.takes_work(now.ms, fresh_ms)
+                && machine.notice_until_ms.is_none()
+                && machine.blamed_by.len() < 2
+                && now.ms < machine.heard_ms + self.lease_ms() / 2;
+            if boots || quiet {
+                coming.push(Coming {
+                    offer: machine.offer.clone(),
+                    free: machine.free(),
+                    new: false,
+                });
+            }
+        }
+        for (offer, count) in cloud.orders() {
+            let whole = self
+                .catalog
+                .as_ref()
+                .and_then(|c| c.find(&offer.machine_type))
+                .map_or(Res::default(), Res::of_type);
+            for _ in 0..count {
+                coming.push(Coming {
+                    offer: offer.clone(),
+                    free: whole,
+                    new: false,
+                });
+            }
+        }
+        coming
+    }
+
+    fn cover(
+        &self,
+        now: Now,
+        rest: &Rest,
+        catalog: &crate::wire::Catalog,
+        coming: &mut Vec<Coming>,
+    ) {
+        let need = Res::of_task(&rest.spec);
+        let mut zones = rest.zones.clone();
+        let slack_ms = rest.deadline as i64 - now.wall as i64;
+        let mut buckets: Option<Vec<Rung>> = None;
+        for _ in 0..rest.count {
+            let found = coming.iter_mut().find(|c| {
+                c.free.holds(&need)
+                    && allows_offer(&rest.spec, &c.offer)
+                    && zones.allows(&rest.spec, &c.offer.zone)
+            });
+            if let Some(room) = found {
+                room.free.take(&need);
+                zones.add(&room.offer.zone);
+                continue;
+            }
+            let rungs = buckets.get_or_insert_with(|| self.rungs(now, &rest.spec, catalog));
+            let mut open: Vec<Rung> = rungs
+                .iter()
+                .filter(|r| zones.allows(&rest.spec, &r.offer.zone))
+                .cloned()
+                .collect();
+            // Among equals, the zone with the fewest machines.
+            for rung in &mut open {
+                rung.crowd += coming
+                    .iter()
+                    .filter(|c| c.new && c.offer.zone == rung.offer.zone)
+                    .count() as u32;
+            }
+            let chosen = if rest.spec.kind == Kind::Service {
+                slackfit::cheapest(&open).cloned()
+            } else {
+                let buckets = slackfit::buckets(&open, self.options.buckets as usize);
+                slackfit::choose(&buckets, slack_ms).cloned()
+            };
+            let Some(rung) = chosen else {
+                return;
+            };
+            log::debug!(
+                "rung for {} slack_ms={slack_ms} latency_ms={} cost={:.2} type={} zone={} spot={}",
+                rest.spec.id,
+                rung.latency_ms,
+                rung.cost,
+                rung.offer.machine_type,
+                rung.offer.zone,
+                rung.offer.spot
+            );
+            let mut free = catalog
+                .find(&rung.offer.machine_type)
+                .map_or(Res::default(), Res::of_type);
+            free.take(&need);
+            zones.add(&rung.offer.zone);
+            coming.push(Coming {
+                offer: rung.offer,
+                free,
+                new: true,
+            });
+        }
+    }
+
+    /// The rentals that could hold a task of the job and weren't refused
+    /// lately.
+    fn rungs(&self, now: Now, spec: &JobSpec, catalog: &crate::wire::Catalog) -> Vec<Rung> {
+        let need = Res::of_task(spec);
+        let run_s = spec.estimate_s * self.learning.bias(&spec.class);
+        offers_for(spec, catalog)
+            .into_iter()
+            .filter(|(offer, ..)| {
+                self.refused
+                    .get(offer)
+                    .is_none_or(|(until, _)| now.ms >= *until)
+            })
+            .map(|(offer, price, whole, boot_s)| {
+                let boot_s = self.learning.boot_s(&offer.machine_type, boot_s);
+                Rung {
+                    latency_ms: ((boot_s + run_s) * 1000.0) as u64,
+                    cost: price / f64::from(whole.times(&need).clamp(1, 10_000)),
+                    crowd: self.fleet.crowd(&offer.zone),
+                    offer,
+                }
+            })
+            .collect()
+    }
+
+    /// Machines that have been empty for a while and that no expected work
+    /// needs go back.
+    fn return_idle(&mut self, now: Now, cloud: &mut Cloud) {
+        let mut idle = Vec::new();
+        for machine in self.fleet.machines.values() {
+            let Some(since) = machine.idle_since_ms else {
+                continue;
+            };
+            if machine.phase != Phase::Up || !machine.tasks.is_empty() {
+                continue;
+            }
+            let patience = (self.boot_ms(&machine.offer) as f64 * self.options.idle_boots) as u64;
+            let faulty = machine.blamed_by.len() >= 2;
+            let unneeded = !self.reserved.contains(&machine.id) && now.ms > since + patience;
+            // The first minute is paid for in any case.
+            if faulty || (unneeded && now.ms > machine.rented_ms + 60_000) {
+                idle.push(machine.id.clone());
+            }
+        }
+        for id in idle {
+            if let Some(machine) = self.fleet.get_mut(&id) {
+                log::info!("machine {id} returned, idle");
+                machine.phase = Phase::Releasing;
+                cloud.release(id);
+            }
+        }
+    }
+}
+
+/// Sets room aside for expected work, on the fullest machines first, so that
+/// empty ones can be returned. Says how much found none.
+fn reserve(spec: &JobSpec, count: u32, rooms: &mut [Room]) -> u32 {
+    let need = Res::of_task(spec);
+    for n in 0..count {
+        let fitting = rooms
+            .iter_mut()
+            .filter(|r| r.free.holds(&need) && allows_offer(spec, &r.offer) && !r.offer.spot);
+        let fullest = fitting.min_by(|a, b| {
+            let share = |r: &Room| r.free.share_of(&r.whole);
+            share(a).total_cmp(&share(b))
+        });
+        match fullest {
+            Some(room) => {
+                room.free.take(&need);
+                room.reserved = true;
+            }
+            None => return count - n,
+        }
+    }
+    0
+}
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,313 @@
+//! The client of the state service: a token bucket with priorities in front
+//! of every call, and a clear word on what became of each.
+
+use crate::ids::Revision;
+use crate::msg::{Call, CallError, Now, Outcome, Target};
+use crate::wire::{RevisionOnly, Txn};
+use std::collections::{HashMap, VecDeque};
+
+/// Tokens that come at a steady rate, saved up for at most a second or so.
+#[derive(Clone, Debug)]
+pub struct TokenBucket {
+    rate_per_ms: f64,
+    burst: f64,
+    level: f64,
+    at_ms: u64,
+}
+
+impl TokenBucket {
+    pub fn new(rate_per_s: f64, burst_s: f64) -> Self {
+        let burst = (rate_per_s * burst_s).max(1.0);
+        TokenBucket {
+            rate_per_ms: rate_per_s / 1000.0,
+            burst,
+            level: burst,
+            at_ms: 0,
+        }
+    }
+
+    pub fn set_rate(&mut self, now: Now, rate_per_s: f64, burst_s: f64) {
+        self.refill(now);
+        self.rate_per_ms = rate_per_s / 1000.0;
+        self.burst = (rate_per_s * burst_s).max(1.0);
+        self.level = self.level.min(self.burst);
+    }
+
+    fn refill(&mut self, now: Now) {
+        let passed = now.ms.saturating_sub(self.at_ms) as f64;
+        self.level = (self.level + passed * self.rate_per_ms).min(self.burst);
+        self.at_ms = now.ms;
+    }
+
+    pub fn level(&mut self, now: Now) -> f64 {
+        self.refill(now);
+        self.level
+    }
+
+    /// A cost above the burst is let through on a full bucket, or it would
+    /// wait for ever.
+    pub fn take(&mut self, now: Now, cost: f64) -> bool {
+        self.refill(now);
+        if self.level + 1e-9 < cost.min(self.burst) {
+            return false;
+        }
+        self.level -= cost;
+        true
+    }
+
+    /// The other side says that the bucket is emptier than we thought.
+    pub fn drain(&mut self, now: Now) {
+        self.refill(now);
+        self.level = self.level.min(0.0);
+    }
+}
+
+/// Served in this order when tokens are short.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Urgency {
+    Leadership,
+    Cancel,
+    Submission,
+    Placement,
+    Rest,
+}
+
+const URGENCIES: usize = 5;
+
+#[derive(Clone, Debug)]
+pub struct StateCall<T> {
+    pub urgency: Urgency,
+    pub call: Call,
+    pub writes: usize,
+    /// When waiting in the queue makes no more sense.
+    pub give_up_ms: u64,
+    pub tag: T,
+}
+
+/// What became of a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Status(u16, Vec<u8>),
+    /// Certainly not executed (503, or never sent).
+    Refused,
+    /// It may have been executed, or may be later.
+    Unclear,
+}
+
+impl Answer {
+    /// Reads the body of an answer with this status.
+    pub fn read<T: serde::de::DeserializeOwned>(&self, status: u16) -> Option<T> {
+        match self {
+            Answer::Status(s, body) if *s == status => serde_json::from_slice(body).ok(),
+            _ => None,
+        }
+    }
+    pub fn status(&self) -> Option<u16> {
+        match self {
+            Answer::Status(s, _) => Some(*s),
+            _ => None,
+        }
+    }
+    pub fn committed(&self) -> Option<Revision> {
+        self.read::<RevisionOnly>(200).map(|r| Revision(r.revision))
+    }
+}
+
+/// Queues and paces calls. `T` is the caller's own note, given back with the
+/// answer.
+pub struct Store<T> {
+    queues: [VecDeque<StateCall<T>>; URGENCIES],
+    in_flight: HashMap<u64, StateCall<T>>,
+    requests: TokenBucket,
+    writes: TokenBucket,
+    rps: f64,
+    write_rps: f64,
+    /// Share of the request timeout that the settings give.
+    last_ok_ms: Option<u64>,
+    last_fail_ms: Option<u64>,
+    next: u64,
+}
+
+impl<T> Store<T> {
+    pub fn new(rps: f64, write_rps: f64) -> Self {
+        Store {
+            queues: Default::default(),
+            in_flight: HashMap::new(),
+            requests: TokenBucket::new(rps, 1.0),
+            writes: TokenBucket::new(write_rps, 1.0),
+            rps,
+            write_rps,
+            last_ok_ms: None,
+            last_fail_ms: None,
+            next: 0,
+        }
+    }
+
+    /// This controller's share of what the service takes from all of them.
+    pub fn set_share(&mut self, now: Now, share: f64) {
+        self.requests.set_rate(now, self.rps * share, 1.0);
+        self.writes.set_rate(now, self.write_rps * share, 1.0);
+    }
+
+    /// Whether the service has answered lately, as far as this node can tell.
+    pub fn reachable(&self) -> bool {
+        match (self.last_ok_ms, self.last_fail_ms) {
+            (Some(ok), Some(fail)) => ok >= fail,
+            (Some(_), None) => true,
+            (None, _) => false,
+        }
+    }
+
+    pub fn last_ok_ms(&self) -> Option<u64> {
+        self.last_ok_ms
+    }
+
+    pub fn waiting(&self) -> bool {
+        self.queues.iter().any(|q| !q.is_empty())
+    }
+
+    pub fn submit(&mut self, call: StateCall<T>) {
+        self.queues[call.urgency as usize].push_back(call);
+    }
+
+    /// Sends what the buckets allow and returns what was given up.
+    pub fn pump(&mut self, now: Now, mut send: impl FnMut(u64, Call), given_up: &mut Vec<T>) {
+        for queue in &mut self.queues {
+            while let Some(first) = queue.front() {
+                if now.ms >= first.give_up_ms {
+                    given_up.extend(queue.pop_front().map(|c| c.tag));
+                    continue;
+                }
+                let writes = first.writes as f64;
+                if self.requests.level(now) < 1.0
+                    || (writes > 0.0 && !self.writes.take(now, writes))
+                {
+                    // What is less urgent waits too, or big writes would
+                    // never find the bucket full enough. Reads behind a
+                    // short write bucket may pass.
+                    if self.requests.level(now) < 1.0 {
+                        return;
+                    }
+                    break;
+                }
+                self.requests.take(now, 1.0);
+                let Some(call) = queue.pop_front() else { break };
+                self.next += 1;
+                send(self.next, call.call.clone());
+                self.in_flight.insert(self.next, call);
+            }
+        }
+    }
+
+    /// The answer to call `id`. A 429 goes back to the queue.
+    pub fn answered(&mut self, now: Now, id: u64, outcome: Outcome) -> Option<(T, Answer)> {
+        let call = self.in_flight.remove(&id)?;
+        let answer = match outcome {
+            Ok((429, _)) => {
+                self.last_ok_ms = Some(now.ms);
+                if call.writes > 0 {
+                    self.writes.drain(now);
+                } else {
+                    self.requests.drain(now);
+                }
+                if now.ms < call.give_up_ms {
+                    self.queues[call.urgency as usize].push_front(call);
+                    return None;
+                }
+                Answer::Refused
+            }
+            Ok((503, _)) => {
+                self.last_fail_ms = Some(now.ms);
+                Answer::Refused
+            }
+            Ok((status, body)) => {
+                self.last_ok_ms = Some(now.ms);
+                Answer::Status(status, body)
+            }
+            Err(e) => {
+                if call.call.target != Target::StateWatch {
+                    self.last_fail_ms = Some(now.ms);
+                }
+                match e {
+                    CallError::NotSent => Answer::Refused,
+                    CallError::Unclear => Answer::Unclear,
+                }
+            }
+        };
+        Some((call.tag, answer))
+    }
+}
+
+/// The calls of the state service's protocol.
+pub fn get(key: &str, timeout_ms: u64) -> Call {
+    Call {
+        target: Target::State,
+        method: "GET",
+        path: format!("/kv/{key}"),
+        body: Vec::new(),
+        timeout_ms,
+    }
+}
+
+pub fn list(prefix: &str, after: Option<&str>, timeout_ms: u64) -> Call {
+    let after = after.map(|k| format!("&from={k}")).unwrap_or_default();
+    Call {
+        target: Target::State,
+        method: "GET",
+        path: format!("/kv?under={prefix}{after}&limit=500"),
+        body: Vec::new(),
+        timeout_ms,
+    }
+}
+
+pub fn watch(prefix: &str, after: Revision, wait_ms: u64, timeout_ms: u64) -> Call {
+    Call {
+        target: Target::StateWatch,
+        method: "GET",
+        path: format!("/follow?under={prefix}&from={after}&waitMs={wait_ms}"),
+        body: Vec::new(),
+        timeout_ms,
+    }
+}
+
+pub fn txn(txn: &Txn, timeout_ms: u64) -> (Call, usize) {
+    let call = Call {
+        target: Target::State,
+        method: "POST",
+        path: "/txn".into(),
+        // Keys are strings and numbers are finite: this can't fail.
+        body: serde_json::to_vec(txn).unwrap_or_default(),
+        timeout_ms,
+    };
+    (call, txn.writes.len())
+}
+
+pub fn lease_create(ttl_ms: u64, timeout_ms: u64) -> Call {
+    Call {
+        target: Target::State,
+        method: "POST",
+        path: "/leases".into(),
+        body: format!("{{\"ttlMs\":{ttl_ms}}}").into_bytes(),
+        timeout_ms,
+    }
+}
+
+pub fn lease_renew(lease: u64, timeout_ms: u64) -> Call {
+    Call {
+        target: Target::State,
+        method: "POST",
+        path: format!("/leases/{lease}/touch"),
+        body: Vec::new(),
+        timeout_ms,
+    }
+}
+
+pub fn lease_end(lease: u64, timeout_ms: u64) -> Call {
+    Call {
+        target: Target::State,
+        method: "DELETE",
+        path: format!("/leases/{lease}"),
+        body: Vec::new(),
+        timeout_ms,
+    }
+}
