Learn boot times from own rentals only

Cause: machines that were up before we led were learned as booting in 0 s, so every later rental counted as late and was returned.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -26,6 +26,8 @@
     pub address: Option<String>,
     pub phase: Phase,
     pub rented_ms: u64,
+    /// Rented under this term, so that its boot time is known exactly.
+    pub own_rental: bool,
     pub up_ms: Option<u64>,
     pub heard_ms: u64,
     pub session: Session,
@@ -73,6 +75,7 @@
             address: None,
             phase: Phase::Booting,
             rented_ms: now_ms,
+            own_rental: false,
             up_ms: None,
             heard_ms: now_ms,
             session: Session(0),
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -516,7 +516,7 @@
                     offer.spot
                 );
                 for name in names {
-                    self.add_machine(now, name, offer.clone(), 0.0);
+                    self.add_machine(now, name, offer.clone(), 0.0).own_rental = true;
                 }
                 self.refused.remove(&offer);
             }
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -64,7 +64,6 @@
             zone: Rc::from(report.zone.as_str()),
             spot: report.spot,
         };
-        let known = self.fleet.get(&id).is_some();
         let term = self.term;
         let machine = self.add_machine(now, id.clone(), offer, 0.0);
         if (report.session, report.seq) <= (machine.session, machine.seq) {
@@ -81,8 +80,10 @@
             machine.idle_since_ms = Some(now.ms);
             let took_s = (now.ms - machine.rented_ms) as f64 / 1000.0;
             let machine_type = machine.offer.machine_type.clone();
-            log::info!("machine {id} up type={machine_type} took_s={took_s:.1} known={known}");
-            if known {
+            log::info!("machine {id} up type={machine_type} took_s={took_s:.1}");
+            // One that was up before we led, or turned up by itself, says
+            // nothing about boot times.
+            if machine.own_rental {
                 if let Some(t) = self.catalog.as_ref().and_then(|c| c.find(&machine_type)) {
                     let nominal = t.boot_s;
                     self.learning.booted(&machine_type, nominal, took_s);
