Take gangs, start them whole and with a common attempt

Found by trying: three tasks with attempts of their own waited for each other until they gave up; with a common attempt they run.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -228,7 +228,7 @@
         };
         let counted = match spec.kind {
             Kind::Array => 1.0,
-            Kind::Service => f64::from(spec.tasks),
+            Kind::Service | Kind::Group => f64::from(spec.tasks),
         };
         let over = |need: f64, max: f64| max > 0.0 && need * counted > max + 1e-9;
         if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
@@ -397,7 +397,7 @@
     let allowed = spec
         .types
         .as_ref()
-        .is_none_or(|types| types.iter().any(|name| *name == t.name));
+        .is_none_or(|types| types.contains(&t.name));
     let zone = spec
         .zone
         .as_ref()
--- a/src/http.rs
+++ b/src/http.rs
@@ -180,6 +180,9 @@
     Ok(Some((body, head.size + length)))
 }
 
+/// A status and a body.
+pub type Response = (u16, Vec<u8>);
+
 /// A request, once `buf` holds all of it.
 pub fn parse_request(buf: &[u8]) -> Result<Option<Parsed<Request>>, HttpError> {
     let Some(head) = parse_head(buf)? else {
@@ -202,10 +205,7 @@
 
 /// A response, once `buf` holds all of it. `ended`: the sender has closed, so
 /// a body without a length is complete.
-pub fn parse_response(
-    buf: &[u8],
-    ended: bool,
-) -> Result<Option<Parsed<(u16, Vec<u8>)>>, HttpError> {
+pub fn parse_response(buf: &[u8], ended: bool) -> Result<Option<Parsed<Response>>, HttpError> {
     let Some(head) = parse_head(buf)? else {
         return Ok(None);
     };
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,9 +5,7 @@
 use crate::election::{Change, Election, ElectionCall, Role};
 use crate::gateway::{Gateway, GatewayCall, GatewayOut};
 use crate::ids::{JobId, Term};
-use crate::msg::{
-    Call, CallError, CallId, ConnId, Effect, Now, Outcome, Port, Reply, Request, Target,
-};
+use crate::msg::{Call, CallId, ConnId, Effect, Now, Outcome, Port, Reply, Request, Target};
 use crate::options::Options;
 use crate::peer::{self, Hello, JobCount, PEER_PATH};
 use crate::reactor::Handler;
@@ -46,7 +44,6 @@
     addr: String,
     /// When it last said that the state service answers it.
     state_seen_ms: Option<u64>,
-    busy: bool,
 }
 
 pub struct Node {
@@ -95,7 +92,6 @@
                 name: p.name.clone(),
                 addr: p.addr.to_string(),
                 state_seen_ms: None,
-                busy: false,
             })
             .collect();
         let leader_share = options.leader_share;
@@ -328,8 +324,7 @@
         let timeout_ms = self.hello_every_ms * 2;
         let calls: Vec<Call> = self
             .peers
-            .iter_mut()
-            .filter(|p| !p.busy)
+            .iter()
             .map(|p| Call {
                 target: Target::Peer(p.addr.clone()),
                 method: "POST",
@@ -587,20 +582,14 @@
                 Some(event) => self.scheduler.cloud_event(now, event, &mut self.cloud),
                 None => {}
             },
-            Some(CallTag::Worker(term, tag)) => {
-                if term == self.scheduler.term() {
-                    let mut scheduler = SchedulerOut::default();
-                    self.scheduler
-                        .worker_answered(now, tag, outcome, &mut scheduler);
-                    self.take_scheduler(now, scheduler, out);
-                }
-            }
-            Some(CallTag::Peer) => {
-                if outcome == Err(CallError::NotSent) {
-                    log::debug!("a peer can't be reached");
-                }
+            Some(CallTag::Worker(term, tag)) if term == self.scheduler.term() => {
+                let mut scheduler = SchedulerOut::default();
+                self.scheduler
+                    .worker_answered(now, tag, outcome, &mut scheduler);
+                self.take_scheduler(now, scheduler, out);
             }
-            None => {}
+            // Peers get hints and nothing hangs on them.
+            Some(CallTag::Worker(..) | CallTag::Peer) | None => {}
         }
     }
 
--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -216,6 +216,16 @@
         Some(shard.next)
     }
 
+    /// One new attempt for tasks of every shard.
+    pub fn common_attempt(&mut self) -> Attempt {
+        let latest = self.shards.iter().map(|s| s.next).max().unwrap_or_default();
+        let next = Attempt(latest.0 + 1);
+        for shard in &mut self.shards {
+            shard.next = next;
+        }
+        next
+    }
+
     /// Where the job's tasks may be, for spread and samePlace.
     pub fn zone_use(&self) -> ZoneUse {
         let mut zones = ZoneUse::default();
--- a/src/scheduler/learn.rs
+++ b/src/scheduler/learn.rs
@@ -51,7 +51,6 @@
     pub jobs_per_s: f64,
     /// Mean of the squared number of tasks.
     pub tasks_squared: f64,
-    pub largest: u32,
 }
 
 impl Learning {
@@ -133,7 +132,6 @@
                 spec,
                 jobs_per_s: n / span_s,
                 tasks_squared: squares / n,
-                largest: arrivals.seen.iter().map(|(_, t)| *t).max().unwrap_or(1),
             });
         }
         flows
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -250,8 +250,22 @@
         let (spec, need) = (job.spec.clone(), job.need);
         let mut zones = job.zone_use();
         let tasks: Vec<u32> = job.pending.iter().copied().collect();
+        if spec.kind == Kind::Group && !self.whole_fits(&spec, &need, &zones, rooms, &tasks, used) {
+            // A gang starts whole, as one round, or waits.
+            return Some(Rest {
+                spec,
+                count: tasks.len() as u32,
+                deadline,
+                zones,
+            });
+        }
         let mut placed = 0;
         let mut blocked = 0;
+        // The tasks of a gang know each other by their common attempt.
+        let shared = match spec.kind {
+            Kind::Group => self.jobs.get_mut(id).map(|job| job.common_attempt()),
+            _ => None,
+        };
         for task in &tasks {
             let team = used.entry(spec.team.clone()).or_default();
             if !self.quota_allows(&spec.team, team, &need) {
@@ -267,7 +281,7 @@
             else {
                 break;
             };
-            let Some(attempt) = job.next_attempt(*task) else {
+            let Some(attempt) = shared.or_else(|| job.next_attempt(*task)) else {
                 break;
             };
             log::debug!(
@@ -314,6 +328,40 @@
         })
     }
 
+    /// Whether all these tasks find room at once.
+    fn whole_fits(
+        &self,
+        spec: &JobSpec,
+        need: &Res,
+        zones: &ZoneUse,
+        rooms: &[Room],
+        tasks: &[u32],
+        used: &HashMap<Rc<str>, Res>,
+    ) -> bool {
+        let mut used = used.get(&spec.team).copied().unwrap_or_default();
+        let mut zones = zones.clone();
+        let mut free: Vec<(&Room, Res)> = rooms
+            .iter()
+            .filter(|r| allows_offer(spec, &r.offer))
+            .map(|r| (r, r.free))
+            .collect();
+        tasks.iter().all(|_| {
+            let fits = self.quota_allows(&spec.team, &used, need);
+            let room = free
+                .iter_mut()
+                .find(|(r, free)| free.holds(need) && zones.allows(spec, &r.offer.zone));
+            match room {
+                Some((room, free)) if fits => {
+                    free.take(need);
+                    zones.add(&room.offer.zone);
+                    used.add(need);
+                    true
+                }
+                _ => false,
+            }
+        })
+    }
+
     fn best_room(
         &self,
         spec: &JobSpec,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -18,6 +18,8 @@
 pub enum Kind {
     Array,
     Service,
+    /// A gang: tasks that run together or not at all.
+    Group,
 }
 
 /// Most important first, so that the derived order is the serving order.
