--- /dev/null
+++ b/tests/http.rs
@@ -0,0 +1,122 @@
+//! The parser on split, oversized and broken input.
+
+use lilacfork::http::{parse_request, parse_response, HttpError, MAX_HEAD, MAX_REQUEST_BODY};
+
+const REQUEST: &[u8] = b"POST /v2/runs HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody";
+const CHUNKED: &[u8] =
+    b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nbod\r\n1\r\ny\r\n0\r\nT: v\r\n\r\n";
+
+#[test]
+fn a_request_is_whole_at_its_last_byte_and_not_before() {
+    for (text, path) in [(REQUEST, "/v2/runs"), (CHUNKED, "/x")] {
+        for n in 0..text.len() {
+            assert!(parse_request(&text[..n]).unwrap().is_none(), "{n}");
+        }
+        let mut longer = text.to_vec();
+        longer.extend_from_slice(b"GET / HT");
+        let parsed = parse_request(&longer).unwrap().unwrap();
+        assert_eq!(parsed.size, text.len());
+        assert_eq!(parsed.message.path, path);
+        assert_eq!(parsed.message.body, b"body");
+        assert!(!parsed.close);
+    }
+}
+
+#[test]
+fn what_is_broken_or_too_large_is_named() {
+    let cases: &[(&[u8], HttpError)] = &[
+        (b"\r\n\r\n", HttpError::Malformed),
+        (b"GET\r\n\r\n", HttpError::Malformed),
+        (b"GET / HTTP/2\r\n\r\n", HttpError::Malformed),
+        (b"GET nowhere HTTP/1.1\r\n\r\n", HttpError::Malformed),
+        (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", HttpError::Malformed),
+        (
+            b"GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+            HttpError::Malformed,
+        ),
+        (
+            b"GET / HTTP/1.1\r\nContent-Length: +1\r\n\r\n",
+            HttpError::Malformed,
+        ),
+        (
+            b"GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+            HttpError::Malformed,
+        ),
+        (
+            b"GET / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            HttpError::Malformed,
+        ),
+        (
+            b"GET / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n",
+            HttpError::BodyTooLarge,
+        ),
+        (
+            b"GET / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+            HttpError::Coding,
+        ),
+        (
+            b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            HttpError::Malformed,
+        ),
+        (
+            b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffff\r\n",
+            HttpError::BodyTooLarge,
+        ),
+        (
+            b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc",
+            HttpError::Malformed,
+        ),
+        (b"GET /\xff HTTP/1.1\r\n\r\n", HttpError::Malformed),
+    ];
+    for (text, error) in cases {
+        let got = parse_request(text).expect_err(&String::from_utf8_lossy(text));
+        assert_eq!(got, *error, "{}", String::from_utf8_lossy(text));
+    }
+    let endless = vec![b'a'; MAX_HEAD];
+    assert_eq!(
+        parse_request(&endless).unwrap_err(),
+        HttpError::HeadTooLarge
+    );
+    let big = format!(
+        "POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n",
+        MAX_REQUEST_BODY + 1
+    );
+    assert_eq!(
+        parse_request(big.as_bytes()).unwrap_err(),
+        HttpError::BodyTooLarge
+    );
+}
+
+#[test]
+fn random_damage_never_panics() {
+    let mut rng = fastrand::Rng::with_seed(7);
+    for _ in 0..20_000 {
+        let mut text = if rng.bool() { REQUEST } else { CHUNKED }.to_vec();
+        for _ in 0..rng.usize(1..6) {
+            let at = rng.usize(..text.len());
+            match rng.u8(..3) {
+                0 => text[at] = rng.u8(..),
+                1 => text.truncate(at.max(1)),
+                _ => text.insert(at, rng.u8(..)),
+            }
+        }
+        if let Ok(Some(parsed)) = parse_request(&text) {
+            assert!(parsed.size <= text.len());
+        }
+        let _ = parse_response(&text, rng.bool());
+    }
+}
+
+#[test]
+fn responses_without_a_length_end_with_their_connection() {
+    let text = b"HTTP/1.1 200 OK\r\n\r\n{}";
+    assert!(parse_response(text, false).unwrap().is_none());
+    let parsed = parse_response(text, true).unwrap().unwrap();
+    assert_eq!(parsed.message, (200, b"{}".to_vec()));
+    let empty = parse_response(
+        b"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n",
+        false,
+    );
+    let empty = empty.unwrap().unwrap();
+    assert!(empty.close && empty.message.1.is_empty());
+}
--- /dev/null
+++ b/tests/policy.rs
@@ -0,0 +1,261 @@
+//! The pure parts, as tables.
+
+use lilacfork::cloud::Offer;
+use lilacfork::ids::{Term, Token};
+use lilacfork::msg::Now;
+use lilacfork::options::Options;
+use lilacfork::placement::{Fit, Res, ZoneUse};
+use lilacfork::scheduler::{read_ranges, write_ranges};
+use lilacfork::settings::Settings;
+use lilacfork::slackfit::{buckets, cheapest, choose, Rung};
+use lilacfork::store::TokenBucket;
+use lilacfork::wire::JobSpec;
+use std::rc::Rc;
+
+fn rung(name: &str, latency_ms: u64, cost: f64) -> Rung {
+    let offer = Offer {
+        machine_type: Rc::from(name),
+        zone: Rc::from("a"),
+        spot: false,
+    };
+    Rung {
+        offer,
+        latency_ms,
+        cost,
+        crowd: 0,
+    }
+}
+
+fn name(rung: Option<&Rung>) -> &str {
+    rung.map_or("none", |r| &r.offer.machine_type)
+}
+
+#[test]
+fn each_bucket_keeps_its_cheapest_rung() {
+    let rungs = [
+        rung("quick-dear", 10, 9.0),
+        rung("quick", 14, 5.0),
+        rung("middle", 55, 3.0),
+        rung("slow", 100, 1.0),
+        rung("slow-dear", 98, 2.0),
+    ];
+    let kept: Vec<_> = buckets(&rungs, 3)
+        .iter()
+        .map(|b| b.rung.offer.machine_type.to_string())
+        .collect();
+    assert_eq!(kept, ["quick", "middle", "slow"]);
+    assert_eq!(buckets(&[], 3), []);
+    assert_eq!(buckets(&rungs[..1], 4).len(), 1, "one rung, one bucket");
+}
+
+#[test]
+fn the_bucket_closest_under_the_slack_is_taken() {
+    let rungs = [
+        rung("quick", 10, 5.0),
+        rung("middle", 55, 3.0),
+        rung("slow", 100, 1.0),
+    ];
+    let all = buckets(&rungs, 3);
+    for (slack_ms, taken) in [
+        (1000, "slow"),
+        (100, "slow"),
+        (99, "middle"),
+        (55, "middle"),
+        (54, "quick"),
+        (10, "quick"),
+        // Below every bucket: the slowest rental.
+        (9, "slow"),
+        (-500, "slow"),
+    ] {
+        assert_eq!(name(choose(&all, slack_ms)), taken, "slack {slack_ms}");
+    }
+    assert_eq!(name(choose(&[], 50)), "none");
+}
+
+#[test]
+fn services_take_the_cheapest_rung_and_equals_the_emptier_zone() {
+    let mut crowded = rung("crowded", 50, 1.0);
+    crowded.crowd = 4;
+    let rungs = [rung("dear", 10, 2.0), crowded, rung("empty", 50, 1.0)];
+    assert_eq!(name(cheapest(&rungs)), "empty");
+    assert_eq!(name(cheapest(&[])), "none");
+}
+
+fn spec() -> JobSpec {
+    JobSpec::parse(
+        br#"{"id":"run-1","gabarit":"c","equipe":"t","genre":"array","rang":"high","pieces":9,"cpus":8.0,
+        "gpus":1.0,"memoryGb":64.0,"moule":"i","pullGb":6.2,"samePlace":false,"spread":true,"occasion":true,
+        "prevuS":240.0,"jalonS":30.0,"sauvegardeS":4.0}"#,
+    )
+    .unwrap()
+}
+
+#[test]
+fn zones_are_allowed_by_what_may_already_be_there() {
+    let (a, b): (Rc<str>, Rc<str>) = (Rc::from("a"), Rc::from("b"));
+    let mut spec = spec();
+    let mut zones = ZoneUse::default();
+    for _ in 0..5 {
+        assert!(zones.allows(&spec, "a"));
+        zones.add(&a);
+    }
+    assert!(
+        !zones.allows(&spec, "a"),
+        "five of nine is half, rounded up"
+    );
+    assert!(zones.allows(&spec, "b"));
+    spec.spread = false;
+    spec.one_zone = true;
+    assert!(zones.allows(&spec, "a") && !zones.allows(&spec, "b"));
+    spec.one_zone = false;
+    spec.zone = Some(b);
+    assert!(!zones.allows(&spec, "a") && zones.allows(&spec, "b"));
+}
+
+#[test]
+fn room_is_counted_by_the_scarcest_amount() {
+    let whole = Res {
+        cpus: 48.0,
+        gpus: 8.0,
+        memory_gb: 288.0,
+    };
+    let need = Res {
+        cpus: 8.0,
+        gpus: 2.0,
+        memory_gb: 40.0,
+    };
+    assert_eq!(whole.times(&need), 4);
+    let mut free = whole;
+    for _ in 0..4 {
+        assert!(free.holds(&need));
+        free.take(&need);
+    }
+    assert!(!free.holds(&need));
+    // Tenths don't add up exactly; a machine isn't lost for it.
+    let tenth = Res {
+        cpus: 0.1,
+        ..Res::default()
+    };
+    let mut free = Res {
+        cpus: 1.0,
+        ..Res::default()
+    };
+    (0..9).for_each(|_| free.take(&tenth));
+    assert!(free.holds(&tenth));
+}
+
+#[test]
+fn an_image_at_hand_beats_packing_and_packing_beats_emptiness() {
+    let base = Fit {
+        cached: false,
+        coming: false,
+        fetches: 0,
+        spot: false,
+        left: 0.5,
+        siblings: 0,
+        zone_siblings: 0,
+    };
+    let order = [
+        Fit {
+            cached: true,
+            left: 0.9,
+            ..base
+        },
+        Fit {
+            coming: true,
+            ..base
+        },
+        Fit { left: 0.1, ..base },
+        base,
+        Fit {
+            siblings: 2,
+            ..base
+        },
+        Fit { fetches: 2, ..base },
+    ];
+    for pair in order.windows(2) {
+        assert!(pair[0].rank() < pair[1].rank(), "{pair:?}");
+    }
+}
+
+#[test]
+fn ranges_come_back_as_they_were_written() {
+    for tasks in [vec![], vec![0], vec![0, 1, 2], vec![3, 5, 6, 7, 99]] {
+        let text = write_ranges(tasks.iter().copied());
+        assert_eq!(read_ranges(&text, 100), Some(tasks), "{text}");
+    }
+    assert_eq!(write_ranges([3, 5, 6, 7, 99].into_iter()), "3,5-7,99");
+    for broken in ["x", "5-3", "1,,2", "100", "0-99999999"] {
+        assert_eq!(read_ranges(broken, 100), None, "{broken}");
+    }
+}
+
+#[test]
+fn tokens_grow_with_terms_and_end_with_them() {
+    let t = Token::new(Term(7), 5);
+    assert_eq!(t.term(), Term(7));
+    assert!(t.raised().unwrap() > t);
+    assert!(Token::new(Term(8), 0) > t);
+    assert_eq!(
+        Token::new(Term(7), u64::MAX).raised(),
+        None,
+        "never into the next term"
+    );
+}
+
+#[test]
+fn a_bucket_paces_and_lets_a_large_cost_through_when_full() {
+    let at = |ms| Now { ms, wall: 0 };
+    let mut bucket = TokenBucket::new(10.0, 1.0);
+    assert!((0..10).all(|_| bucket.take(at(1), 1.0)));
+    assert!(!bucket.take(at(1), 1.0));
+    assert!(!bucket.take(at(90), 1.0));
+    assert!(bucket.take(at(101), 1.0));
+    assert!(
+        bucket.take(at(5000), 15.0),
+        "more than the burst, on a full bucket"
+    );
+    bucket.drain(at(5000));
+    assert!(!bucket.take(at(5050), 1.0));
+}
+
+#[test]
+fn settings_and_options_say_what_is_wrong() {
+    let good = include_str!("world/mod.rs");
+    let good = good
+        .split("r#\"")
+        .nth(1)
+        .unwrap()
+        .split("\"#")
+        .next()
+        .unwrap();
+    assert!(
+        Settings::parse(&format!("unheard = 1\n{good}"), "f").is_ok(),
+        "unknown fields pass"
+    );
+    let bad = good.replace("lease_s = 10.0", "lease_s = 0.0");
+    let error = Settings::parse(&bad, "f.toml").unwrap_err().to_string();
+    assert_eq!(
+        error,
+        "f.toml: settings.workers.lease_s: must be a number above 0"
+    );
+    let ini = |text: &str| Options::from_ini(&ini::Ini::load_from_str(text).unwrap(), "f.ini");
+    assert_eq!(ini("[slackfit]\nheadroom = 2\n").unwrap().headroom, 2.0);
+    for (text, says) in [
+        (
+            "[slackfit]\nheadrom = 2\n",
+            "f.ini: [slackfit] headrom: unknown key",
+        ),
+        ("headroom = 2\n", "f.ini: [] headroom: unknown key"),
+        (
+            "[slackfit]\nheadroom = many\n",
+            "f.ini: [slackfit] headroom: not a number",
+        ),
+        (
+            "[slackfit]\nheadroom = 99\n",
+            "f.ini: [slackfit] headroom: must lie between 0 and 5",
+        ),
+    ] {
+        assert_eq!(ini(text).unwrap_err().to_string(), says);
+    }
+}
--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,1079 @@
+//! Stand-ins for state service, cloud and workers, by their published
+//! protocols, in virtual time. Every run is the same; nothing sleeps.
+//!
+//! The workers check the hard rules themselves: a task that starts while it is
+//! elsewhere, or long after its cancellation, ends the test.
+
+#![allow(dead_code)]
+
+use lilacfork::msg::{
+    Call, CallError, CallId, ConnId, Effect, Now, Outcome, Port, Reply, Request, Target,
+};
+use lilacfork::node::Node;
+use lilacfork::options::Options;
+use lilacfork::reactor::Handler;
+use lilacfork::settings::Settings;
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, HashMap};
+
+pub const SETTINGS: &str = r#"
+node_name = "NAME"
+domain = "a"
+client_listen = "10.0.0.9:8080"
+back = "10.0.0.9:8081"
+[[peers]]
+node_name = "n-0"
+domain = "a"
+peer_addr = "10.0.0.1:8081"
+[[peers]]
+node_name = "n-1"
+domain = "b"
+peer_addr = "10.0.0.2:8081"
+[[peers]]
+node_name = "n-2"
+domain = "a"
+peer_addr = "10.0.0.3:8081"
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[settings]
+count = 3
+zones = ["a", "b"]
+skew_ms = 5.0
+[[settings.teams]]
+name = "blue"
+gpus_max = 16.0
+[[settings.teams]]
+name = "red"
+[[settings.objectives]]
+kind = "wait"
+class = "chat"
+within_s = 5.0
+share = 0.9
+[settings.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 30.0
+[settings.state]
+rps = 200.0
+write_rps = 50.0
+value_kb = 32.0
+txn_ops = 16
+[settings.cloud]
+rps = 5.0
+list_lag_s = 5.0
+[settings.limits]
+cores = 0.1
+ram_mb = 40.0
+max_connections = 500
+"#;
+
+pub fn settings(name: &str) -> Settings {
+    Settings::parse(&SETTINGS.replace("NAME", name), "test").expect("test settings")
+}
+
+/// What a fault hook says of a message.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Fate {
+    Pass,
+    /// Never arrives; the caller learns nothing.
+    LoseRequest,
+    /// Is carried out; the answer never arrives.
+    LoseAnswer,
+    /// The caller gives up; it is carried out so much later.
+    Late(u64),
+}
+
+#[derive(Clone, Debug)]
+enum Action {
+    Tick(usize),
+    Arrive {
+        node: usize,
+        epoch: u64,
+        id: CallId,
+        call: Call,
+        answer: bool,
+    },
+    Return {
+        node: usize,
+        epoch: u64,
+        id: CallId,
+        outcome: Outcome,
+    },
+    Request {
+        node: usize,
+        origin: Origin,
+        port: Port,
+        request: Request,
+    },
+    Report(String),
+    Finish {
+        machine: String,
+        task: String,
+        attempt: u64,
+    },
+    Boot(String),
+    Recheck,
+}
+
+#[derive(Clone, Debug)]
+enum Origin {
+    User(u64),
+    Worker(String, u64),
+    Peer { node: usize, epoch: u64, id: CallId },
+}
+
+#[derive(Clone, Debug)]
+pub struct Running {
+    pub attempt: u64,
+    pub state: &'static str,
+    pub why: Option<&'static str>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Worker {
+    pub up: bool,
+    pub gone: bool,
+    /// Hears nothing and says nothing.
+    pub silent: bool,
+    pub spot: bool,
+    pub zone: String,
+    pub session: u64,
+    pub seq: u64,
+    pub token: u64,
+    pub answered_ms: u64,
+    pub node: usize,
+    pub tasks: BTreeMap<String, Running>,
+    pub sick: bool,
+}
+
+#[derive(Default)]
+pub struct State {
+    pub items: BTreeMap<String, (Value, u64, Option<u64>)>,
+    pub revision: u64,
+    leases: HashMap<u64, (u64, u64)>,
+    next_lease: u64,
+    events: Vec<(u64, String, Option<Value>)>,
+    watches: Vec<(usize, u64, CallId, String, u64, u64)>,
+    pub away: bool,
+}
+
+pub type Hook = Box<dyn FnMut(u64, usize, &Call) -> Fate>;
+
+pub struct World {
+    pub now: u64,
+    queue: BTreeMap<(u64, u64), Action>,
+    order: u64,
+    pub nodes: Vec<Option<Node>>,
+    epochs: Vec<u64>,
+    ticks: Vec<u64>,
+    conns: HashMap<(usize, u64, ConnId), Origin>,
+    next_conn: u64,
+    pub state: State,
+    pub workers: BTreeMap<String, Worker>,
+    orders: HashMap<String, Vec<String>>,
+    next_machine: u32,
+    pub boot_ms: u64,
+    pub cloud_away: bool,
+    pub capacity: usize,
+    pub hook: Hook,
+    pub answers: HashMap<u64, Reply>,
+    next_user: u64,
+    specs: HashMap<String, Value>,
+    cancelled: HashMap<String, u64>,
+    /// Starts carried out, as people read them: time, machine, task, attempt.
+    pub trace: Vec<String>,
+    pub run_ms: u64,
+}
+
+impl World {
+    pub fn new(nodes: usize) -> World {
+        let mut world = World {
+            now: 0,
+            queue: BTreeMap::new(),
+            order: 0,
+            nodes: Vec::new(),
+            epochs: vec![0; nodes],
+            ticks: vec![u64::MAX; nodes],
+            conns: HashMap::new(),
+            next_conn: 0,
+            state: State::default(),
+            workers: BTreeMap::new(),
+            orders: HashMap::new(),
+            next_machine: 0,
+            boot_ms: 4000,
+            cloud_away: false,
+            capacity: 100,
+            hook: Box::new(|_, _, _| Fate::Pass),
+            answers: HashMap::new(),
+            next_user: 0,
+            specs: HashMap::new(),
+            cancelled: HashMap::new(),
+            trace: Vec::new(),
+            run_ms: 3000,
+        };
+        for n in 0..nodes {
+            world.nodes.push(None);
+            world.start(n);
+        }
+        world
+    }
+
+    pub fn start(&mut self, n: usize) {
+        self.epochs[n] += 1;
+        let incarnation = self.epochs[n] * 100 + n as u64 + 1;
+        self.nodes[n] = Some(Node::new(
+            settings(&format!("n-{n}")),
+            Options::default(),
+            incarnation,
+        ));
+        self.wake(n, self.now + 1);
+    }
+
+    /// Kills a node without a word.
+    pub fn kill(&mut self, n: usize) {
+        self.nodes[n] = None;
+        self.epochs[n] += 1;
+        self.ticks[n] = u64::MAX;
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        self.nodes
+            .iter()
+            .position(|n| n.as_ref().is_some_and(Node::is_leader))
+    }
+
+    fn at(&mut self, ms: u64, action: Action) {
+        self.order += 1;
+        self.queue.insert((ms.max(self.now), self.order), action);
+    }
+
+    fn wake(&mut self, n: usize, ms: u64) {
+        if ms < self.ticks[n] {
+            self.ticks[n] = ms;
+            self.at(ms, Action::Tick(n));
+        }
+    }
+
+    fn clock(&self) -> Now {
+        Now {
+            ms: self.now,
+            wall: 1_000_000 + self.now,
+        }
+    }
+
+    fn with_node(&mut self, n: usize, f: impl FnOnce(&mut Node, Now, &mut Vec<Effect>)) {
+        let now = self.clock();
+        let Some(node) = self.nodes[n].as_mut() else {
+            return;
+        };
+        let mut out = Vec::new();
+        f(node, now, &mut out);
+        let mut next = node.tick(now, &mut out);
+        next = next.max(self.now + 1);
+        self.effects(n, out);
+        self.wake(n, next);
+    }
+
+    fn effects(&mut self, n: usize, out: Vec<Effect>) {
+        for effect in out {
+            match effect {
+                Effect::Reply(conn, reply) => self.replied(n, conn, reply),
+                Effect::Call(id, call) => self.called(n, id, call),
+            }
+        }
+    }
+
+    fn called(&mut self, node: usize, id: CallId, call: Call) {
+        let epoch = self.epochs[node];
+        let fate = (self.hook)(self.now, node, &call);
+        let give_up = self.now + call.timeout_ms;
+        let unclear = Action::Return {
+            node,
+            epoch,
+            id,
+            outcome: Err(CallError::Unclear),
+        };
+        let (delay, answer) = match fate {
+            Fate::Pass => (2, true),
+            Fate::LoseRequest => {
+                self.at(give_up, unclear);
+                return;
+            }
+            Fate::LoseAnswer => {
+                self.at(give_up, unclear);
+                (2, false)
+            }
+            Fate::Late(ms) => {
+                self.at(give_up, unclear);
+                (ms, false)
+            }
+        };
+        self.at(
+            self.now + delay,
+            Action::Arrive {
+                node,
+                epoch,
+                id,
+                call,
+                answer,
+            },
+        );
+    }
+
+    fn replied(&mut self, n: usize, conn: ConnId, reply: Reply) {
+        match self.conns.remove(&(n, self.epochs[n], conn)) {
+            Some(Origin::User(user)) => {
+                self.answers.insert(user, reply);
+            }
+            Some(Origin::Worker(name, sent)) => self.report_answered(&name, sent, reply),
+            Some(Origin::Peer { node, epoch, id }) => {
+                let outcome = Ok((reply.status, reply.body));
+                self.at(
+                    self.now + 1,
+                    Action::Return {
+                        node,
+                        epoch,
+                        id,
+                        outcome,
+                    },
+                );
+            }
+            None => {}
+        }
+    }
+
+    // ---- running ----
+
+    pub fn run_until(&mut self, ms: u64) {
+        while let Some((&(at, order), _)) = self.queue.first_key_value() {
+            if at > ms {
+                break;
+            }
+            self.now = at;
+            let Some(action) = self.queue.remove(&(at, order)) else {
+                break;
+            };
+            self.act(action);
+        }
+        self.now = ms;
+    }
+
+    pub fn run_for(&mut self, ms: u64) {
+        self.run_until(self.now + ms);
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Tick(n) => {
+                if self.ticks[n] <= self.now {
+                    self.ticks[n] = u64::MAX;
+                    self.with_node(n, |_, _, _| {});
+                }
+            }
+            Action::Request {
+                node,
+                origin,
+                port,
+                request,
+            } => {
+                self.next_conn += 1;
+                let conn = ConnId(self.next_conn);
+                if self.nodes[node].is_none() {
+                    return;
+                }
+                self.conns.insert((node, self.epochs[node], conn), origin);
+                self.with_node(node, |n, now, out| n.request(now, conn, port, request, out));
+            }
+            Action::Return {
+                node,
+                epoch,
+                id,
+                outcome,
+            } => {
+                if self.epochs[node] == epoch {
+                    self.with_node(node, |n, now, out| n.outcome(now, id, outcome, out));
+                }
+            }
+            Action::Arrive {
+                node,
+                epoch,
+                id,
+                call,
+                answer,
+            } => self.arrive(node, epoch, id, call, answer),
+            Action::Report(name) => self.report(&name),
+            Action::Finish {
+                machine,
+                task,
+                attempt,
+            } => {
+                if let Some(worker) = self.workers.get_mut(&machine) {
+                    if let Some(t) = worker.tasks.get_mut(&task) {
+                        if t.attempt == attempt && t.state == "running" {
+                            t.state = "ended";
+                            t.why = Some(if worker.sick { "error" } else { "done" });
+                        }
+                    }
+                }
+            }
+            Action::Boot(name) => {
+                let now = self.now;
+                if let Some(worker) = self.workers.get_mut(&name).filter(|w| !w.gone) {
+                    worker.up = true;
+                    worker.answered_ms = now;
+                    self.at(now, Action::Report(name));
+                }
+            }
+            Action::Recheck => self.expire_leases(),
+        }
+    }
+
+    fn arrive(&mut self, node: usize, epoch: u64, id: CallId, call: Call, answer: bool) {
+        let outcome = match &call.target {
+            Target::State | Target::StateWatch => match self.state_call(node, epoch, id, &call) {
+                Some(outcome) => outcome,
+                None => return,
+            },
+            Target::Cloud => self.cloud_call(&call),
+            Target::Worker(addr) => match self.direct(&addr.clone(), &call) {
+                Some(outcome) => outcome,
+                None => return,
+            },
+            Target::Peer(addr) => {
+                let to = addr.as_bytes()[7] - b'1';
+                let origin = Origin::Peer { node, epoch, id };
+                let request = Request {
+                    method: call.method.into(),
+                    path: call.path,
+                    body: call.body,
+                };
+                if self.nodes.get(to as usize).is_none_or(Option::is_none) {
+                    let outcome = Err(CallError::NotSent);
+                    self.at(
+                        self.now + 1,
+                        Action::Return {
+                            node,
+                            epoch,
+                            id,
+                            outcome,
+                        },
+                    );
+                    return;
+                }
+                self.at(
+                    self.now,
+                    Action::Request {
+                        node: to as usize,
+                        origin,
+                        port: Port::Peer,
+                        request,
+                    },
+                );
+                return;
+            }
+        };
+        if answer {
+            self.at(
+                self.now + 2,
+                Action::Return {
+                    node,
+                    epoch,
+                    id,
+                    outcome,
+                },
+            );
+        }
+    }
+
+    // ---- users ----
+
+    pub fn ask(&mut self, node: usize, method: &str, path: &str, body: Value) -> u64 {
+        let bytes = if body.is_null() {
+            Vec::new()
+        } else {
+            body.to_string().into_bytes()
+        };
+        self.ask_raw(node, method, path, bytes)
+    }
+
+    pub fn ask_raw(&mut self, node: usize, method: &str, path: &str, body: Vec<u8>) -> u64 {
+        self.next_user += 1;
+        let user = self.next_user;
+        let request = Request {
+            method: method.into(),
+            path: path.into(),
+            body,
+        };
+        self.at(
+            self.now,
+            Action::Request {
+                node,
+                origin: Origin::User(user),
+                port: Port::Client,
+                request,
+            },
+        );
+        user
+    }
+
+    /// Submits and waits a moment for the answer's status.
+    pub fn submit(&mut self, node: usize, spec: &Value) -> u16 {
+        let id = spec["id"].as_str().unwrap_or("").to_string();
+        self.specs.insert(id, spec.clone());
+        let user = self.ask(node, "POST", "/v2/runs", spec.clone());
+        self.run_for(50);
+        self.answers.get(&user).map_or(0, |r| r.status)
+    }
+
+    pub fn cancel(&mut self, node: usize, id: &str) -> (u16, String) {
+        let user = self.ask(node, "POST", &format!("/v2/runs/{id}/abort"), Value::Null);
+        self.run_for(50);
+        let answer = self.answer(user);
+        if answer.1 == "cancelled" {
+            self.cancelled.insert(id.to_string(), self.now);
+        }
+        answer
+    }
+
+    pub fn poll(&mut self, node: usize, id: &str) -> (u16, String) {
+        let user = self.ask(node, "GET", &format!("/v2/runs/{id}"), Value::Null);
+        self.run_for(50);
+        self.answer(user)
+    }
+
+    pub fn answer(&self, user: u64) -> (u16, String) {
+        let Some(reply) = self.answers.get(&user) else {
+            return (0, String::new());
+        };
+        let body: Value = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
+        (
+            reply.status,
+            body["etat"].as_str().unwrap_or("").to_string(),
+        )
+    }
+
+    // ---- state service ----
+
+    fn expire_leases(&mut self) {
+        if self.state.away {
+            return;
+        }
+        let ended: Vec<u64> = self
+            .state
+            .leases
+            .iter()
+            .filter(|(_, l)| l.1 <= self.now)
+            .map(|(id, _)| *id)
+            .collect();
+        for lease in ended {
+            self.end_lease(lease);
+        }
+    }
+
+    fn end_lease(&mut self, lease: u64) {
+        self.state.leases.remove(&lease);
+        let keys: Vec<String> = self
+            .state
+            .items
+            .iter()
+            .filter(|(_, i)| i.2 == Some(lease))
+            .map(|(k, _)| k.clone())
+            .collect();
+        for key in keys {
+            self.state.revision += 1;
+            self.state.items.remove(&key);
+            self.state.events.push((self.state.revision, key, None));
+        }
+        self.serve_watches();
+    }
+
+    /// The outage is over: every lease has its full time again.
+    pub fn state_returns(&mut self) {
+        self.state.away = false;
+        let now = self.now;
+        let mut rechecks = Vec::new();
+        for lease in self.state.leases.values_mut() {
+            lease.1 = now + lease.0;
+            rechecks.push(lease.1);
+        }
+        for at in rechecks {
+            self.at(at + 1, Action::Recheck);
+        }
+        self.serve_watches();
+    }
+
+    fn serve_watches(&mut self) {
+        if self.state.away {
+            return;
+        }
+        let mut kept = Vec::new();
+        for watch in std::mem::take(&mut self.state.watches) {
+            let (node, epoch, id, prefix, from, until) = &watch;
+            let events: Vec<Value> = self
+                .state
+                .events
+                .iter()
+                .filter(|(rev, key, _)| rev > from && key.starts_with(prefix.as_str()))
+                .map(|(rev, key, value)| match value {
+                    Some(v) => json!({"set": key, "v": v, "retouche": rev}),
+                    None => json!({"drop": key, "retouche": rev}),
+                })
+                .collect();
+            if events.is_empty() && self.now < *until {
+                kept.push(watch);
+                continue;
+            }
+            let body = json!({"tirage": self.state.revision, "events": events}).to_string();
+            let outcome = Ok((200, body.into_bytes()));
+            let action = Action::Return {
+                node: *node,
+                epoch: *epoch,
+                id: *id,
+                outcome,
+            };
+            self.at(self.now + 1, action);
+        }
+        self.state.watches = kept;
+    }
+
+    fn state_call(&mut self, node: usize, epoch: u64, id: CallId, call: &Call) -> Option<Outcome> {
+        let ok = |status: u16, v: Value| Some(Ok((status, v.to_string().into_bytes())));
+        let (path, query) = call.path.split_once('?').unwrap_or((&call.path, ""));
+        let param = |name: &str| {
+            query
+                .split('&')
+                .find_map(|p| p.strip_prefix(name)?.strip_prefix('='))
+                .unwrap_or("")
+                .to_string()
+        };
+        if self.state.away && path != "/follow" {
+            return ok(503, json!({}));
+        }
+        let body: Value = serde_json::from_slice(&call.body).unwrap_or(Value::Null);
+        if path == "/follow" {
+            let until = self.now + param("waitMs").parse::<u64>().unwrap_or(0);
+            let from = param("from").parse().unwrap_or(0);
+            self.state
+                .watches
+                .push((node, epoch, id, param("under"), from, until));
+            self.at(until, Action::Recheck);
+            self.serve_watches();
+            return None;
+        }
+        if path == "/kv" {
+            let (prefix, after) = (param("under"), param("from"));
+            let rows: Vec<Value> = self
+                .state
+                .items
+                .iter()
+                .filter(|(k, _)| k.starts_with(&prefix) && **k > after)
+                .map(|(k, i)| json!({"k": k, "v": i.0, "retouche": i.1}))
+                .collect();
+            return ok(
+                200,
+                json!({"rows": rows, "truncated": false, "tirage": self.state.revision}),
+            );
+        }
+        if let Some(key) = path.strip_prefix("/kv/") {
+            return match self.state.items.get(key) {
+                Some(i) => ok(200, json!({"k": key, "v": i.0, "retouche": i.1})),
+                None => ok(404, json!({"tirage": self.state.revision})),
+            };
+        }
+        if path == "/leases" {
+            self.state.next_lease += 1;
+            let ttl = body["ttlMs"].as_u64().unwrap_or(1000);
+            self.state
+                .leases
+                .insert(self.state.next_lease, (ttl, self.now + ttl));
+            self.at(self.now + ttl + 1, Action::Recheck);
+            return ok(200, json!({"bail": self.state.next_lease}));
+        }
+        if let Some(rest) = path.strip_prefix("/leases/") {
+            let lease: u64 = rest
+                .split('/')
+                .next()
+                .and_then(|s| s.parse().ok())
+                .unwrap_or(0);
+            if !self.state.leases.contains_key(&lease) {
+                return ok(404, json!({}));
+            }
+            if call.method == "DELETE" {
+                self.end_lease(lease);
+            } else if let Some(l) = self.state.leases.get_mut(&lease) {
+                l.1 = self.now + l.0;
+                let at = l.1 + 1;
+                self.at(at, Action::Recheck);
+            }
+            return ok(200, json!({}));
+        }
+        // A transaction.
+        let failed: Vec<String> = body["guards"]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .filter(|g| {
+                let held = self
+                    .state
+                    .items
+                    .get(g["k"].as_str().unwrap_or(""))
+                    .map_or(0, |i| i.1);
+                Some(held) != g["retouche"].as_u64()
+            })
+            .map(|g| g["k"].as_str().unwrap_or("").to_string())
+            .collect();
+        if !failed.is_empty() {
+            return ok(
+                409,
+                json!({"failed": failed, "tirage": self.state.revision}),
+            );
+        }
+        let writes = body["writes"].as_array().cloned().unwrap_or_default();
+        assert!(writes.len() <= 16, "too many writes in a transaction");
+        assert!(call.body.len() <= 64 * 1024, "transaction too large");
+        self.state.revision += 1;
+        let revision = self.state.revision;
+        for write in &writes {
+            if let Some(key) = write["set"].as_str() {
+                assert!(write["v"].to_string().len() <= 32 * 1024, "value too large");
+                let lease = write["bail"].as_u64();
+                self.state
+                    .items
+                    .insert(key.into(), (write["v"].clone(), revision, lease));
+                self.state
+                    .events
+                    .push((revision, key.into(), Some(write["v"].clone())));
+            } else if let Some(key) = write["drop"].as_str() {
+                self.state.items.remove(key);
+                self.state.events.push((revision, key.into(), None));
+            }
+        }
+        self.serve_watches();
+        ok(200, json!({"tirage": revision}))
+    }
+
+    // ---- cloud ----
+
+    pub fn add_machine(&mut self, name: &str, zone: &str, spot: bool, up: bool) {
+        let worker = Worker {
+            up,
+            gone: false,
+            silent: false,
+            spot,
+            zone: zone.into(),
+            session: 1,
+            seq: 0,
+            token: 0,
+            answered_ms: self.now,
+            node: 0,
+            tasks: BTreeMap::new(),
+            sick: false,
+        };
+        self.workers.insert(name.into(), worker);
+        if up {
+            self.at(self.now + 10, Action::Report(name.into()));
+        } else {
+            self.at(self.now + self.boot_ms, Action::Boot(name.into()));
+        }
+    }
+
+    fn cloud_call(&mut self, call: &Call) -> Outcome {
+        let body: Value = serde_json::from_slice(&call.body).unwrap_or(Value::Null);
+        let ok = |v: Value| Ok((200, v.to_string().into_bytes()));
+        if self.cloud_away {
+            return Ok((503, br#"{"error":"trouble"}"#.to_vec()));
+        }
+        match call.path.split('?').next().unwrap_or("") {
+            "/catalog" => ok(
+                json!({"gammes": [{"sku": "g8", "cpus": 96, "gpus": 8, "memoryGb": 768,
+                "cacheGb": 200, "pullGbPerS": 1.0, "hourly": 12.0, "marketPrice": 4.5, "startupS": 5,
+                "secteurs": ["a", "b"]}]}),
+            ),
+            "/machines" if call.method == "POST" => {
+                let order = body["bon"].as_str().unwrap_or("").to_string();
+                if let Some(names) = self.orders.get(&order) {
+                    return ok(json!({ "bancs": names }));
+                }
+                let alive = self.workers.values().filter(|w| !w.gone).count();
+                let room = self.capacity.saturating_sub(alive);
+                let count = (body["howMany"].as_u64().unwrap_or(0) as usize).min(room);
+                if count == 0 {
+                    return Ok((503, br#"{"error":"no capacity"}"#.to_vec()));
+                }
+                let mut names = Vec::new();
+                for _ in 0..count {
+                    let name = format!("vm-{:06}", self.next_machine);
+                    self.next_machine += 1;
+                    let zone = body["secteur"].as_str().unwrap_or("a").to_string();
+                    self.add_machine(&name, &zone, body["occasion"] == json!(true), false);
+                    names.push(name);
+                }
+                self.orders.insert(order, names.clone());
+                ok(json!({ "bancs": names }))
+            }
+            "/machines/release" => {
+                for name in body["bancs"].as_array().into_iter().flatten() {
+                    if let Some(worker) = self.workers.get_mut(name.as_str().unwrap_or("")) {
+                        worker.gone = true;
+                        worker.tasks.clear();
+                    }
+                }
+                ok(json!({}))
+            }
+            _ => {
+                let list: Vec<Value> = self
+                    .workers
+                    .iter()
+                    .filter(|(_, w)| !w.gone)
+                    .map(|(name, w)| {
+                        json!({"id": name, "address": format!("w/{name}"), "gamme": "g8", "secteur": w.zone,
+                        "occasion": w.spot, "etat": if w.up { "running" } else { "starting" }, "heldS": 1.0})
+                    })
+                    .collect();
+                ok(json!({"bancs": list, "truncated": false}))
+            }
+        }
+    }
+
+    // ---- workers ----
+
+    fn worker_report(&mut self, name: &str) -> Value {
+        let Some(w) = self.workers.get_mut(name) else {
+            return Value::Null;
+        };
+        w.seq += 1;
+        let tasks: Vec<Value> = w
+            .tasks
+            .iter()
+            .map(|(t, r)| {
+                let mut v = json!({"piece": t, "essai": r.attempt, "etat": r.state});
+                if let Some(why) = r.why {
+                    v["motif"] = json!(why);
+                }
+                v
+            })
+            .collect();
+        json!({"banc": name, "address": format!("w/{name}"), "gamme": "g8", "secteur": w.zone,
+            "occasion": w.spot, "quart": w.session, "numero": w.seq, "jeton": w.token,
+            "preavisS": null, "pieces": tasks})
+    }
+
+    fn report(&mut self, name: &str) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(name) else {
+            return;
+        };
+        if w.gone || !w.up {
+            return;
+        }
+        if now > w.answered_ms + 10_000 {
+            // The lease is over: a new session without tasks.
+            w.tasks.clear();
+            w.session += 1;
+            w.seq = 0;
+            w.answered_ms = now;
+        }
+        self.at(now + 1000, Action::Report(name.into()));
+        if self.workers[name].silent {
+            return;
+        }
+        let body = self.worker_report(name).to_string().into_bytes();
+        let node = self.workers[name].node;
+        if self.nodes[node].is_none() {
+            self.next_node(name);
+            return;
+        }
+        let origin = Origin::Worker(name.into(), now);
+        let request = Request {
+            method: "POST".into(),
+            path: "/agent/beat".into(),
+            body,
+        };
+        self.at(
+            now + 1,
+            Action::Request {
+                node,
+                origin,
+                port: Port::Client,
+                request,
+            },
+        );
+    }
+
+    fn next_node(&mut self, name: &str) {
+        let nodes = self.nodes.len();
+        if let Some(w) = self.workers.get_mut(name) {
+            w.node = (w.node + 1) % nodes;
+        }
+    }
+
+    fn report_answered(&mut self, name: &str, sent: u64, reply: Reply) {
+        let body: Value = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
+        let Some(w) = self.workers.get_mut(name) else {
+            return;
+        };
+        if reply.status == 200 {
+            let token = body["jeton"].as_u64().unwrap_or(0);
+            if token < w.token || w.gone || w.silent {
+                return;
+            }
+            w.token = token;
+            w.answered_ms = sent;
+            let commands = body["consignes"].as_array().cloned().unwrap_or_default();
+            self.execute(name, &commands);
+        } else {
+            match body["rendreA"]
+                .as_str()
+                .and_then(|n| n.strip_prefix("n-")?.parse().ok())
+            {
+                Some(node) if reply.status == 421 => w.node = node,
+                _ => self.next_node(name),
+            }
+        }
+    }
+
+    fn direct(&mut self, addr: &str, call: &Call) -> Option<Outcome> {
+        let name = addr.strip_prefix("w/")?.to_string();
+        let body: Value = serde_json::from_slice(&call.body).unwrap_or(Value::Null);
+        let w = self.workers.get_mut(&name)?;
+        if w.gone || !w.up || w.silent {
+            return None;
+        }
+        let token = body["jeton"].as_u64().unwrap_or(0);
+        let status = if token < w.token || body["quart"].as_u64() != Some(w.session) {
+            w.token = w.token.max(token);
+            409
+        } else {
+            w.token = token;
+            let commands = body["consignes"].as_array().cloned().unwrap_or_default();
+            self.execute(&name, &commands);
+            200
+        };
+        let report = self.worker_report(&name).to_string().into_bytes();
+        Some(Ok((status, report)))
+    }
+
+    /// Carries out commands, and checks the rules while it does.
+    pub fn execute(&mut self, name: &str, commands: &[Value]) {
+        for command in commands {
+            let task = command["piece"].as_str().unwrap_or("").to_string();
+            let attempt = command["essai"].as_u64().unwrap_or(0);
+            match command["geste"].as_str() {
+                Some("start") => {
+                    let here = &self.workers[name].tasks;
+                    if here.get(&task).is_some_and(|t| t.attempt == attempt) {
+                        continue;
+                    }
+                    for (other, w) in &self.workers {
+                        let there = w.tasks.get(&task).is_some_and(|t| t.state != "ended");
+                        assert!(
+                            !there,
+                            "ran_twice: {task} starts on {name} while on {other}"
+                        );
+                    }
+                    let job = task.rsplit_once('/').map_or("", |(j, _)| j).to_string();
+                    if let Some(at) = self.cancelled.get(&job) {
+                        assert!(
+                            self.now < at + 30_000,
+                            "ran_cancelled: {task} starts on {name}"
+                        );
+                    }
+                    self.trace
+                        .push(format!("{} {name} {task} #{attempt}", self.now));
+                    let service = self
+                        .specs
+                        .get(&job)
+                        .is_some_and(|s| s["genre"] == "service");
+                    let sick = self.workers[name].sick;
+                    let running = Running {
+                        attempt,
+                        state: "running",
+                        why: None,
+                    };
+                    if let Some(w) = self.workers.get_mut(name) {
+                        w.tasks.insert(task.clone(), running);
+                    }
+                    if !service || sick {
+                        let after = if sick { 100 } else { self.run_ms };
+                        let finish = Action::Finish {
+                            machine: name.into(),
+                            task,
+                            attempt,
+                        };
+                        self.at(self.now + after, finish);
+                    }
+                }
+                Some("halt") => {
+                    if let Some(t) = self
+                        .workers
+                        .get_mut(name)
+                        .and_then(|w| w.tasks.get_mut(&task))
+                    {
+                        if t.attempt == attempt && t.state != "ended" {
+                            t.state = "ended";
+                            t.why = Some("stopped");
+                        }
+                    }
+                }
+                _ => {
+                    if let Some(w) = self.workers.get_mut(name) {
+                        if w.tasks
+                            .get(&task)
+                            .is_some_and(|t| t.attempt == attempt && t.state == "ended")
+                        {
+                            w.tasks.remove(&task);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Where a task is now, if anywhere.
+    pub fn on_machines(&self, prefix: &str) -> usize {
+        self.workers
+            .values()
+            .flat_map(|w| w.tasks.iter())
+            .filter(|(t, r)| t.starts_with(prefix) && r.state != "ended")
+            .count()
+    }
+
+    pub fn deliver_report(&mut self, node: usize, report: &Value) {
+        let request = Request {
+            method: "POST".into(),
+            path: "/agent/beat".into(),
+            body: report.to_string().into_bytes(),
+        };
+        self.next_user += 1;
+        let origin = Origin::User(self.next_user);
+        self.at(
+            self.now,
+            Action::Request {
+                node,
+                origin,
+                port: Port::Client,
+                request,
+            },
+        );
+    }
+}
+
+/// An array of quick tasks; change what a test needs.
+pub fn array(id: &str, tasks: u32) -> Value {
+    json!({"id": id, "gabarit": "batch", "equipe": "red", "genre": "array", "rang": "standard",
+        "pieces": tasks, "cpus": 8.0, "gpus": 1.0, "memoryGb": 64.0, "moule": "img-1", "pullGb": 6.2,
+        "gammes": null, "secteur": null, "samePlace": false, "spread": false, "occasion": true,
+        "prevuS": 3.0, "jalonS": 0.0, "sauvegardeS": 0.0, "echeanceS": 60.0})
+}
+
+pub fn service(id: &str, tasks: u32) -> Value {
+    let mut spec = array(id, tasks);
+    spec["genre"] = json!("service");
+    spec["gabarit"] = json!("chat");
+    spec["rang"] = json!("critical");
+    spec["occasion"] = json!(false);
+    spec["prevuS"] = json!(0.0);
+    spec["echeanceS"] = Value::Null;
+    spec
+}
