Renew leases in the leader's stead when it can't be heard

Ruled out: election (it held), the state service (reachable from both sides). Change: a follower that reaches the state service but hears no leader, or that shares an outage with its peers, answers 200 with the worker's token and no commands, and stores whose leases it keeps; the leader counts those machines as heard. Truly silent machines are given up after 1.2 leases.

--- a/src/election.rs
+++ b/src/election.rs
@@ -72,6 +72,7 @@
     watching: bool,
     /// When the next step is due.
     due_ms: u64,
+    read_ms: u64,
     renewed_ms: u64,
     renew_sent_ms: u64,
     /// Spreads candidates, so that they don't all claim in one moment.
@@ -94,6 +95,7 @@
             waiting: None,
             watching: false,
             due_ms: 0,
+            read_ms: 0,
             renewed_ms: 0,
             renew_sent_ms: 0,
             stagger_ms,
@@ -112,6 +114,11 @@
         }
     }
 
+    /// Whether the state service named the leader a short while ago.
+    pub fn follows(&self, now: Now) -> bool {
+        matches!(self.role, Role::Follower(_)) && now.ms < self.read_ms + self.ttl_ms * 4
+    }
+
     pub fn known_term(&self) -> Term {
         self.term.term
     }
@@ -245,6 +252,7 @@
             return None;
         };
         self.revision = Revision(items.revision);
+        self.read_ms = now.ms;
         self.leader = None;
         self.key_version = 0;
         self.term_version = 0;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -30,6 +30,8 @@
     pub own_rental: bool,
     pub up_ms: Option<u64>,
     pub heard_ms: u64,
+    /// When a follower last renewed its lease for us.
+    pub held_ms: u64,
     pub session: Session,
     pub seq: u64,
     /// The token that we give this worker.
@@ -78,6 +80,7 @@
             own_rental: false,
             up_ms: None,
             heard_ms: now_ms,
+            held_ms: 0,
             session: Session(0),
             seq: 0,
             token: Token::new(term, 1),
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,15 +4,17 @@
 use crate::cloud::{Cloud, CloudCall, CloudEvent};
 use crate::election::{Change, Election, ElectionCall, Role};
 use crate::gateway::{Gateway, GatewayCall, GatewayOut};
-use crate::ids::{JobId, Term};
+use crate::ids::{JobId, Term, Token};
 use crate::msg::{Call, CallId, ConnId, Effect, Now, Outcome, Port, Reply, Request, Target};
 use crate::options::Options;
 use crate::peer::{self, Hello, JobCount, PEER_PATH};
 use crate::reactor::Handler;
-use crate::scheduler::{Scheduler, SchedulerCall, SchedulerOut, WorkerCall};
+use crate::scheduler::{
+    HeldRecord, Scheduler, SchedulerCall, SchedulerOut, WorkerCall, HELD_PREFIX,
+};
 use crate::settings::Settings;
 use crate::store::{self, Answer, StateCall, Store, Urgency};
-use crate::wire::{self, Catalog, Item, Report, ReportTo, Txn};
+use crate::wire::{self, Catalog, Item, Report, ReportAnswer, ReportTo, Txn};
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -28,6 +30,7 @@
     Scheduler(Term, SchedulerCall),
     ReadCatalog,
     WriteCatalog,
+    WriteHeld,
 }
 
 #[derive(Clone, Debug)]
@@ -42,8 +45,11 @@
 struct Peer {
     name: String,
     addr: String,
+    heard_ms: Option<u64>,
     /// When it last said that the state service answers it.
     state_seen_ms: Option<u64>,
+    /// When it last said that it leads.
+    leads_ms: Option<u64>,
 }
 
 pub struct Node {
@@ -65,6 +71,11 @@
     told: HashMap<JobId, (u32, u32)>,
     nudges: Vec<JobId>,
     leader_share: f64,
+    /// Workers whose leases this node renews in the leader's stead, and when
+    /// it last did.
+    held: HashMap<String, u64>,
+    held_due_ms: u64,
+    held_stored: bool,
 }
 
 impl Node {
@@ -91,7 +102,9 @@
             .map(|p| Peer {
                 name: p.name.clone(),
                 addr: p.addr.to_string(),
+                heard_ms: None,
                 state_seen_ms: None,
+                leads_ms: None,
             })
             .collect();
         let leader_share = options.leader_share;
@@ -113,6 +126,9 @@
             told: HashMap::new(),
             nudges: Vec::new(),
             leader_share,
+            held: HashMap::new(),
+            held_due_ms: 0,
+            held_stored: false,
         };
         node.set_share(Now::default(), false);
         node
@@ -227,13 +243,8 @@
     }
 
     fn on_report(&mut self, now: Now, conn: ConnId, body: &[u8], out: &mut Vec<Effect>) {
-        if !self.scheduler.leading() {
-            let leader = self.election.other_leader();
-            let reply = match leader {
-                Some(node) => Reply::json(421, &ReportTo { node: Some(node) }),
-                None => Reply::later(503, "no leader known", 1),
-            };
-            out.push(Effect::Reply(conn, reply));
+        if !self.scheduler.leading() && !self.stands_in(now) {
+            out.push(Effect::Reply(conn, self.redirect()));
             return;
         }
         let report: Report = match serde_json::from_slice(body) {
@@ -243,11 +254,101 @@
                 return;
             }
         };
+        if !self.scheduler.leading() {
+            let reply = self.hold(now, report);
+            out.push(Effect::Reply(conn, reply));
+            return;
+        }
         let mut scheduler = SchedulerOut::default();
         self.scheduler.report(now, conn, &report, &mut scheduler);
         self.take_scheduler(now, scheduler, out);
     }
 
+    fn redirect(&self) -> Reply {
+        match self.election.other_leader() {
+            Some(node) => Reply::json(421, &ReportTo { node: Some(node) }),
+            None => Reply::later(503, "no leader known", 1),
+        }
+    }
+
+    /// Peers say hello several times within this period.
+    fn quiet_ms(&self) -> u64 {
+        self.hello_every_ms * 3
+    }
+
+    /// Whether workers' leases are to be renewed here in the leader's stead,
+    /// so that a cut between zones, or a leader's death in an outage, doesn't
+    /// end all their tasks. No commands go out that way, and no lease's end
+    /// is ever taken for proof, so nothing can run twice for it.
+    fn stands_in(&self, now: Now) -> bool {
+        let recent = |at: Option<u64>| at.is_some_and(|at| now.ms < at + self.quiet_ms());
+        if self.peers.iter().any(|p| recent(p.leads_ms)) {
+            return false;
+        }
+        if self.store.reachable() {
+            // The state service knows a leader whom this node can't hear.
+            return self.election.follows(now);
+        }
+        // Cut off alone, it would only keep workers from the others.
+        let others = self.peers.iter().any(|p| recent(p.heard_ms));
+        others && !self.peers.iter().any(|p| recent(p.state_seen_ms))
+    }
+
+    fn hold(&mut self, now: Now, report: Report) -> Reply {
+        let known = match &self.election.role {
+            Role::Follower(record) if self.store.reachable() => record.term,
+            _ => Term(0),
+        };
+        if report.token.term() > known && known > Term(0) {
+            // It has seen a later leader than we have.
+            return self.redirect();
+        }
+        let token = if known > Term(0) {
+            report.token.max(Token::new(known, 1))
+        } else {
+            report.token
+        };
+        self.held.insert(report.machine, now.ms);
+        let answer = ReportAnswer {
+            token,
+            commands: &[],
+        };
+        Reply::json(200, &answer)
+    }
+
+    /// Tells the leader, by way of the state service, whose leases are kept.
+    fn tend_held(&mut self, now: Now) {
+        let quiet = self.quiet_ms();
+        self.held.retain(|_, at| now.ms < *at + quiet);
+        if now.ms < self.held_due_ms || (self.held.is_empty() && !self.held_stored) {
+            return;
+        }
+        self.held_due_ms = now.ms + quiet;
+        let key = format!("{HELD_PREFIX}{}", self.settings.node_name);
+        let txn = if self.held.is_empty() {
+            Txn::default().delete(key)
+        } else {
+            let mut machines: Vec<&String> = self.held.keys().collect();
+            machines.sort();
+            let most = (self.settings.site.state.value_kb * 1024.0 / 64.0) as usize;
+            machines.truncate(most);
+            let record = HeldRecord {
+                at: now.wall,
+                machines: machines.into_iter().cloned().collect(),
+            };
+            Txn::default().put(key, serde_json::to_value(record).unwrap_or_default())
+        };
+        self.held_stored = !self.held.is_empty();
+        let (call, writes) = store::txn(&txn, 1000);
+        self.store.submit(StateCall {
+            urgency: Urgency::Leadership,
+            call,
+            writes,
+            give_up_ms: now.ms + quiet,
+            tag: StateTag::WriteHeld,
+        });
+    }
+
     // ---- peers ----
 
     fn on_hello(&mut self, now: Now, body: &[u8], out: &mut Vec<Effect>) -> Reply {
@@ -255,9 +356,11 @@
             return Reply::error(400, "not a hello");
         };
         if let Some(peer) = self.peers.iter_mut().find(|p| p.name == hello.node) {
+            peer.heard_ms = Some(now.ms);
             if hello.state_reachable {
                 peer.state_seen_ms = Some(now.ms);
             }
+            peer.leads_ms = (hello.node == hello.leader).then_some(now.ms);
         }
         if hello.state_reachable && !hello.leader.is_empty() {
             let word = Some((hello.leader.as_str(), Term(hello.term)));
@@ -452,6 +555,7 @@
                     }
                 }
             }
+            StateTag::WriteHeld => {}
             StateTag::WriteCatalog => self.catalog_stored = answer.status() == Some(200),
         }
     }
@@ -504,6 +608,7 @@
         wake = wake.min(self.scheduler.tick(now, &mut self.cloud, &mut scheduler));
         self.take_scheduler(now, scheduler, out);
         self.tend_catalog(now);
+        self.tend_held(now);
         let mut cloud_calls = Vec::new();
         self.cloud
             .pump(now, |tag, call| cloud_calls.push((tag, call)));
--- a/src/options.rs
+++ b/src/options.rs
@@ -61,8 +61,9 @@
     /// Free room kept for arrivals, in standard deviations of what comes and
     /// goes within one boot time.
     "slackfit" headroom = 1.0 in 0.0 .. 5.0;
-    /// A silent machine is given up after this many worker leases.
-    "fleet" silent_leases = 2.5 in 1.0 .. 20.0;
+    /// A silent machine is given up after this many worker leases; after
+    /// twice as many when most machines are silent.
+    "fleet" silent_leases = 1.2 in 1.0 .. 20.0;
     /// An idle machine is returned after this share of its boot time.
     "fleet" idle_boots = 0.6 in 0.0 .. 20.0;
     /// A machine that doesn't come up is given up after this many boot times.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -27,6 +27,7 @@
 use commit::Batch;
 use jobs::{shard_size, Assign, StopPlan};
 use learn::Learning;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
@@ -39,9 +40,22 @@
     Commit,
     CheckCommit,
     ReadJob(JobId),
+    ListHeld,
     Cleanup(Vec<String>),
 }
 
+/// What followers say of workers whose leases they renew for the leader.
+pub const HELD_PREFIX: &str = "h/";
+
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct HeldRecord {
+    /// Time of day.
+    #[serde(rename = "t")]
+    pub at: u64,
+    #[serde(rename = "m")]
+    pub machines: Vec<String>,
+}
+
 /// A call straight to a worker.
 #[derive(Clone, PartialEq, Debug)]
 pub struct WorkerCall {
@@ -105,6 +119,9 @@
     rest: Vec<rounds::Rest>,
     /// Machines that hold room for expected work.
     reserved: BTreeSet<MachineId>,
+    /// When followers' word on silent machines is asked for next.
+    held_due_ms: u64,
+    asking_held: bool,
 }
 
 impl Scheduler {
@@ -140,6 +157,8 @@
             push: BTreeSet::new(),
             rest: Vec::new(),
             reserved: BTreeSet::new(),
+            held_due_ms: 0,
+            asking_held: false,
         }
     }
 
@@ -197,6 +216,7 @@
         self.rentals = 0;
         self.refused.clear();
         self.push.clear();
+        self.asking_held = false;
     }
 
     // ---- loading and watching ----
@@ -438,6 +458,52 @@
         }
     }
 
+    /// Asks for followers' word when machines are silent.
+    fn ask_held(&mut self, now: Now, out: &mut SchedulerOut) {
+        let quiet_ms = self.report_ms() * 3;
+        let silent = self
+            .fleet
+            .machines
+            .values()
+            .any(|m| m.phase == Phase::Up && now.ms > m.heard_ms + quiet_ms);
+        if !silent || self.asking_held || now.ms < self.held_due_ms {
+            return;
+        }
+        self.asking_held = true;
+        self.held_due_ms = now.ms + quiet_ms / 2;
+        let call = store::list(HELD_PREFIX, None, 1000);
+        self.ask(
+            now,
+            Urgency::Leadership,
+            call,
+            0,
+            SchedulerCall::ListHeld,
+            out,
+        );
+    }
+
+    fn on_held(&mut self, now: Now, answer: &Answer) {
+        self.asking_held = false;
+        let Some(items) = answer.read::<Items>(200) else {
+            return;
+        };
+        for item in items.items {
+            let Ok(record) = serde_json::from_value::<HeldRecord>(item.value) else {
+                continue;
+            };
+            // Clocks differ a little; an old word says nothing.
+            let age_ms = now.wall.saturating_sub(record.at);
+            if age_ms > self.lease_ms() {
+                continue;
+            }
+            for name in record.machines {
+                if let Some(machine) = self.fleet.get_mut(&MachineId::new(&name)) {
+                    machine.held_ms = machine.held_ms.max(now.ms.saturating_sub(age_ms));
+                }
+            }
+        }
+    }
+
     // ---- entry points ----
 
     pub fn state_answered(
@@ -457,6 +523,7 @@
             (_, SchedulerCall::Commit) => self.on_commit(now, &answer, out),
             (_, SchedulerCall::CheckCommit) => self.on_check_commit(now, &answer, out),
             (_, SchedulerCall::ReadJob(id)) => self.on_read_job(now, &id, &answer, out),
+            (_, SchedulerCall::ListHeld) => self.on_held(now, &answer),
             (_, SchedulerCall::Cleanup(keys)) => {
                 self.cleaning = false;
                 if answer.status() != Some(200) {
@@ -477,7 +544,8 @@
         {
             self.round_wanted = false;
             self.round_ms = now.ms;
-            self.tend_fleet(now, cloud, out);
+            self.ask_held(now, out);
+            self.tend_fleet(now, cloud);
             self.place(now);
             self.rent(now, cloud);
         }
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -365,7 +365,7 @@
     }
 
     /// Looks after every machine and every stop that is due.
-    pub(super) fn tend_fleet(&mut self, now: Now, cloud: &mut Cloud, _out: &mut SchedulerOut) {
+    pub(super) fn tend_fleet(&mut self, now: Now, cloud: &mut Cloud) {
         self.fleet.forget_gone(now.ms);
         let cancelled: Vec<_> = self
             .jobs
@@ -377,7 +377,7 @@
             self.enforce_cancel(now, id);
         }
         let lease_ms = self.lease_ms();
-        let silent_ms = (lease_ms as f64 * self.options.silent_leases) as u64;
+        let silent_ms = self.silent_limit_ms(now);
         let cancel_ms = self.settings.site.workers.cancel_s * 1000.0 * self.options.cancel_share;
         let boots: Vec<(MachineId, u64)> = self
             .fleet
@@ -403,7 +403,7 @@
             if machine.phase != Phase::Up {
                 continue;
             }
-            if now.ms > machine.heard_ms + silent_ms {
+            if now.ms > machine.heard_ms.max(machine.held_ms) + silent_ms {
                 give_up.push((machine.id.clone(), "silent"));
             } else if machine
                 .deaf_since_ms
@@ -443,6 +443,28 @@
         }
     }
 
+    /// How long a machine may be silent. When most of them are, the fault is
+    /// more likely ours, and returning them all would be the worst answer.
+    fn silent_limit_ms(&self, now: Now) -> u64 {
+        let lease_ms = self.lease_ms();
+        let up = self
+            .fleet
+            .machines
+            .values()
+            .filter(|m| m.phase == Phase::Up);
+        let (mut all, mut silent) = (0, 0);
+        for machine in up {
+            all += 1;
+            silent += u32::from(now.ms > machine.heard_ms.max(machine.held_ms) + lease_ms / 2);
+        }
+        let leases = if silent * 2 > all && all > 2 {
+            self.options.silent_leases * 2.0
+        } else {
+            self.options.silent_leases
+        };
+        (lease_ms as f64 * leases) as u64
+    }
+
     /// Stops what a machine runs, letting it save what it can.
     fn drain(&mut self, now: Now, id: &MachineId) {
         let Some(machine) = self.fleet.get(id) else {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -415,3 +415,40 @@
         "when it is away for all, stay"
     );
 }
+
+/// A cut between zones once ended every task on the far side: the followers
+/// there sent the workers to a leader that they couldn't reach.
+#[test]
+fn a_cut_between_zones_ends_no_task_and_a_job_cancelled_meanwhile_still_goes() {
+    let mut w = up(3);
+    let leader = w.leader().unwrap();
+    let far = if leader == 1 { "a" } else { "b" };
+    assert_eq!(w.submit(0, &service("run-1", 8)), 201);
+    assert_eq!(w.submit(0, &service("run-2", 8)), 201);
+    w.run_for(3000);
+    assert_eq!(w.on_machines("run-"), 16);
+    let started = w.trace.len();
+    let side = |n: usize| n == 1;
+    w.cuts = (0..3)
+        .flat_map(|n| ["a", "b"].map(|z| (n, z.to_string())))
+        .filter(|(n, z)| side(*n) != (z == "b"))
+        .collect();
+    w.hook = Box::new(move |_, node, call| match &call.target {
+        Target::Peer(addr) if side(node) != (addr == "10.0.0.2:8081") => Fate::LoseRequest,
+        _ => Fate::Pass,
+    });
+    w.run_for(15_000);
+    assert_eq!(w.on_machines("run-"), 16, "far side is {far}");
+    assert_eq!(w.cancel(leader, "run-2").1, "cancelled");
+    w.run_for(5000);
+    w.cuts.clear();
+    w.hook = Box::new(|_, _, _| Fate::Pass);
+    w.run_for(8000);
+    assert_eq!(w.on_machines("run-1"), 8);
+    assert_eq!(w.on_machines("run-2"), 0);
+    assert_eq!(w.trace.len(), started, "{:?}", w.trace);
+    assert!(
+        w.workers.values().all(|m| !m.gone),
+        "no machine was given up"
+    );
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -184,6 +184,8 @@
     /// Starts carried out, as people read them: time, machine, task, attempt.
     pub trace: Vec<String>,
     pub run_ms: u64,
+    /// Nodes and zones whose machines can't hear each other.
+    pub cuts: Vec<(usize, String)>,
 }
 
 impl World {
@@ -211,6 +213,7 @@
             cancelled: HashMap::new(),
             trace: Vec::new(),
             run_ms: 3000,
+            cuts: Vec::new(),
         };
         for n in 0..nodes {
             world.nodes.push(None);
@@ -436,7 +439,7 @@
                 None => return,
             },
             Target::Cloud => self.cloud_call(&call),
-            Target::Worker(addr) => match self.direct(&addr.clone(), &call) {
+            Target::Worker(addr) => match self.direct(node, &addr.clone(), &call) {
                 Some(outcome) => outcome,
                 None => return,
             },
@@ -880,7 +883,7 @@
         }
         let body = self.worker_report(name).to_string().into_bytes();
         let node = self.workers[name].node;
-        if self.nodes[node].is_none() {
+        if self.nodes[node].is_none() || self.is_cut(node, name) {
             self.next_node(name);
             return;
         }
@@ -901,6 +904,11 @@
         );
     }
 
+    fn is_cut(&self, node: usize, name: &str) -> bool {
+        let zone = &self.workers[name].zone;
+        self.cuts.iter().any(|(n, z)| *n == node && z == zone)
+    }
+
     fn next_node(&mut self, name: &str) {
         let nodes = self.nodes.len();
         if let Some(w) = self.workers.get_mut(name) {
@@ -933,9 +941,12 @@
         }
     }
 
-    fn direct(&mut self, addr: &str, call: &Call) -> Option<Outcome> {
+    fn direct(&mut self, node: usize, addr: &str, call: &Call) -> Option<Outcome> {
         let name = addr.strip_prefix("w/")?.to_string();
         let body: Value = serde_json::from_slice(&call.body).unwrap_or(Value::Null);
+        if self.workers.contains_key(&name) && self.is_cut(node, &name) {
+            return None;
+        }
         let w = self.workers.get_mut(&name)?;
         if w.gone || !w.up || w.silent {
             return None;
