--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -87,6 +87,7 @@
     step: Step,
     /// Guarded writes that lost a race are tried again a few times.
     tries: u32,
+    begun_ms: u64,
     until_ms: u64,
 }
 
@@ -207,6 +208,7 @@
             goal,
             step,
             tries: 0,
+            begun_ms: now.ms,
             until_ms: now.ms + patience,
         };
         let number = self.next;
@@ -362,14 +364,22 @@
     ) {
         match answer {
             Answer::Status(200, _) => {
-                let reply = match task.goal {
+                let reply = match &task.goal {
                     Goal::Cancel => {
                         self.remember(&task.id, Final::Cancelled, 0);
                         log::info!("job {} cancelled by its user", task.id);
                         final_reply(&task.id, Final::Cancelled, 0)
                     }
                     _ => {
-                        log::info!("job {} accepted", task.id);
+                        let class = match &task.goal {
+                            Goal::Submit(spec) => spec.class.clone(),
+                            _ => "".into(),
+                        };
+                        log::info!(
+                            "job {} accepted class={class} after_ms={}",
+                            task.id,
+                            now.ms - task.begun_ms
+                        );
                         self.live_reply(&task.id, 201)
                     }
                 };
