Gather scattered replicas and return the emptied machines

Ruled out: idle patience (empty machines went back in time), forecast room (small). Change: with nothing waiting, the emptiest machine whose replicas have run for four leases and find room on fuller machines that have their images is emptied and returned.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -84,6 +84,11 @@
             None => self.counts.push((zone.clone(), 1)),
         }
     }
+    pub fn remove(&mut self, zone: &str) {
+        if let Some((_, n)) = self.counts.iter_mut().find(|(z, _)| &**z == zone) {
+            *n = n.saturating_sub(1);
+        }
+    }
     pub fn count(&self, zone: &str) -> u32 {
         self.counts
             .iter()
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -456,7 +456,7 @@
     }
 
     /// Stops what a machine runs, letting it save what it can.
-    fn drain(&mut self, now: Now, id: &MachineId) {
+    pub(super) fn drain(&mut self, now: Now, id: &MachineId) {
         let Some(machine) = self.fleet.get(id) else {
             return;
         };
@@ -464,7 +464,11 @@
             let Some(job) = self.jobs.get_mut(&task.job) else {
                 continue;
             };
-            let grace_s = job.spec.save_s.ceil() as u64 + 1;
+            let grace_s = if job.spec.checkpoint_s > 0.0 {
+                job.spec.save_s.ceil() as u64 + 1
+            } else {
+                0
+            };
             if let Some(assign) = job.assigns.get_mut(&task.index) {
                 if assign.stop.is_none() {
                     assign.stop = Some(StopPlan {
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -18,6 +18,14 @@
 /// A new leader listens for so many report intervals before it rents.
 const LISTEN_REPORTS: u64 = 3;
 
+/// A machine with more than this share in use isn't emptied.
+const MOST_MOVED: f64 = 0.6;
+/// A replica that started less than this many leases ago isn't moved: its
+/// start would count for nothing.
+const SETTLED_LEASES: f64 = 4.0;
+/// A fetch that takes so many report intervals is hardly missed.
+const QUICK_FETCH_REPORTS: f64 = 2.5;
+
 /// One entry of the queue.
 #[derive(Debug)]
 struct Waiting {
@@ -230,6 +238,9 @@
                 }
             }
         }
+        if rest.is_empty() {
+            self.gather(now, &mut rooms);
+        }
         self.rest = rest;
         self.reserved = rooms
             .into_iter()
@@ -238,6 +249,108 @@
             .collect();
     }
 
+    /// Scaling in: moves the replicas of the emptiest machine into free room
+    /// that nobody expects to need, so that the machine can be returned. One
+    /// machine at a time, and only where a replica is hardly missed.
+    fn gather(&mut self, now: Now, rooms: &mut [Room]) {
+        let moving = self
+            .fleet
+            .machines
+            .values()
+            .any(|m| m.phase == Phase::Draining && !m.tasks.is_empty());
+        if moving {
+            return;
+        }
+        let mut order: Vec<(f64, usize)> = rooms
+            .iter()
+            .enumerate()
+            .filter(|(_, r)| !r.reserved)
+            .filter_map(|(i, r)| {
+                let machine = self.fleet.get(&r.id)?;
+                let share = machine.used.share_of(&machine.room);
+                (!machine.tasks.is_empty() && share <= MOST_MOVED).then_some((share, i))
+            })
+            .collect();
+        order.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (share, index) in order {
+            if self.can_empty(now, index, share, rooms) {
+                let id = rooms[index].id.clone();
+                log::info!("machine {id} emptied, its replicas move");
+                if let Some(machine) = self.fleet.get_mut(&id) {
+                    machine.phase = Phase::Draining;
+                }
+                rooms[index].free = Res::default();
+                self.drain(now, &id);
+                return;
+            }
+        }
+    }
+
+    /// Whether all tasks of a machine may move, and find room elsewhere.
+    fn can_empty(&self, now: Now, index: usize, share: f64, rooms: &[Room]) -> bool {
+        let Some(machine) = self.fleet.get(&rooms[index].id) else {
+            return false;
+        };
+        let settled_ms = (self.settings.site.workers.lease_s * 1000.0 * SETTLED_LEASES) as u64;
+        let mut free: Vec<(usize, Res)> = rooms
+            .iter()
+            .enumerate()
+            .filter(|(i, r)| {
+                let fuller = self
+                    .fleet
+                    .get(&r.id)
+                    .is_some_and(|m| m.used.share_of(&m.room) >= share && !m.tasks.is_empty());
+                *i != index && fuller && r.offer.spot <= rooms[index].offer.spot
+            })
+            .map(|(i, r)| (i, r.free))
+            .collect();
+        machine.tasks.iter().all(|task| {
+            let Some(job) = self.jobs.get(&task.job) else {
+                return false;
+            };
+            let Some(assign) = job.assigns.get(&task.index) else {
+                return false;
+            };
+            let settled = assign.stop.is_none()
+                && assign
+                    .running_since_ms
+                    .is_some_and(|at| now.ms > at + settled_ms);
+            if !settled || !job.is_service() {
+                return false;
+            }
+            let mut zones = job.zone_use();
+            zones.remove(&assign.zone);
+            let found = free.iter_mut().find(|(i, free)| {
+                let room = &rooms[*i];
+                free.holds(&job.need)
+                    && allows_offer(&job.spec, &room.offer)
+                    && zones.allows(&job.spec, &room.offer.zone)
+                    && self.soon_there(&room.id, &job.spec)
+            });
+            match found {
+                Some((_, free)) => {
+                    free.take(&job.need);
+                    true
+                }
+                None => false,
+            }
+        })
+    }
+
+    /// Whether a machine has the image, or fetches it within a few reports.
+    fn soon_there(&self, id: &MachineId, spec: &JobSpec) -> bool {
+        let Some(machine) = self.fleet.get(id) else {
+            return false;
+        };
+        let rate = self
+            .catalog
+            .as_ref()
+            .and_then(|c| c.find(&machine.offer.machine_type))
+            .map_or(0.0, |t| t.fetch_gb_per_s);
+        let patience_s = self.settings.site.workers.report_s * QUICK_FETCH_REPORTS;
+        machine.has_image(&spec.image) || spec.image_gb <= rate * patience_s
+    }
+
     fn place_job(
         &mut self,
         now: Now,
@@ -575,12 +688,14 @@
             let Some(since) = machine.idle_since_ms else {
                 continue;
             };
-            if machine.phase != Phase::Up || !machine.tasks.is_empty() {
+            if !matches!(machine.phase, Phase::Up | Phase::Draining) || !machine.tasks.is_empty() {
                 continue;
             }
             let patience = (self.boot_ms(&machine.offer) as f64 * self.options.idle_boots) as u64;
             let faulty = machine.blamed_by.len() >= 2;
-            let unneeded = !self.reserved.contains(&machine.id) && now.ms > since + patience;
+            let emptied = machine.phase == Phase::Draining;
+            let unneeded =
+                emptied || (!self.reserved.contains(&machine.id) && now.ms > since + patience);
             // The first minute is paid for in any case.
             if faulty || (unneeded && now.ms > machine.rented_ms + 60_000) {
                 idle.push(machine.id.clone());
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -453,3 +453,25 @@
         "no machine was given up"
     );
 }
+
+/// Replicas once stayed scattered over half-empty machines until they were
+/// cancelled, and the machines were paid for.
+#[test]
+fn scattered_replicas_are_gathered_and_the_empty_machine_is_returned() {
+    let mut w = up(1);
+    for n in 0..4 {
+        assert_eq!(w.submit(0, &service(&format!("run-{n}"), 4)), 201);
+    }
+    w.run_for(3000);
+    assert_eq!(w.on_machines("run-"), 16, "two machines are full");
+    w.cancel(0, "run-0");
+    w.cancel(0, "run-2");
+    w.run_for(120_000);
+    assert_eq!(w.on_machines("run-"), 8);
+    let kept = w
+        .workers
+        .values()
+        .filter(|m| !m.gone && !m.tasks.is_empty())
+        .count();
+    assert_eq!(kept, 1, "{:?}", w.trace);
+}
