--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -497,14 +497,17 @@
             };
             let mut left = room.free;
             left.take(need);
+            // Replicas are kept apart; tasks that end soon fill machines up.
+            let apart = u32::from(spec.kind == Kind::Service);
+            let siblings = machine.tasks.iter().filter(|t| t.job == *id).count() as u32;
             let fit = Fit {
                 cached: machine.has_image(&spec.image),
                 coming: machine.fetching.contains_key(&spec.image),
                 fetches: room.fetches,
                 spot: room.offer.spot,
                 left: left.share_of(&room.whole),
-                siblings: machine.tasks.iter().filter(|t| t.job == *id).count() as u32,
-                zone_siblings: zones.count(&room.offer.zone),
+                siblings: siblings * apart,
+                zone_siblings: zones.count(&room.offer.zone) * apart,
             };
             let mut rank = fit.rank();
             if job.failed_on.contains(&room.id) {
