Let services with a wait objective take room from less important arrays

Ruled out: renting more (no capacity in any zone), quota (not reached). Change: work with a wait objective that finds no room stops the tasks of less important jobs whose stop costs least; they save first and wait again.

--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -457,27 +457,30 @@
 
     /// Stops what a machine runs, letting it save what it can.
     pub(super) fn drain(&mut self, now: Now, id: &MachineId) {
-        let Some(machine) = self.fleet.get(id) else {
+        let tasks = self.fleet.get(id).map(|m| m.tasks.clone());
+        for task in tasks.into_iter().flatten() {
+            self.stop_task(now, &task);
+        }
+    }
+
+    /// Stops one task, letting it save what it can.
+    pub(super) fn stop_task(&mut self, now: Now, task: &TaskRef) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        for task in machine.tasks.clone() {
-            let Some(job) = self.jobs.get_mut(&task.job) else {
-                continue;
-            };
-            let grace_s = if job.spec.checkpoint_s > 0.0 {
-                job.spec.save_s.ceil() as u64 + 1
-            } else {
-                0
-            };
-            if let Some(assign) = job.assigns.get_mut(&task.index) {
-                if assign.stop.is_none() {
-                    assign.stop = Some(StopPlan {
-                        grace_s,
-                        since_ms: now.ms,
-                    });
-                    assign.sent_ms = None;
-                    self.push.insert(id.clone());
-                }
+        let grace_s = if job.spec.checkpoint_s > 0.0 {
+            job.spec.save_s.ceil() as u64 + 1
+        } else {
+            0
+        };
+        if let Some(assign) = job.assigns.get_mut(&task.index) {
+            if assign.stop.is_none() {
+                assign.stop = Some(StopPlan {
+                    grace_s,
+                    since_ms: now.ms,
+                });
+                assign.sent_ms = None;
+                self.push.insert(assign.machine.clone());
             }
         }
     }
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -2,10 +2,10 @@
 //! rental rungs.
 
 use super::learn::Flow;
-use super::{Assign, Scheduler};
+use super::{Assign, Job, Scheduler};
 use crate::cloud::{Cloud, Offer, RENT_MAX};
 use crate::fleet::Phase;
-use crate::ids::{JobId, MachineId};
+use crate::ids::{JobId, MachineId, TaskRef};
 use crate::msg::Now;
 use crate::placement::{allows_offer, offers_for, Fit, Res, ZoneUse};
 use crate::slackfit::{self, Rung};
@@ -62,6 +62,7 @@
     count: u32,
     deadline: u64,
     zones: ZoneUse,
+    forecast: bool,
 }
 
 /// Room that isn't there yet.
@@ -233,11 +234,13 @@
                             count: left,
                             deadline: waiting.deadline,
                             zones: ZoneUse::default(),
+                            forecast: true,
                         });
                     }
                 }
             }
         }
+        self.preempt(now, &mut rest, &rooms);
         if rest.is_empty() {
             self.gather(now, &mut rooms);
         }
@@ -249,6 +252,136 @@
             .collect();
     }
 
+    /// Stops tasks of less important jobs where that gives room to work with
+    /// a wait objective sooner than a rental would. What is stopped saves
+    /// first, if it can, and waits again in the queue.
+    fn preempt(&mut self, now: Now, rest: &mut Vec<Rest>, rooms: &[Room]) {
+        // Room now free, and what tasks that are already stopping give back.
+        let mut free: Vec<Res> = rooms
+            .iter()
+            .map(|room| {
+                let mut free = room.free;
+                for (job, assign) in self.tasks_on(&room.id) {
+                    if assign.stop.is_some() {
+                        free.add(&job.need);
+                    }
+                }
+                free
+            })
+            .collect();
+        let mut chosen: Vec<TaskRef> = Vec::new();
+        for waiting in rest.iter_mut().filter(|r| !r.forecast) {
+            if self
+                .settings
+                .wait_objective_ms(&waiting.spec.class)
+                .is_none()
+            {
+                continue;
+            }
+            let need = Res::of_task(&waiting.spec);
+            while waiting.count > 0 {
+                let allowed = |room: &Room| {
+                    allows_offer(&waiting.spec, &room.offer)
+                        && waiting.zones.allows(&waiting.spec, &room.offer.zone)
+                };
+                let ready = (0..rooms.len()).find(|i| allowed(&rooms[*i]) && free[*i].holds(&need));
+                let index = match ready {
+                    Some(index) => index,
+                    None => {
+                        let best = (0..rooms.len())
+                            .filter(|i| allowed(&rooms[*i]))
+                            .filter_map(|i| {
+                                let victims = self.victims(
+                                    now,
+                                    &rooms[i].id,
+                                    waiting.spec.priority,
+                                    free[i],
+                                    &need,
+                                    &chosen,
+                                )?;
+                                Some((victims.0, i, victims.1))
+                            })
+                            .min_by(|a, b| a.0.total_cmp(&b.0));
+                        let Some((_, index, victims)) = best else {
+                            break;
+                        };
+                        for task in victims {
+                            if let Some(job) = self.jobs.get(&task.job) {
+                                free[index].add(&job.need);
+                            }
+                            log::info!("task {task} gives way to {}", waiting.spec.id);
+                            chosen.push(task);
+                        }
+                        index
+                    }
+                };
+                free[index].take(&need);
+                waiting.zones.add(&rooms[index].offer.zone);
+                waiting.count -= 1;
+            }
+        }
+        rest.retain(|r| r.count > 0);
+        for task in chosen {
+            self.stop_task(now, &task);
+        }
+    }
+
+    fn tasks_on(&self, id: &MachineId) -> impl Iterator<Item = (&Job, &Assign)> {
+        let tasks = self.fleet.get(id).map(|m| &m.tasks);
+        tasks.into_iter().flatten().filter_map(|task| {
+            let job = self.jobs.get(&task.job)?;
+            Some((job, job.assigns.get(&task.index)?))
+        })
+    }
+
+    /// The tasks of less important jobs whose stop costs least and makes room
+    /// on this machine, with that cost.
+    fn victims(
+        &self,
+        now: Now,
+        id: &MachineId,
+        priority: Priority,
+        mut free: Res,
+        need: &Res,
+        chosen: &[TaskRef],
+    ) -> Option<(f64, Vec<TaskRef>)> {
+        let machine = self.fleet.get(id)?;
+        let settled_ms = (self.lease_ms() as f64 * SETTLED_LEASES) as u64;
+        let mut candidates: Vec<(f64, &TaskRef, Res)> = Vec::new();
+        for task in &machine.tasks {
+            let job = self.jobs.get(&task.job)?;
+            let assign = job.assigns.get(&task.index)?;
+            if job.spec.priority <= priority || assign.stop.is_some() || chosen.contains(task) {
+                continue;
+            }
+            let ran_ms = assign.running_since_ms.map_or(0, |at| now.ms - at);
+            // Lost work in seconds; a start that was just made counts twice.
+            let lost_s = if job.spec.checkpoint_s > 0.0 {
+                job.spec.save_s
+            } else {
+                ran_ms as f64 / 1000.0
+            };
+            let fresh = assign.running_since_ms.is_some() && ran_ms < settled_ms;
+            let cost = if fresh {
+                lost_s * 2.0 + 1.0
+            } else {
+                lost_s + 1.0
+            };
+            candidates.push((cost, task, job.need));
+        }
+        candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (mut cost, mut victims) = (0.0, Vec::new());
+        for (lost, task, room) in candidates {
+            if free.holds(need) {
+                break;
+            }
+            free.add(&room);
+            cost += lost;
+            victims.push(task.clone());
+        }
+        free.holds(need).then_some((cost, victims))
+    }
+
     /// Scaling in: moves the replicas of the emptiest machine into free room
     /// that nobody expects to need, so that the machine can be returned. One
     /// machine at a time, and only where a replica is hardly missed.
@@ -370,6 +503,7 @@
                 count: tasks.len() as u32,
                 deadline,
                 zones,
+                forecast: false,
             });
         }
         let mut placed = 0;
@@ -438,6 +572,7 @@
             count,
             deadline,
             zones,
+            forecast: false,
         })
     }
 
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -475,3 +475,27 @@
         .count();
     assert_eq!(kept, 1, "{:?}", w.trace);
 }
+
+/// A service once waited for a rental while arrays held all machines that it
+/// could have used at once.
+#[test]
+fn a_service_takes_room_from_an_array_and_the_array_is_done_all_the_same() {
+    let mut w = up(1);
+    w.cloud_away = true;
+    w.run_ms = 20_000;
+    assert_eq!(w.submit(0, &array("run-1", 16)), 201);
+    w.run_for(3000);
+    assert_eq!(w.on_machines("run-1"), 16);
+    assert_eq!(w.submit(0, &service("run-2", 3)), 201);
+    w.run_for(2000);
+    assert_eq!(w.on_machines("run-2"), 3, "{:?}", w.trace);
+    assert_eq!(w.on_machines("run-1"), 13, "no more than needed gives way");
+    w.run_for(50_000);
+    assert_eq!(w.poll(0, "run-1").1, "done");
+    // A second array has no such right.
+    assert_eq!(w.submit(0, &array("run-3", 13)), 201);
+    w.run_for(3000);
+    assert_eq!(w.submit(0, &array("run-4", 1)), 201);
+    w.run_for(3000);
+    assert_eq!(w.on_machines("run-4"), 0);
+}
