Keep room for arrivals where their images are

Ruled out: late placement (0.0 to 0.02 s after the submission). Change: the forecast room is divided over the images that a class has in use and set aside where they are cached.

--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -167,18 +167,48 @@
         let pooled: f64 = flows.iter().map(|f| weigh(f).1).sum::<f64>().sqrt();
         let apart: f64 = flows.iter().map(|f| weigh(f).1.sqrt()).sum();
         let ratio = if apart > 0.0 { pooled / apart } else { 0.0 };
-        flows
-            .iter()
-            .map(|f| {
-                let units = self.options.headroom * weigh(f).0.sqrt() * ratio;
-                Waiting {
-                    priority: f.spec.priority,
-                    beyond: true,
-                    deadline: now.wall + (slowest * 1000.0) as u64,
-                    what: Work::Forecast(f.spec.clone(), units.ceil() as u32),
+        let mut all = Vec::new();
+        for f in &flows {
+            let units = self.options.headroom * weigh(f).0.sqrt() * ratio;
+            let images = self.images_of(&f.spec.class);
+            let total: u32 = images.values().map(|(n, _)| n).sum();
+            let mut images: Vec<(u32, Rc<JobSpec>)> = images.into_values().collect();
+            images.sort_by_key(|(n, _)| std::cmp::Reverse(*n));
+            if images.is_empty() {
+                images.push((1, f.spec.clone()));
+            }
+            // Room is only of quick use where its image is, so each image
+            // gets its part; what doesn't divide goes to the commonest.
+            let (mut seen, mut given) = (0, 0);
+            for (count, spec) in images {
+                seen += count;
+                let upto = (units.ceil() * f64::from(seen) / f64::from(total.max(1))).ceil() as u32;
+                let part = upto - given;
+                given = upto;
+                if part > 0 {
+                    all.push(Waiting {
+                        priority: f.spec.priority,
+                        beyond: true,
+                        deadline: now.wall + (slowest * 1000.0) as u64,
+                        what: Work::Forecast(spec, part),
+                    });
                 }
-            })
-            .collect()
+            }
+        }
+        all
+    }
+
+    /// The images of a class's unfinished jobs, how many have them, and one
+    /// job that stands for them.
+    fn images_of(&self, class: &str) -> BTreeMap<Rc<str>, (u32, Rc<JobSpec>)> {
+        let mut images: BTreeMap<Rc<str>, (u32, Rc<JobSpec>)> = BTreeMap::new();
+        for job in self.jobs.values().filter(|j| &*j.spec.class == class) {
+            images
+                .entry(job.spec.image.clone())
+                .or_insert_with(|| (0, job.spec.clone()))
+                .0 += 1;
+        }
+        images
     }
 
     fn queue(&mut self, now: Now) -> Vec<Waiting> {
@@ -227,7 +257,7 @@
                     rest.extend(left);
                 }
                 Work::Forecast(spec, count) => {
-                    let left = reserve(&spec, count, &mut rooms);
+                    let left = self.reserve(&spec, count, &mut rooms);
                     if left > 0 {
                         rest.push(Rest {
                             spec,
@@ -484,6 +514,36 @@
         machine.has_image(&spec.image) || spec.image_gb <= rate * patience_s
     }
 
+    /// Sets room aside for expected work: where its image is, and then on the
+    /// fullest machines, so that empty ones can be returned. Says how much
+    /// found none.
+    fn reserve(&self, spec: &JobSpec, count: u32, rooms: &mut [Room]) -> u32 {
+        let need = Res::of_task(spec);
+        for n in 0..count {
+            let best = rooms
+                .iter_mut()
+                .filter(|r| r.free.holds(&need) && allows_offer(spec, &r.offer) && !r.offer.spot)
+                .min_by(|a, b| {
+                    let rank = |r: &Room| {
+                        let has = self
+                            .fleet
+                            .get(&r.id)
+                            .is_some_and(|m| m.has_image(&spec.image));
+                        r.free.share_of(&r.whole) + if has { 0.0 } else { 1.0 }
+                    };
+                    rank(a).total_cmp(&rank(b))
+                });
+            match best {
+                Some(room) => {
+                    room.free.take(&need);
+                    room.reserved = true;
+                }
+                None => return count - n,
+            }
+        }
+        0
+    }
+
     fn place_job(
         &mut self,
         now: Now,
@@ -848,26 +908,3 @@
         }
     }
 }
-
-/// Sets room aside for expected work, on the fullest machines first, so that
-/// empty ones can be returned. Says how much found none.
-fn reserve(spec: &JobSpec, count: u32, rooms: &mut [Room]) -> u32 {
-    let need = Res::of_task(spec);
-    for n in 0..count {
-        let fitting = rooms
-            .iter_mut()
-            .filter(|r| r.free.holds(&need) && allows_offer(spec, &r.offer) && !r.offer.spot);
-        let fullest = fitting.min_by(|a, b| {
-            let share = |r: &Room| r.free.share_of(&r.whole);
-            share(a).total_cmp(&share(b))
-        });
-        match fullest {
-            Some(room) => {
-                room.free.take(&need);
-                room.reserved = true;
-            }
-            None => return count - n,
-        }
-    }
-    0
-}
