--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -53,27 +53,6 @@
     whole: Res,
     fetches: u32,
     reserved: bool,
-    /// Room kept for work that can wait until a task has saved and stopped:
-    /// tasks that do so may have it meanwhile.
-    lent: Res,
-}
-
-impl Room {
-    fn open_to(&self, spec: &JobSpec) -> Res {
-        let mut open = self.free;
-        if spec.checkpoint_s > 0.0 {
-            open.add(&self.lent);
-        }
-        open
-    }
-
-    fn take(&mut self, need: &Res) {
-        if self.free.holds(need) {
-            self.free.take(need);
-        } else {
-            self.lent.take(need);
-        }
-    }
 }
 
 /// Tasks that found no room.
@@ -267,7 +246,6 @@
                 whole: m.room,
                 fetches: m.fetching.len() as u32,
                 reserved: false,
-                lent: Res::default(),
             })
             .collect();
         let mut used = self.team_use();
@@ -541,10 +519,6 @@
     /// found none.
     fn reserve(&self, spec: &JobSpec, count: u32, rooms: &mut [Room]) -> u32 {
         let need = Res::of_task(spec);
-        let patient = self
-            .settings
-            .wait_objective_ms(&spec.class)
-            .is_some_and(|ms| ms > self.lease_ms());
         for n in 0..count {
             let best = rooms
                 .iter_mut()
@@ -563,9 +537,6 @@
                 Some(room) => {
                     room.free.take(&need);
                     room.reserved = true;
-                    if patient {
-                        room.lent.add(&need);
-                    }
                 }
                 None => return count - n,
             }
@@ -646,7 +617,7 @@
             );
             job.touch(*task, now.ms, true);
             machine.assign(job.task(*task), &need);
-            room.take(&need);
+            room.free.take(&need);
             if !machine.has_image(&spec.image) && !machine.fetching.contains_key(&spec.image) {
                 machine.fetching.insert(spec.image.clone(), 1);
                 room.fetches += 1;
@@ -710,7 +681,7 @@
         let job = self.jobs.get(id)?;
         let mut best: Option<(f64, usize)> = None;
         for (index, room) in rooms.iter().enumerate() {
-            if !room.open_to(spec).holds(need)
+            if !room.free.holds(need)
                 || !allows_offer(spec, &room.offer)
                 || !zones.allows(spec, &room.offer.zone)
             {
@@ -719,7 +690,7 @@
             let Some(machine) = self.fleet.get(&room.id) else {
                 continue;
             };
-            let mut left = room.open_to(spec);
+            let mut left = room.free;
             left.take(need);
             // Replicas are kept apart; tasks that end soon fill machines up.
             let apart = u32::from(spec.kind == Kind::Service);
