Order jobs that can't be on time by their next deadline

Ruled out: too little renting (the cloud has no more), fetches (most images are cached by then). Change: in the queue a job that can no longer meet its deadline takes the next multiple that the objectives name, and at last three times its deadline, so that its turn comes.

--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -26,6 +26,10 @@
 /// A fetch that takes so many report intervals is hardly missed.
 const QUICK_FETCH_REPORTS: f64 = 2.5;
 
+/// A job that is late by every aim is due at so many times its deadline, so
+/// that its turn comes all the same.
+const LAST_DEADLINE: f64 = 3.0;
+
 /// One entry of the queue.
 #[derive(Debug)]
 struct Waiting {
@@ -73,16 +77,26 @@
 }
 
 impl Scheduler {
-    fn deadline_of(&self, spec: &JobSpec, submitted: u64) -> u64 {
-        let ms = match spec.deadline_s {
-            Some(s) => (s * 1000.0) as u64,
-            None => match self.settings.wait_objective_ms(&spec.class) {
+    /// The time of day that orders a job in the queue.
+    fn deadline_of(&self, now: Now, spec: &JobSpec, submitted: u64) -> u64 {
+        let Some(deadline_s) = spec.deadline_s else {
+            let ms = match self.settings.wait_objective_ms(&spec.class) {
                 Some(ms) => ms,
                 // The design's: twice the estimate.
                 None => (spec.estimate_s * 2000.0) as u64,
-            },
+            };
+            return submitted + ms;
         };
-        submitted + ms
+        // What can't be on time any more would only make others late too:
+        // it goes for the next deadline that still means something.
+        let run_ms = (spec.estimate_s * self.learning.bias(&spec.class) * 1000.0) as u64;
+        let at = |times: f64| submitted + (deadline_s * times * 1000.0) as u64;
+        self.settings
+            .deadline_times(&spec.class)
+            .into_iter()
+            .map(at)
+            .find(|deadline| now.wall + run_ms <= *deadline)
+            .unwrap_or_else(|| at(LAST_DEADLINE))
     }
 
     /// Jobs that fit into their team's guarantee together with the team's
@@ -221,7 +235,7 @@
             .map(|(id, job)| Waiting {
                 priority: job.spec.priority,
                 beyond: !within.get(id).copied().unwrap_or(false),
-                deadline: self.deadline_of(&job.spec, job.submitted),
+                deadline: self.deadline_of(now, &job.spec, job.submitted),
                 what: Work::Job(id.clone()),
             })
             .collect();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -196,4 +196,21 @@
             .map(|s| (s * 1000.0) as u64)
             .min()
     }
+
+    /// The multiples of its deadline by which the class's jobs should be
+    /// done, in order; the deadline itself is always one.
+    pub fn deadline_times(&self, class: &str) -> Vec<f64> {
+        let mut times: Vec<f64> = self
+            .site
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "deadline" && o.class.as_deref() == Some(class))
+            .filter_map(|o| o.times)
+            .filter(|t| t.is_finite() && *t > 0.0)
+            .collect();
+        times.push(1.0);
+        times.sort_by(f64::total_cmp);
+        times.dedup();
+        times
+    }
 }
