--- a/src/node.rs
+++ b/src/node.rs
@@ -88,6 +88,8 @@
     relay_due_ms: u64,
     held_due_ms: u64,
     held_stored: bool,
+    stood_in_ms: Option<u64>,
+    alone_since_ms: Option<u64>,
 }
 
 impl Node {
@@ -147,6 +149,8 @@
             relay_due_ms: 0,
             held_due_ms: 0,
             held_stored: false,
+            stood_in_ms: None,
+            alone_since_ms: None,
         };
         node.set_share(Now::default(), false);
         node
@@ -375,18 +379,32 @@
     /// so that a cut between zones, or a leader's death in an outage, doesn't
     /// end all their tasks. No commands go out that way, and no lease's end
     /// is ever taken for proof, so nothing can run twice for it.
-    fn stands_in(&self, now: Now) -> bool {
-        let recent = |at: Option<u64>| at.is_some_and(|at| now.ms < at + self.quiet_ms());
+    fn stands_in(&mut self, now: Now) -> bool {
+        let quiet = self.quiet_ms();
+        let recent = |at: Option<u64>| at.is_some_and(|at| now.ms < at + quiet);
         if self.peers.iter().any(|p| recent(p.leads_ms)) {
             return false;
         }
-        if self.store.reachable() {
+        let heard = self.peers.iter().any(|p| recent(p.heard_ms));
+        let stands = if self.store.reachable() {
             // The state service knows a leader whom this node can't hear.
-            return self.election.follows(now);
+            self.election.follows(now)
+        } else if heard {
+            !self.peers.iter().any(|p| recent(p.state_seen_ms))
+        } else {
+            // Alone. If it stood in before that, a cut and an outage have met
+            // and its workers have nobody else. If everything went at once,
+            // the fault is here, and it would only keep workers from others.
+            let bound_ms = (self.settings.site.workers.cancel_s * 500.0) as u64;
+            let in_time = |since: u64| now.ms < since + bound_ms;
+            recent(self.stood_in_ms) && in_time(self.alone_since_ms.unwrap_or(now.ms))
+        };
+        let alone = !heard && !self.store.reachable();
+        self.alone_since_ms = alone.then(|| self.alone_since_ms.unwrap_or(now.ms));
+        if stands {
+            self.stood_in_ms = Some(now.ms);
         }
-        // Cut off alone, it would only keep workers from the others.
-        let others = self.peers.iter().any(|p| recent(p.heard_ms));
-        others && !self.peers.iter().any(|p| recent(p.state_seen_ms))
+        stands
     }
 
     fn hold(&mut self, now: Now, report: &Report) -> Option<Reply> {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -122,6 +122,8 @@
     /// When followers' word on silent machines is asked for next.
     held_due_ms: u64,
     asking_held: bool,
+    /// When the state service last failed us.
+    state_failed_ms: Option<u64>,
 }
 
 impl Scheduler {
@@ -159,6 +161,7 @@
             reserved: BTreeSet::new(),
             held_due_ms: 0,
             asking_held: false,
+            state_failed_ms: None,
         }
     }
 
@@ -519,6 +522,9 @@
         answer: Answer,
         out: &mut SchedulerOut,
     ) {
+        if matches!(answer, Answer::Refused | Answer::Unclear) {
+            self.state_failed_ms = Some(now.ms);
+        }
         match (self.stage, call) {
             (Stage::Idle, _) => {}
             (Stage::Loading, call @ (SchedulerCall::ListJobs | SchedulerCall::ListPlacements)) => {
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -393,7 +393,12 @@
             }
             let limit_ms = silent_ms.get(&machine.offer.zone).copied();
             let heard_ms = machine.heard_ms.max(machine.held_ms);
-            if limit_ms.is_some_and(|limit| now.ms > heard_ms + limit) {
+            // In an outage followers can't tell whose leases they renew, and
+            // nothing could be placed anew in any case.
+            let blind = self
+                .state_failed_ms
+                .is_some_and(|at| now.ms < at + lease_ms / 2);
+            if !blind && limit_ms.is_some_and(|limit| now.ms > heard_ms + limit) {
                 give_up.push((machine.id.clone(), "silent"));
             } else if machine
                 .deaf_since_ms
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -454,6 +454,34 @@
     );
 }
 
+/// A cut and then an outage of the state service once left the follower beyond
+/// the cut alone; it sent its workers away, to nodes that they couldn't reach.
+#[test]
+fn a_cut_that_meets_an_outage_ends_no_task() {
+    let mut w = up(3);
+    assert_eq!(w.submit(0, &service("run-1", 16)), 201);
+    w.run_for(3000);
+    let side = |n: usize| n == 1;
+    w.cuts = (0..3)
+        .flat_map(|n| ["a", "b"].map(|z| (n, z.to_string())))
+        .filter(|(n, z)| side(*n) != (z == "b"))
+        .collect();
+    w.hook = Box::new(move |_, node, call| match &call.target {
+        Target::Peer(addr) if side(node) != (addr == "10.0.0.2:8081") => Fate::LoseRequest,
+        _ => Fate::Pass,
+    });
+    w.run_for(6000);
+    w.state.away = true;
+    w.run_for(12_000);
+    w.state_returns();
+    w.run_for(4000);
+    w.cuts.clear();
+    w.hook = Box::new(|_, _, _| Fate::Pass);
+    w.run_for(10_000);
+    assert_eq!(w.on_machines("run-1"), 16);
+    assert_eq!(w.trace.len(), 16, "{:?}", w.trace);
+}
+
 /// Replicas once stayed scattered over half-empty machines until they were
 /// cancelled, and the machines were paid for.
 #[test]
