Renew leases only while cancellations are known

A follower renewed leases of machines with tasks of jobs cancelled beyond the cut; the leader reached neither them nor the cloud. Ruled out: late starts (none), the cancellation's guard (it held). Change: who renews leases in the leader's stead lists cancelled jobs and stops their tasks, or stops renewing in time; so does a leader that can't know; answers to passed-on reports carry such stops.

--- a/src/node.rs
+++ b/src/node.rs
@@ -3,19 +3,22 @@
 
 use crate::cloud::{Cloud, CloudCall, CloudEvent};
 use crate::election::{Change, Election, ElectionCall, Role};
+use crate::gateway::JOB_PREFIX;
 use crate::gateway::{Gateway, GatewayCall, GatewayOut};
-use crate::ids::{JobId, Session, Term, Token};
+use crate::ids::{Attempt, JobId, MachineId, Session, TaskRef, Term, Token};
 use crate::msg::{Call, CallId, ConnId, Effect, Now, Outcome, Port, Reply, Request, Target};
 use crate::options::Options;
-use crate::peer::{self, Hello, JobCount, PEER_PATH};
+use crate::peer::{self, Hello, HelloAnswer, JobCount, TaskStop, PEER_PATH};
 use crate::reactor::Handler;
 use crate::scheduler::{
     HeldRecord, Scheduler, SchedulerCall, SchedulerOut, WorkerCall, HELD_PREFIX,
 };
 use crate::settings::Settings;
 use crate::store::{self, Answer, StateCall, Store, Urgency};
-use crate::wire::{self, Catalog, Item, Report, ReportAnswer, ReportTo, Txn};
-use std::collections::HashMap;
+use crate::wire::{
+    self, Catalog, Command, Item, Items, Report, ReportAnswer, ReportTo, TaskPhase, Txn,
+};
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
 /// Where every controller finds the machine types, even while the cloud is
@@ -34,6 +37,7 @@
     ReadCatalog,
     WriteCatalog,
     WriteHeld,
+    ListCancelled,
 }
 
 #[derive(Clone, Debug)]
@@ -90,6 +94,24 @@
     held_stored: bool,
     stood_in_ms: Option<u64>,
     alone_since_ms: Option<u64>,
+    /// When this node last knew that no cancellation escapes it: the state
+    /// service answered it, or answered nobody.
+    informed_ms: u64,
+    /// Since when leases are being renewed for the leader.
+    hold_began_ms: u64,
+    /// Cancelled jobs as last listed, and when that was asked for.
+    cancelled: HashSet<JobId>,
+    cancels_read_ms: u64,
+    cancels: Option<CancelList>,
+    /// Tasks that the leader wants stopped, by machine.
+    stops: HashMap<String, Vec<Command>>,
+}
+
+/// A list of cancelled jobs that is being read.
+#[derive(Debug)]
+struct CancelList {
+    asked_ms: u64,
+    found: HashSet<JobId>,
 }
 
 impl Node {
@@ -151,6 +173,12 @@
             held_stored: false,
             stood_in_ms: None,
             alone_since_ms: None,
+            informed_ms: 0,
+            hold_began_ms: 0,
+            cancelled: HashSet::new(),
+            cancels_read_ms: 0,
+            cancels: None,
+            stops: HashMap::new(),
         };
         node.set_share(Now::default(), false);
         node
@@ -273,6 +301,12 @@
             }
         };
         if self.scheduler.leading() {
+            // Perhaps deposed: jobs may have been cancelled that it doesn't
+            // know of, and their tasks must not live on its answers.
+            if now.ms > self.informed_ms + self.uninformed_ms() {
+                out.push(Effect::Reply(conn, Reply::later(503, "cut off", 1)));
+                return;
+            }
             if let Some(node) = self.relay_for(now, &report.zone) {
                 let reply = Reply::json(421, &ReportTo { node: Some(node) });
                 out.push(Effect::Reply(conn, reply));
@@ -285,7 +319,8 @@
         }
         let reply = if let Some(term) = self.relays(now, &report.zone) {
             self.relay.push(body.to_vec());
-            answer_for_leader(&report, term)
+            let stops = self.stops.remove(&report.machine).unwrap_or_default();
+            answer_for_leader(&report, term, &stops)
         } else if self.stands_in(now) {
             self.hold(now, &report)
         } else {
@@ -413,12 +448,104 @@
             // In an outage that all share, what the worker knows is enough.
             _ => report.token.term(),
         };
-        let reply = answer_for_leader(report, term)?;
+        let known_ms = if self.store.reachable() {
+            self.cancels_read_ms
+        } else {
+            self.cancels_read_ms.max(self.informed_ms)
+        };
+        if self.held.is_empty() {
+            self.hold_began_ms = now.ms;
+        }
+        if now.ms > known_ms.max(self.hold_began_ms) + self.uninformed_ms() {
+            // What was cancelled meanwhile must end in time: no more leases.
+            return None;
+        }
+        let stops: Vec<Command> = report
+            .tasks
+            .iter()
+            .filter(|t| t.phase != TaskPhase::Ended)
+            .filter(|t| {
+                TaskRef::parse(&t.task).is_some_and(|task| self.cancelled.contains(&task.job))
+            })
+            .map(|t| Command::Stop {
+                task: t.task.clone(),
+                attempt: t.attempt,
+                grace_s: 0,
+            })
+            .collect();
+        let reply = answer_for_leader(report, term, &stops)?;
         self.held
             .insert(report.machine.clone(), (now.ms, report.session));
         Some(reply)
     }
 
+    /// How long leases may be renewed without word of cancellations: with the
+    /// lease itself it has to stay well within the time a cancellation has.
+    fn uninformed_ms(&self) -> u64 {
+        let workers = &self.settings.site.workers;
+        ((workers.cancel_s - workers.lease_s).max(0.0) * 700.0) as u64
+    }
+
+    fn tend_informed(&mut self, now: Now) {
+        let quiet = self.quiet_ms();
+        let recent = |at: Option<u64>| at.is_some_and(|at| now.ms < at + quiet);
+        // Where nobody reaches the state service nothing is cancelled.
+        let nobody = self
+            .peers
+            .iter()
+            .all(|p| recent(p.heard_ms) && !recent(p.state_seen_ms));
+        if self.store.reachable() || nobody {
+            self.informed_ms = now.ms;
+        }
+    }
+
+    /// Reads which jobs are cancelled, while leases are renewed here.
+    fn tend_cancels(&mut self, now: Now) {
+        let due = self.cancels_read_ms + self.uninformed_ms() / 5;
+        if self.held.is_empty() || self.cancels.is_some() || now.ms < due {
+            return;
+        }
+        self.cancels = Some(CancelList {
+            asked_ms: now.ms,
+            found: HashSet::new(),
+        });
+        self.list_cancelled(now, None);
+    }
+
+    fn list_cancelled(&mut self, now: Now, after: Option<&str>) {
+        self.store.submit(StateCall {
+            urgency: Urgency::Cancel,
+            call: store::list(JOB_PREFIX, after, 2000),
+            writes: 0,
+            give_up_ms: now.ms + 2000,
+            tag: StateTag::ListCancelled,
+        });
+    }
+
+    fn on_cancelled(&mut self, now: Now, answer: &Answer) {
+        let Some(mut list) = self.cancels.take() else {
+            return;
+        };
+        let Some(items) = answer.read::<Items>(200) else {
+            return;
+        };
+        let last = items.items.last().map(|i| i.key.clone());
+        for item in items.items {
+            if item.value.get("c").is_some_and(|c| !c.is_null()) {
+                if let Some(id) = item.key.strip_prefix(JOB_PREFIX) {
+                    list.found.insert(JobId::new(id));
+                }
+            }
+        }
+        if items.more {
+            self.cancels = Some(list);
+            self.list_cancelled(now, last.as_deref());
+        } else {
+            self.cancels_read_ms = list.asked_ms;
+            self.cancelled = list.found;
+        }
+    }
+
     /// Tells the leader, by way of the state service, whose leases are kept.
     fn tend_held(&mut self, now: Now) {
         let quiet = self.quiet_ms();
@@ -493,15 +620,23 @@
         for job in hello.nudges.iter().filter(|id| wire::valid_job_id(id)) {
             self.scheduler.nudge(now, &JobId::new(job), &mut scheduler);
         }
+        let mut answer = HelloAnswer::default();
         for body in &hello.reports {
             if let Ok(report) = serde_json::from_slice::<Report>(body) {
                 self.scheduler.relayed(now, &report, &mut scheduler);
+                let id = MachineId::new(&report.machine);
+                let stops = self.scheduler.cancelled_on(&id);
+                answer.stops.extend(stops.map(|(task, attempt)| TaskStop {
+                    machine: report.machine.clone(),
+                    task: task.to_string(),
+                    attempt: attempt.0,
+                }));
             }
         }
         self.take_scheduler(now, scheduler, out);
         Reply {
             status: 200,
-            body: Vec::new(),
+            body: peer::encode_answer(&answer),
             retry_after_s: None,
         }
     }
@@ -676,6 +811,7 @@
                 }
             }
             StateTag::WriteHeld => {}
+            StateTag::ListCancelled => self.on_cancelled(now, &answer),
             StateTag::WriteCatalog => self.catalog_stored = answer.status() == Some(200),
         }
     }
@@ -728,7 +864,9 @@
         wake = wake.min(self.scheduler.tick(now, &mut self.cloud, &mut scheduler));
         self.take_scheduler(now, scheduler, out);
         self.tend_catalog(now);
+        self.tend_informed(now);
         self.tend_held(now);
+        self.tend_cancels(now);
         self.tend_relay(now, out);
         if !self.relay.is_empty() {
             wake = wake.min(self.relay_due_ms);
@@ -775,8 +913,8 @@
 
 /// The answer that a follower gives in its leader's stead: the lease is
 /// renewed and the token kept or raised to the term's first, and no commands
-/// go out. `None`: the worker has seen a later term than we have.
-fn answer_for_leader(report: &Report, term: Term) -> Option<Reply> {
+/// go out but stops of cancelled jobs' tasks, which can do no harm. `None`: the worker has seen a later term than we have.
+fn answer_for_leader(report: &Report, term: Term, stops: &[Command]) -> Option<Reply> {
     if report.token.term() > term {
         return None;
     }
@@ -787,7 +925,7 @@
     };
     let answer = ReportAnswer {
         token: report.token.max(first),
-        commands: &[],
+        commands: stops,
     };
     Some(Reply::json(200, &answer))
 }
@@ -837,8 +975,18 @@
                 self.take_scheduler(now, scheduler, out);
             }
             Some(CallTag::Peer(index)) => {
-                if let (Ok(_), Some(peer)) = (outcome, self.peers.get_mut(index)) {
+                if let (Ok((_, body)), Some(peer)) = (outcome, self.peers.get_mut(index)) {
                     peer.reached_ms = Some(now.ms);
+                    for stop in peer::decode_answer(&body).unwrap_or_default().stops {
+                        self.stops
+                            .entry(stop.machine)
+                            .or_default()
+                            .push(Command::Stop {
+                                task: stop.task,
+                                attempt: Attempt(stop.attempt),
+                                grace_s: 0,
+                            });
+                    }
                 }
             }
             Some(CallTag::Worker(..)) | None => {}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -40,6 +40,32 @@
     pub running: u32,
 }
 
+/// The leader's answer to reports that were passed on: tasks of cancelled
+/// jobs, to be stopped with the next answer, should its own word not arrive.
+#[derive(Clone, PartialEq, Message)]
+pub struct HelloAnswer {
+    #[prost(message, repeated, tag = "1")]
+    pub stops: Vec<TaskStop>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct TaskStop {
+    #[prost(string, tag = "1")]
+    pub machine: String,
+    #[prost(string, tag = "2")]
+    pub task: String,
+    #[prost(uint64, tag = "3")]
+    pub attempt: u64,
+}
+
+pub fn encode_answer(answer: &HelloAnswer) -> Vec<u8> {
+    answer.encode_to_vec()
+}
+
+pub fn decode_answer(bytes: &[u8]) -> Option<HelloAnswer> {
+    HelloAnswer::decode(bytes).ok()
+}
+
 pub fn encode(hello: &Hello) -> Vec<u8> {
     hello.encode_to_vec()
 }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -482,6 +482,38 @@
     assert_eq!(w.trace.len(), 16, "{:?}", w.trace);
 }
 
+/// With the cloud away as well, nothing but the follower could end these tasks;
+/// it went on renewing their leases for longer than a cancellation has.
+#[test]
+fn a_job_cancelled_beyond_a_cut_ends_in_time_while_the_cloud_is_away() {
+    for state_goes_too in [false, true] {
+        let mut w = up(3);
+        assert_eq!(w.submit(0, &service("run-1", 8)), 201);
+        assert_eq!(w.submit(0, &service("run-2", 8)), 201);
+        w.run_for(3000);
+        assert_eq!(w.on_machines("run-"), 16);
+        let leader = w.leader().unwrap();
+        let side = |n: usize| n == 1;
+        w.cuts = (0..3)
+            .flat_map(|n| ["a", "b"].map(|z| (n, z.to_string())))
+            .filter(|(n, z)| side(*n) != (z == "b"))
+            .collect();
+        w.hook = Box::new(move |_, node, call| match &call.target {
+            Target::Peer(addr) if side(node) != (addr == "10.0.0.2:8081") => Fate::LoseRequest,
+            // The far follower alone loses the state service too.
+            Target::State | Target::StateWatch if state_goes_too && node == 1 => Fate::LoseRequest,
+            _ => Fate::Pass,
+        });
+        w.cloud_away = true;
+        w.run_for(6000);
+        let near = if leader == 1 { 1 } else { 0 };
+        assert_eq!(w.cancel(near, "run-1").1, "cancelled");
+        assert_eq!(w.cancel(near, "run-2").1, "cancelled");
+        w.run_for(29_000);
+        assert_eq!(w.on_machines("run-"), 0, "{state_goes_too} {:?}", w.workers);
+    }
+}
+
 /// Replicas once stayed scattered over half-empty machines until they were
 /// cancelled, and the machines were paid for.
 #[test]
