--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -30,6 +30,9 @@
 /// that its turn comes all the same.
 const LAST_DEADLINE: f64 = 3.0;
 
+/// So many tasks of one job are looked at in one round.
+const ROUND_TASKS: usize = 512;
+
 /// One entry of the queue.
 #[derive(Debug)]
 struct Waiting {
@@ -600,7 +603,12 @@
         let job = self.jobs.get(id)?;
         let (spec, need) = (job.spec.clone(), job.need);
         let mut zones = job.zone_use();
-        let tasks: Vec<u32> = job.pending.iter().copied().collect();
+        // A gang is seen whole; of a huge array a round's worth will do.
+        let most = match spec.kind {
+            Kind::Group => usize::MAX,
+            _ => ROUND_TASKS,
+        };
+        let tasks: Vec<u32> = job.pending.iter().copied().take(most).collect();
         if spec.kind == Kind::Group && !self.whole_fits(&spec, &need, &zones, rooms, &tasks, used) {
             // A gang starts whole, as one round, or waits.
             return Some(Rest {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -342,6 +342,29 @@
     assert!(late <= 4, "{late}");
 }
 
+/// Minutes of scheduling with a job of the largest size take seconds at most.
+#[test]
+fn the_largest_job_is_taken_and_worked_off_piece_by_piece() {
+    let mut w = up(1);
+    w.capacity = 4;
+    let mut spec = array("run-1", 100_000);
+    spec["gpus"] = json!(0.0);
+    spec["cpus"] = json!(1.0);
+    spec["memoryGb"] = json!(1.0);
+    assert_eq!(w.submit(0, &spec), 201);
+    let mut too_large = spec.clone();
+    too_large["id"] = json!("run-2");
+    too_large["pieces"] = json!(100_001);
+    assert_eq!(w.submit(0, &too_large), 400);
+    w.run_for(60_000);
+    assert!(w.trace.len() > 2000, "{}", w.trace.len());
+    assert_eq!(w.poll(0, "run-1").1, "running");
+    w.cancel(0, "run-1");
+    w.run_for(30_000);
+    assert_eq!(w.on_machines("run-1"), 0);
+    assert!(!w.state.items.keys().any(|k| k.starts_with("p/")));
+}
+
 #[test]
 fn a_large_job_is_stored_in_records_of_bounded_size() {
     let mut w = up(1);
