Move replicas now and then to leave warm room for expected work

Change: where a class's image takes most of its aim to fetch, but only a few reports, a settled replica moves to the cold room kept for the class, once in ten fetch times, and leaves warm room behind.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -122,6 +122,10 @@
     /// When followers' word on silent machines is asked for next.
     held_due_ms: u64,
     asking_held: bool,
+    /// When a replica of a class may next move to spread its image.
+    warm_due_ms: HashMap<Rc<str>, u64>,
+    /// Where tasks that are being moved are to go.
+    bound_for: HashMap<TaskRef, MachineId>,
     /// When the state service last failed us.
     state_failed_ms: Option<u64>,
 }
@@ -161,6 +165,8 @@
             reserved: BTreeSet::new(),
             held_due_ms: 0,
             asking_held: false,
+            warm_due_ms: HashMap::new(),
+            bound_for: HashMap::new(),
             state_failed_ms: None,
         }
     }
@@ -220,6 +226,7 @@
         self.refused.clear();
         self.push.clear();
         self.asking_held = false;
+        self.bound_for.clear();
     }
 
     // ---- loading and watching ----
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -30,6 +30,8 @@
 /// that its turn comes all the same.
 const LAST_DEADLINE: f64 = 3.0;
 
+/// A replica moves to spread an image at most once in so many fetch times.
+const WARM_FETCHES: f64 = 10.0;
 /// So many tasks of one job are looked at in one round.
 const ROUND_TASKS: usize = 512;
 
@@ -72,6 +74,13 @@
     }
 }
 
+/// Room kept for expected work whose image isn't there.
+#[derive(Debug)]
+struct Cold {
+    spec: Rc<JobSpec>,
+    machine: MachineId,
+}
+
 /// Tasks that found no room.
 #[derive(Debug)]
 pub(super) struct Rest {
@@ -278,6 +287,7 @@
             .collect();
         let mut used = self.team_use();
         let mut rest = Vec::new();
+        let mut cold = Vec::new();
         for waiting in self.queue(now) {
             match waiting.what {
                 Work::Job(id) => {
@@ -285,7 +295,7 @@
                     rest.extend(left);
                 }
                 Work::Forecast(spec, count) => {
-                    let left = self.reserve(&spec, count, &mut rooms);
+                    let left = self.reserve(&spec, count, &mut rooms, &mut cold);
                     if left > 0 {
                         rest.push(Rest {
                             spec,
@@ -301,6 +311,7 @@
         self.preempt(now, &mut rest, &rooms);
         if rest.is_empty() {
             self.gather(now, &mut rooms);
+            self.warm(now, cold);
         }
         self.rest = rest;
         self.reserved = rooms
@@ -310,6 +321,76 @@
             .collect();
     }
 
+    /// Expected work that would have to fetch its image for most of the time
+    /// that its class may wait: a settled replica with that image moves to
+    /// where it is missing, and leaves warm room behind. Seldom, so that the
+    /// gaps stay far below what the aims allow.
+    fn warm(&mut self, now: Now, cold: Vec<Cold>) {
+        for Cold { spec, machine } in cold {
+            let due_ms = self.warm_due_ms.get(&spec.class).copied();
+            if due_ms.is_some_and(|due| now.ms < due) {
+                continue;
+            }
+            let (Some(fetch_s), Some(objective_ms)) = (
+                self.fetch_s(&machine, &spec),
+                self.settings.wait_objective_ms(&spec.class),
+            ) else {
+                continue;
+            };
+            // Where the fetch is short beside the aim it may happen later;
+            // where it is long the replica would be missed for too long.
+            let hardly_missed =
+                fetch_s <= self.settings.site.workers.report_s * QUICK_FETCH_REPORTS;
+            if fetch_s * 2000.0 < objective_ms as f64 || !hardly_missed {
+                continue;
+            }
+            let Some(task) = self.mover(now, &spec, &machine) else {
+                continue;
+            };
+            log::info!("task {task} moves to {machine}, to leave warm room behind");
+            let due_ms = now.ms + (fetch_s * 1000.0 * WARM_FETCHES) as u64;
+            self.warm_due_ms.insert(spec.class.clone(), due_ms);
+            self.stop_task(now, &task);
+            self.bound_for.insert(task, machine);
+        }
+    }
+
+    fn fetch_s(&self, machine: &MachineId, spec: &JobSpec) -> Option<f64> {
+        let machine_type = &self.fleet.get(machine)?.offer.machine_type;
+        let rate = self.catalog.as_ref()?.find(machine_type)?.fetch_gb_per_s;
+        (rate > 0.0).then(|| spec.image_gb / rate)
+    }
+
+    /// A settled replica with this image that may go to `to`.
+    fn mover(&self, now: Now, spec: &JobSpec, to: &MachineId) -> Option<TaskRef> {
+        let zone = &self.fleet.get(to)?.offer.zone;
+        let settled_ms = (self.lease_ms() as f64 * SETTLED_LEASES) as u64;
+        let like = |j: &&Job| {
+            j.is_service()
+                && j.cancelled.is_none()
+                && j.spec.class == spec.class
+                && j.spec.image == spec.image
+        };
+        for job in self.jobs.values().filter(like) {
+            for (index, assign) in &job.assigns {
+                let settled = assign.stop.is_none()
+                    && assign
+                        .running_since_ms
+                        .is_some_and(|at| now.ms > at + settled_ms);
+                let up = self
+                    .fleet
+                    .get(&assign.machine)
+                    .is_some_and(|m| m.phase == Phase::Up && m.notice_until_ms.is_none());
+                let mut zones = job.zone_use();
+                zones.remove(&assign.zone);
+                if settled && up && assign.machine != *to && zones.allows(&job.spec, zone) {
+                    return Some(job.task(*index));
+                }
+            }
+        }
+        None
+    }
+
     /// Stops tasks of less important jobs where that gives room to work with
     /// a wait objective sooner than a rental would. What is stopped saves
     /// first, if it can, and waits again in the queue.
@@ -565,7 +646,13 @@
     /// Sets room aside for expected work: where its image is, and then on the
     /// fullest machines, so that empty ones can be returned. Says how much
     /// found none.
-    fn reserve(&self, spec: &JobSpec, count: u32, rooms: &mut [Room]) -> u32 {
+    fn reserve(
+        &self,
+        spec: &Rc<JobSpec>,
+        count: u32,
+        rooms: &mut [Room],
+        cold: &mut Vec<Cold>,
+    ) -> u32 {
         let need = Res::of_task(spec);
         for n in 0..count {
             let best = rooms
@@ -585,6 +672,16 @@
                 Some(room) => {
                     room.free.take(&need);
                     room.reserved = true;
+                    if !self
+                        .fleet
+                        .get(&room.id)
+                        .is_some_and(|m| m.has_image(&spec.image))
+                    {
+                        cold.push(Cold {
+                            spec: spec.clone(),
+                            machine: room.id.clone(),
+                        });
+                    }
                 }
                 None => return count - n,
             }
@@ -633,7 +730,20 @@
                 blocked = (tasks.len() - placed) as u32;
                 break;
             }
-            let Some(index) = self.best_room(&spec, &need, &zones, rooms, id) else {
+            let bound = self.bound_for.remove(&TaskRef {
+                job: id.clone(),
+                index: *task,
+            });
+            let bound = bound.and_then(|to| {
+                rooms.iter().position(|r| {
+                    r.id == to
+                        && r.free.holds(&need)
+                        && allows_offer(&spec, &r.offer)
+                        && zones.allows(&spec, &r.offer.zone)
+                })
+            });
+            let best = bound.or_else(|| self.best_room(&spec, &need, &zones, rooms, id));
+            let Some(index) = best else {
                 break;
             };
             let room = &mut rooms[index];
