Keep the promised place for replicas on the move

Room kept for expected critical work took the place that an emptied machine's replica was to go to; it waited for a rental. Change: replicas that move are bound to the room that was found for them, where their image is if possible, and come before forecasts in the queue.

--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -10,7 +10,7 @@
 use crate::placement::{allows_offer, offers_for, Fit, Res, ZoneUse};
 use crate::slackfit::{self, Rung};
 use crate::wire::{JobSpec, Kind, Priority};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
 /// A worker that has been silent for so many report intervals gets nothing new.
@@ -249,14 +249,21 @@
 
     fn queue(&mut self, now: Now) -> Vec<Waiting> {
         let within = self.within_guarantee();
+        // A task on the move has its place already; nothing expected may
+        // take that before it arrives.
+        let moving: BTreeSet<&JobId> = self.bound_for.keys().map(|t| &t.job).collect();
         let mut queue: Vec<Waiting> = self
             .jobs
             .iter()
             .filter(|(_, j)| j.cancelled.is_none() && !j.pending.is_empty() && !j.stale)
             .filter(|(_, j)| now.ms >= j.pause_until_ms)
             .map(|(id, job)| Waiting {
-                priority: job.spec.priority,
-                beyond: !within.get(id).copied().unwrap_or(false),
+                priority: if moving.contains(id) {
+                    Priority::Critical
+                } else {
+                    job.spec.priority
+                },
+                beyond: !moving.contains(id) && !within.get(id).copied().unwrap_or(false),
                 deadline: self.deadline_of(now, &job.spec, job.submitted),
                 what: Work::Job(id.clone()),
             })
@@ -285,6 +292,13 @@
                 reserved: false,
             })
             .collect();
+        let jobs = &self.jobs;
+        self.bound_for.retain(|task, _| {
+            jobs.get(&task.job).is_some_and(|j| {
+                let leaving = j.assigns.get(&task.index).is_some_and(|a| a.stop.is_some());
+                j.pending.contains(&task.index) || leaving
+            })
+        });
         let mut used = self.team_use();
         let mut rest = Vec::new();
         let mut cold = Vec::new();
@@ -565,7 +579,8 @@
             .collect();
         order.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (share, index) in order {
-            if self.can_empty(now, index, share, rooms) {
+            if let Some(moves) = self.can_empty(now, index, share, rooms) {
+                self.bound_for.extend(moves);
                 let id = rooms[index].id.clone();
                 log::info!("machine {id} emptied, its replicas move");
                 if let Some(machine) = self.fleet.get_mut(&id) {
@@ -578,11 +593,15 @@
         }
     }
 
-    /// Whether all tasks of a machine may move, and find room elsewhere.
-    fn can_empty(&self, now: Now, index: usize, share: f64, rooms: &[Room]) -> bool {
-        let Some(machine) = self.fleet.get(&rooms[index].id) else {
-            return false;
-        };
+    /// Where all tasks of a machine may move to, if they may and find room.
+    fn can_empty(
+        &self,
+        now: Now,
+        index: usize,
+        share: f64,
+        rooms: &[Room],
+    ) -> Option<Vec<(TaskRef, MachineId)>> {
+        let machine = self.fleet.get(&rooms[index].id)?;
         let settled_ms = (self.settings.site.workers.lease_s * 1000.0 * SETTLED_LEASES) as u64;
         let mut free: Vec<(usize, Res)> = rooms
             .iter()
@@ -596,37 +615,37 @@
             })
             .map(|(i, r)| (i, r.free))
             .collect();
-        machine.tasks.iter().all(|task| {
-            let Some(job) = self.jobs.get(&task.job) else {
-                return false;
-            };
-            let Some(assign) = job.assigns.get(&task.index) else {
-                return false;
-            };
+        let mut moves = Vec::new();
+        for task in &machine.tasks {
+            let job = self.jobs.get(&task.job)?;
+            let assign = job.assigns.get(&task.index)?;
             let settled = assign.stop.is_none()
                 && assign
                     .running_since_ms
                     .is_some_and(|at| now.ms > at + settled_ms);
             if !settled || !job.is_service() {
-                return false;
+                return None;
             }
             let mut zones = job.zone_use();
             zones.remove(&assign.zone);
-            let found = free.iter_mut().find(|(i, free)| {
-                let room = &rooms[*i];
-                free.holds(&job.need)
-                    && allows_offer(&job.spec, &room.offer)
-                    && zones.allows(&job.spec, &room.offer.zone)
-                    && self.soon_there(&room.id, &job.spec)
-            });
-            match found {
-                Some((_, free)) => {
-                    free.take(&job.need);
-                    true
-                }
-                None => false,
-            }
-        })
+            let has_image = |i: usize| {
+                let machine = self.fleet.get(&rooms[i].id);
+                machine.is_some_and(|m| m.has_image(&job.spec.image))
+            };
+            let (to, free) = free
+                .iter_mut()
+                .filter(|(i, free)| {
+                    let room = &rooms[*i];
+                    free.holds(&job.need)
+                        && allows_offer(&job.spec, &room.offer)
+                        && zones.allows(&job.spec, &room.offer.zone)
+                        && self.soon_there(&room.id, &job.spec)
+                })
+                .min_by_key(|(i, _)| !has_image(*i))?;
+            free.take(&job.need);
+            moves.push((task.clone(), rooms[*to].id.clone()));
+        }
+        Some(moves)
     }
 
     /// Whether a machine has the image, or fetches it within a few reports.
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -608,3 +608,27 @@
         "two attempts more, for the two that gave way: {attempts}"
     );
 }
+
+/// Room for arrivals was once kept on machines without their image, where a
+/// class that may wait for a moment only was late each time.
+#[test]
+fn a_settled_replica_moves_to_leave_warm_room_behind() {
+    let mut w = up(1);
+    for n in 0..8 {
+        let mut spec = service(&format!("run-{n}"), 1);
+        // Half of the five seconds that the class may wait.
+        spec["pullGb"] = json!(2.5);
+        assert_eq!(w.submit(0, &spec), 201);
+    }
+    w.run_for(3000);
+    let on = |w: &World, m: &str| w.workers[m].tasks.len();
+    assert_eq!((on(&w, "vm-a"), on(&w, "vm-b")), (8, 0), "{:?}", w.trace);
+    w.run_for(60_000);
+    assert_eq!((on(&w, "vm-a"), on(&w, "vm-b")), (7, 1), "{:?}", w.trace);
+    assert_eq!(
+        w.trace.len(),
+        9,
+        "one move in ten fetch times: {:?}",
+        w.trace
+    );
+}
