--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -80,7 +80,10 @@
             machine.idle_since_ms = Some(now.ms);
             let took_s = (now.ms - machine.rented_ms) as f64 / 1000.0;
             let machine_type = machine.offer.machine_type.clone();
-            log::info!("machine {id} up type={machine_type} took_s={took_s:.1}");
+            log::info!(
+                "machine {id} up type={machine_type} spot={} took_s={took_s:.1}",
+                report.spot
+            );
             // One that was up before we led, or turned up by itself, says
             // nothing about boot times.
             if machine.own_rental {
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -64,6 +64,8 @@
     whole: Res,
     fetches: u32,
     reserved: bool,
+    /// Room set aside for expected work.
+    kept: Res,
 }
 
 impl Room {
@@ -290,6 +292,7 @@
                 whole: m.room,
                 fetches: m.fetching.len() as u32,
                 reserved: false,
+                kept: Res::default(),
             })
             .collect();
         let jobs = &self.jobs;
@@ -690,6 +693,7 @@
             match best {
                 Some(room) => {
                     room.free.take(&need);
+                    room.kept.add(&need);
                     room.reserved = true;
                     if !self
                         .fleet
@@ -747,6 +751,7 @@
             if !self.quota_allows(&spec.team, team, &need) {
                 // Renting wouldn't help it: its team has to give room back.
                 blocked = (tasks.len() - placed) as u32;
+                log::debug!("job {id} waits for quota of {} tasks={blocked}", spec.team);
                 break;
             }
             let bound = self.bound_for.remove(&TaskRef {
@@ -761,7 +766,11 @@
                         && zones.allows(&spec, &r.offer.zone)
                 })
             });
-            let best = bound.or_else(|| self.best_room(&spec, &need, &zones, rooms, id));
+            let mut best = bound.or_else(|| self.best_room(&spec, &need, &zones, rooms, id));
+            if best.is_none() && self.settings.wait_objective_ms(&spec.class).is_some() {
+                // What waits now goes before what is only expected.
+                best = release_kept(&spec, &need, &zones, rooms);
+            }
             let Some(index) = best else {
                 break;
             };
@@ -1091,3 +1100,16 @@
         }
     }
 }
+
+/// Gives up room that was set aside, where that makes room for this task.
+fn release_kept(spec: &JobSpec, need: &Res, zones: &ZoneUse, rooms: &mut [Room]) -> Option<usize> {
+    let index = rooms.iter().position(|room| {
+        let mut all = room.free;
+        all.add(&room.kept);
+        all.holds(need) && allows_offer(spec, &room.offer) && zones.allows(spec, &room.offer.zone)
+    })?;
+    let room = &mut rooms[index];
+    room.free.add(&room.kept);
+    room.kept = Res::default();
+    Some(index)
+}
