--- /dev/null
+++ b/src/node/follower.rs
@@ -0,0 +1,296 @@
+//! A controller's part while another leads: it sends workers to where their
+//! reports are taken, passes reports on, and renews leases in the leader's
+//! stead when that can't be heard. It never starts anything.
+
+use super::{CallTag, Node, StateTag};
+use crate::election::Role;
+use crate::gateway::JOB_PREFIX;
+use crate::ids::{JobId, Session, TaskRef, Term, Token};
+use crate::msg::{Call, Effect, Now, Reply, Target};
+use crate::peer::{self, Hello, PEER_PATH};
+use crate::scheduler::{HeldRecord, HELD_PREFIX};
+use crate::store::{self, Answer, StateCall, Urgency};
+use crate::wire::{Command, Items, Report, ReportAnswer, ReportTo, TaskPhase, Txn};
+use std::collections::HashSet;
+
+/// Reports are passed on to the leader in gulps.
+const RELAY_MS: u64 = 50;
+
+/// A list of cancelled jobs that is being read.
+#[derive(Debug)]
+pub(super) struct CancelList {
+    asked_ms: u64,
+    found: HashSet<JobId>,
+}
+
+impl Node {
+    /// The follower that takes this zone's reports for us: one in the zone
+    /// itself, so that a cut between zones parts no worker from its node.
+    pub(super) fn relay_for(&self, now: Now, zone: &str) -> Option<&str> {
+        if zone == self.settings.zone {
+            return None;
+        }
+        let recent = self.hello_every_ms * 2;
+        self.peers
+            .iter()
+            .find(|p| {
+                // One that reaches neither us nor the state service would
+                // send the worker back, round and round.
+                let seen = |at: Option<u64>| at.is_some_and(|at| now.ms < at + recent);
+                p.zone == zone && seen(p.follows_ms) && seen(p.state_seen_ms)
+            })
+            .map(|p| p.name.as_str())
+    }
+
+    /// Whether this follower takes its zone's reports for a leader in another
+    /// zone, and that leader's term.
+    pub(super) fn relays(&self, now: Now, zone: &str) -> Option<Term> {
+        if zone != self.settings.zone {
+            return None;
+        }
+        let quiet = self.quiet_ms();
+        self.peers
+            .iter()
+            .filter(|p| p.leads_ms.is_some_and(|at| now.ms < at + quiet))
+            .max_by_key(|p| p.leads_term)
+            // To hear it is not enough: what it can't be told is lost on it.
+            .filter(|p| p.zone != zone && p.reached_ms.is_some_and(|at| now.ms < at + quiet))
+            .map(|p| p.leads_term)
+    }
+
+    /// Passes reports on to the leader, several at once.
+    pub(super) fn tend_relay(&mut self, now: Now, out: &mut Vec<Effect>) {
+        if self.relay.is_empty() || now.ms < self.relay_due_ms {
+            return;
+        }
+        self.relay_due_ms = now.ms + RELAY_MS;
+        let leader = self
+            .peers
+            .iter()
+            .enumerate()
+            .filter(|(_, p)| p.leads_ms.is_some())
+            .max_by_key(|(_, p)| p.leads_term);
+        let reports = std::mem::take(&mut self.relay);
+        let Some((index, addr)) = leader.map(|(i, p)| (i, p.addr.clone())) else {
+            return;
+        };
+        let hello = Hello {
+            node: self.settings.node_name.clone(),
+            state_reachable: self.store.reachable(),
+            reports,
+            ..Hello::default()
+        };
+        let call = Call {
+            target: Target::Peer(addr),
+            method: "POST",
+            path: PEER_PATH.to_string(),
+            body: peer::encode(&hello),
+            timeout_ms: self.hello_every_ms * 2,
+        };
+        self.send(CallTag::Peer(index), call, out);
+    }
+
+    pub(super) fn redirect(&self) -> Reply {
+        match self.election.other_leader() {
+            Some(node) => Reply::json(421, &ReportTo { node: Some(node) }),
+            None => Reply::later(503, "no leader known", 1),
+        }
+    }
+
+    /// Peers say hello several times within this period.
+    pub(super) fn quiet_ms(&self) -> u64 {
+        self.hello_every_ms * 3
+    }
+
+    /// Whether workers' leases are to be renewed here in the leader's stead,
+    /// so that a cut between zones, or a leader's death in an outage, doesn't
+    /// end all their tasks. No commands go out that way, and no lease's end
+    /// is ever taken for proof, so nothing can run twice for it.
+    pub(super) fn stands_in(&mut self, now: Now) -> bool {
+        let quiet = self.quiet_ms();
+        let recent = |at: Option<u64>| at.is_some_and(|at| now.ms < at + quiet);
+        if self.peers.iter().any(|p| recent(p.leads_ms)) {
+            return false;
+        }
+        let heard = self.peers.iter().any(|p| recent(p.heard_ms));
+        let stands = if self.store.reachable() {
+            // The state service knows a leader whom this node can't hear.
+            self.election.follows(now)
+        } else if heard {
+            !self.peers.iter().any(|p| recent(p.state_seen_ms))
+        } else {
+            // Alone. If it stood in before that, a cut and an outage have met
+            // and its workers have nobody else. If everything went at once,
+            // the fault is here, and it would only keep workers from others.
+            let bound_ms = (self.settings.site.workers.cancel_s * 500.0) as u64;
+            let in_time = |since: u64| now.ms < since + bound_ms;
+            recent(self.stood_in_ms) && in_time(self.alone_since_ms.unwrap_or(now.ms))
+        };
+        let alone = !heard && !self.store.reachable();
+        self.alone_since_ms = alone.then(|| self.alone_since_ms.unwrap_or(now.ms));
+        if stands {
+            self.stood_in_ms = Some(now.ms);
+        }
+        stands
+    }
+
+    pub(super) fn hold(&mut self, now: Now, report: &Report) -> Option<Reply> {
+        let term = match &self.election.role {
+            Role::Follower(record) if self.store.reachable() => record.term,
+            // In an outage that all share, what the worker knows is enough.
+            _ => report.token.term(),
+        };
+        let known_ms = if self.store.reachable() {
+            self.cancels_read_ms
+        } else {
+            self.cancels_read_ms.max(self.informed_ms)
+        };
+        if self.held.is_empty() {
+            self.hold_began_ms = now.ms;
+        }
+        if now.ms > known_ms.max(self.hold_began_ms) + self.uninformed_ms() {
+            // What was cancelled meanwhile must end in time: no more leases.
+            return None;
+        }
+        let stops: Vec<Command> = report
+            .tasks
+            .iter()
+            .filter(|t| t.phase != TaskPhase::Ended)
+            .filter(|t| {
+                TaskRef::parse(&t.task).is_some_and(|task| self.cancelled.contains(&task.job))
+            })
+            .map(|t| Command::Stop {
+                task: t.task.clone(),
+                attempt: t.attempt,
+                grace_s: 0,
+            })
+            .collect();
+        let reply = answer_for_leader(report, term, &stops)?;
+        self.held
+            .insert(report.machine.clone(), (now.ms, report.session));
+        Some(reply)
+    }
+
+    /// How long leases may be renewed without word of cancellations: with the
+    /// lease itself it has to stay well within the time a cancellation has.
+    pub(super) fn uninformed_ms(&self) -> u64 {
+        let workers = &self.settings.site.workers;
+        ((workers.cancel_s - workers.lease_s).max(0.0) * 700.0) as u64
+    }
+
+    pub(super) fn tend_informed(&mut self, now: Now) {
+        let quiet = self.quiet_ms();
+        let recent = |at: Option<u64>| at.is_some_and(|at| now.ms < at + quiet);
+        // Where nobody reaches the state service nothing is cancelled.
+        let nobody = self
+            .peers
+            .iter()
+            .all(|p| recent(p.heard_ms) && !recent(p.state_seen_ms));
+        if self.store.reachable() || nobody {
+            self.informed_ms = now.ms;
+        }
+    }
+
+    /// Reads which jobs are cancelled, while leases are renewed here.
+    pub(super) fn tend_cancels(&mut self, now: Now) {
+        let due = self.cancels_read_ms + self.uninformed_ms() / 5;
+        if self.held.is_empty() || self.cancels.is_some() || now.ms < due {
+            return;
+        }
+        self.cancels = Some(CancelList {
+            asked_ms: now.ms,
+            found: HashSet::new(),
+        });
+        self.list_cancelled(now, None);
+    }
+
+    fn list_cancelled(&mut self, now: Now, after: Option<&str>) {
+        self.store.submit(StateCall {
+            urgency: Urgency::Cancel,
+            call: store::list(JOB_PREFIX, after, 2000),
+            writes: 0,
+            give_up_ms: now.ms + 2000,
+            tag: StateTag::ListCancelled,
+        });
+    }
+
+    pub(super) fn on_cancelled(&mut self, now: Now, answer: &Answer) {
+        let Some(mut list) = self.cancels.take() else {
+            return;
+        };
+        let Some(items) = answer.read::<Items>(200) else {
+            return;
+        };
+        let last = items.items.last().map(|i| i.key.clone());
+        for item in items.items {
+            if item.value.get("c").is_some_and(|c| !c.is_null()) {
+                if let Some(id) = item.key.strip_prefix(JOB_PREFIX) {
+                    list.found.insert(JobId::new(id));
+                }
+            }
+        }
+        if items.more {
+            self.cancels = Some(list);
+            self.list_cancelled(now, last.as_deref());
+        } else {
+            self.cancels_read_ms = list.asked_ms;
+            self.cancelled = list.found;
+        }
+    }
+
+    /// Tells the leader, by way of the state service, whose leases are kept.
+    pub(super) fn tend_held(&mut self, now: Now) {
+        let quiet = self.quiet_ms();
+        self.held.retain(|_, (at, _)| now.ms < *at + quiet);
+        if now.ms < self.held_due_ms || (self.held.is_empty() && !self.held_stored) {
+            return;
+        }
+        self.held_due_ms = now.ms + quiet;
+        let key = format!("{HELD_PREFIX}{}", self.settings.node_name);
+        let txn = if self.held.is_empty() {
+            Txn::default().delete(key)
+        } else {
+            let mut machines: Vec<(String, Session)> = self
+                .held
+                .iter()
+                .map(|(name, (_, session))| (name.clone(), *session))
+                .collect();
+            machines.sort();
+            let most = (self.settings.site.state.value_kb * 1024.0 / 64.0) as usize;
+            machines.truncate(most);
+            let record = HeldRecord {
+                at: now.wall,
+                machines,
+            };
+            Txn::default().put(key, serde_json::to_value(record).unwrap_or_default())
+        };
+        self.held_stored = !self.held.is_empty();
+        let (call, writes) = store::txn(&txn, 1000);
+        self.store.submit(StateCall {
+            urgency: Urgency::Leadership,
+            call,
+            writes,
+            give_up_ms: now.ms + quiet,
+            tag: StateTag::WriteHeld,
+        });
+    }
+}
+
+/// The answer that a follower gives in its leader's stead: the lease is
+/// renewed and the token kept or raised to the term's first, and no commands
+/// go out but stops of cancelled jobs' tasks, which can do no harm. `None`: the worker has seen a later term than we have.
+pub(super) fn answer_for_leader(report: &Report, term: Term, stops: &[Command]) -> Option<Reply> {
+    if report.token.term() > term {
+        return None;
+    }
+    let first = if term > Term(0) {
+        Token::new(term, 1)
+    } else {
+        Token(0)
+    };
+    let answer = ReportAnswer {
+        token: report.token.max(first),
+        commands: stops,
+    };
+    Some(Reply::json(200, &answer))
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -4,6 +4,8 @@
 mod commit;
 mod jobs;
 mod learn;
+mod moves;
+mod renting;
 mod reports;
 mod rounds;
 
--- /dev/null
+++ b/src/scheduler/renting.rs
@@ -0,0 +1,211 @@
+//! What found no room chooses rental rungs; machines that nobody needs go
+//! back.
+
+use super::rounds::{Rest, FRESH_REPORTS};
+use super::Scheduler;
+use crate::cloud::{Cloud, Offer, RENT_MAX};
+use crate::fleet::Phase;
+use crate::msg::Now;
+use crate::placement::{allows_offer, offers_for, Res};
+use crate::slackfit::{self, Rung};
+use crate::wire::{Catalog, JobSpec, Kind};
+use std::collections::BTreeMap;
+
+/// A new leader listens for so many report intervals before it rents.
+const LISTEN_REPORTS: u64 = 3;
+
+/// Room that isn't there yet.
+struct Coming {
+    offer: Offer,
+    free: Res,
+    new: bool,
+}
+
+impl Scheduler {
+    /// Rents for the work that found neither free room nor room that is
+    /// already coming, and returns machines that nobody needs.
+    pub(super) fn rent(&mut self, now: Now, cloud: &mut Cloud) {
+        let Some(catalog) = self.catalog.clone() else {
+            return;
+        };
+        if now.ms < self.elected_ms + self.report_ms() * LISTEN_REPORTS || !cloud.reachable() {
+            return;
+        }
+        let mut coming = self.coming(now, cloud);
+        for rest in std::mem::take(&mut self.rest) {
+            self.cover(now, &rest, &catalog, &mut coming);
+        }
+        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
+        for room in coming.iter().filter(|c| c.new) {
+            *wanted.entry(room.offer.clone()).or_insert(0) += 1;
+        }
+        for (offer, count) in wanted {
+            // One order of a kind at a time: its answer says what there is.
+            if cloud.ordered(&offer) > 0 {
+                continue;
+            }
+            self.rentals += 1;
+            let name = format!("lf-{}-{}", self.term, self.rentals);
+            log::info!(
+                "rent {count} of {} in {} spot={} order={name}",
+                offer.machine_type,
+                offer.zone,
+                offer.spot
+            );
+            cloud.rent(name, offer, count.min(RENT_MAX));
+        }
+        self.return_idle(now, cloud);
+    }
+
+    /// Room that is on its way: machines booting, ordered, or not heard yet.
+    fn coming(&self, now: Now, cloud: &Cloud) -> Vec<Coming> {
+        let mut coming: Vec<Coming> = Vec::new();
+        let fresh_ms = self.report_ms() * FRESH_REPORTS;
+        for machine in self.fleet.machines.values() {
+            let boots = machine.phase == Phase::Booting
+                && now.ms < machine.rented_ms + self.boot_ms(&machine.offer) * 2;
+            // It will be back or be given up soon.
+            let quiet = machine.phase == Phase::Up
+                && !machine.takes_work(now.ms, fresh_ms)
+                && machine.notice_until_ms.is_none()
+                && machine.blamed_by.len() < 2
+                && now.ms < machine.heard_ms + self.lease_ms() / 2;
+            if boots || quiet {
+                coming.push(Coming {
+                    offer: machine.offer.clone(),
+                    free: machine.free(),
+                    new: false,
+                });
+            }
+        }
+        for (offer, count) in cloud.orders() {
+            let whole = self
+                .catalog
+                .as_ref()
+                .and_then(|c| c.find(&offer.machine_type))
+                .map_or(Res::default(), Res::of_type);
+            for _ in 0..count {
+                coming.push(Coming {
+                    offer: offer.clone(),
+                    free: whole,
+                    new: false,
+                });
+            }
+        }
+        coming
+    }
+
+    fn cover(&self, now: Now, rest: &Rest, catalog: &Catalog, coming: &mut Vec<Coming>) {
+        let need = Res::of_task(&rest.spec);
+        let mut zones = rest.zones.clone();
+        let slack_ms = rest.deadline as i64 - now.wall as i64;
+        let mut buckets: Option<Vec<Rung>> = None;
+        for _ in 0..rest.count {
+            let found = coming.iter_mut().find(|c| {
+                c.free.holds(&need)
+                    && allows_offer(&rest.spec, &c.offer)
+                    && zones.allows(&rest.spec, &c.offer.zone)
+            });
+            if let Some(room) = found {
+                room.free.take(&need);
+                zones.add(&room.offer.zone);
+                continue;
+            }
+            let rungs = buckets.get_or_insert_with(|| self.rungs(now, &rest.spec, catalog));
+            let mut open: Vec<Rung> = rungs
+                .iter()
+                .filter(|r| zones.allows(&rest.spec, &r.offer.zone))
+                .cloned()
+                .collect();
+            // Among equals, the zone with the fewest machines.
+            for rung in &mut open {
+                rung.crowd += coming
+                    .iter()
+                    .filter(|c| c.new && c.offer.zone == rung.offer.zone)
+                    .count() as u32;
+            }
+            let chosen = if rest.spec.kind == Kind::Service {
+                slackfit::cheapest(&open).cloned()
+            } else {
+                let buckets = slackfit::buckets(&open, self.options.buckets as usize);
+                slackfit::choose(&buckets, slack_ms).cloned()
+            };
+            let Some(rung) = chosen else {
+                return;
+            };
+            log::debug!(
+                "rung for {} slack_ms={slack_ms} latency_ms={} cost={:.2} type={} zone={} spot={}",
+                rest.spec.id,
+                rung.latency_ms,
+                rung.cost,
+                rung.offer.machine_type,
+                rung.offer.zone,
+                rung.offer.spot
+            );
+            let mut free = catalog
+                .find(&rung.offer.machine_type)
+                .map_or(Res::default(), Res::of_type);
+            free.take(&need);
+            zones.add(&rung.offer.zone);
+            coming.push(Coming {
+                offer: rung.offer,
+                free,
+                new: true,
+            });
+        }
+    }
+
+    /// The rentals that could hold a task of the job and weren't refused
+    /// lately.
+    fn rungs(&self, now: Now, spec: &JobSpec, catalog: &Catalog) -> Vec<Rung> {
+        let need = Res::of_task(spec);
+        let run_s = spec.estimate_s * self.learning.bias(&spec.class);
+        offers_for(spec, catalog)
+            .into_iter()
+            .filter(|(offer, ..)| {
+                self.refused
+                    .get(offer)
+                    .is_none_or(|(until, _)| now.ms >= *until)
+            })
+            .map(|(offer, price, whole, boot_s)| {
+                let boot_s = self.learning.boot_s(&offer.machine_type, boot_s);
+                Rung {
+                    latency_ms: ((boot_s + run_s) * 1000.0) as u64,
+                    cost: price / f64::from(whole.times(&need).clamp(1, 10_000)),
+                    crowd: self.fleet.crowd(&offer.zone),
+                    offer,
+                }
+            })
+            .collect()
+    }
+
+    /// Machines that have been empty for a while and that no expected work
+    /// needs go back.
+    fn return_idle(&mut self, now: Now, cloud: &mut Cloud) {
+        let mut idle = Vec::new();
+        for machine in self.fleet.machines.values() {
+            let Some(since) = machine.idle_since_ms else {
+                continue;
+            };
+            if !matches!(machine.phase, Phase::Up | Phase::Draining) || !machine.tasks.is_empty() {
+                continue;
+            }
+            let patience = (self.boot_ms(&machine.offer) as f64 * self.options.idle_boots) as u64;
+            let faulty = machine.blamed_by.len() >= 2;
+            let emptied = machine.phase == Phase::Draining;
+            let unneeded =
+                emptied || (!self.reserved.contains(&machine.id) && now.ms > since + patience);
+            // The first minute is paid for in any case.
+            if faulty || (unneeded && now.ms > machine.rented_ms + 60_000) {
+                idle.push(machine.id.clone());
+            }
+        }
+        for id in idle {
+            if let Some(machine) = self.fleet.get_mut(&id) {
+                log::info!("machine {id} returned, idle");
+                machine.phase = Phase::Releasing;
+                cloud.release(id);
+            }
+        }
+    }
+}
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -1,37 +1,21 @@
-//! A round: waiting work in deadline order takes free room; the rest picks
-//! rental rungs.
+//! A round: waiting and expected work in deadline order takes free room.
 
 use super::learn::Flow;
-use super::{Assign, Job, Scheduler};
-use crate::cloud::{Cloud, Offer, RENT_MAX};
-use crate::fleet::Phase;
+use super::{Assign, Scheduler};
+use crate::cloud::Offer;
 use crate::ids::{JobId, MachineId, TaskRef};
 use crate::msg::Now;
-use crate::placement::{allows_offer, offers_for, Fit, Res, ZoneUse};
-use crate::slackfit::{self, Rung};
+use crate::placement::{allows_offer, Fit, Res, ZoneUse};
 use crate::wire::{JobSpec, Kind, Priority};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
 /// A worker that has been silent for so many report intervals gets nothing new.
-const FRESH_REPORTS: u64 = 3;
-/// A new leader listens for so many report intervals before it rents.
-const LISTEN_REPORTS: u64 = 3;
-
-/// A machine with more than this share in use isn't emptied.
-const MOST_MOVED: f64 = 0.6;
-/// A replica that started less than this many leases ago isn't moved: its
-/// start would count for nothing.
-const SETTLED_LEASES: f64 = 4.0;
-/// A fetch that takes so many report intervals is hardly missed.
-const QUICK_FETCH_REPORTS: f64 = 2.5;
-
+pub(super) const FRESH_REPORTS: u64 = 3;
 /// A job that is late by every aim is due at so many times its deadline, so
 /// that its turn comes all the same.
 const LAST_DEADLINE: f64 = 3.0;
 
-/// A replica moves to spread an image at most once in so many fetch times.
-const WARM_FETCHES: f64 = 10.0;
 /// So many tasks of one job are looked at in one round.
 const ROUND_TASKS: usize = 512;
 
@@ -55,21 +39,21 @@
 
 /// Free room of a machine during one round.
 #[derive(Debug)]
-struct Room {
-    id: MachineId,
-    offer: Offer,
-    free: Res,
+pub(super) struct Room {
+    pub(super) id: MachineId,
+    pub(super) offer: Offer,
+    pub(super) free: Res,
     /// What tasks that are being stopped will give back.
-    freeing: Res,
-    whole: Res,
-    fetches: u32,
-    reserved: bool,
+    pub(super) freeing: Res,
+    pub(super) whole: Res,
+    pub(super) fetches: u32,
+    pub(super) reserved: bool,
     /// Room set aside for expected work.
-    kept: Res,
+    pub(super) kept: Res,
 }
 
 impl Room {
-    fn soon_free(&self) -> Res {
+    pub(super) fn soon_free(&self) -> Res {
         let mut free = self.free;
         free.add(&self.freeing);
         free
@@ -78,26 +62,19 @@
 
 /// Room kept for expected work whose image isn't there.
 #[derive(Debug)]
-struct Cold {
-    spec: Rc<JobSpec>,
-    machine: MachineId,
+pub(super) struct Cold {
+    pub(super) spec: Rc<JobSpec>,
+    pub(super) machine: MachineId,
 }
 
 /// Tasks that found no room.
 #[derive(Debug)]
 pub(super) struct Rest {
-    spec: Rc<JobSpec>,
-    count: u32,
-    deadline: u64,
-    zones: ZoneUse,
-    forecast: bool,
-}
-
-/// Room that isn't there yet.
-struct Coming {
-    offer: Offer,
-    free: Res,
-    new: bool,
+    pub(super) spec: Rc<JobSpec>,
+    pub(super) count: u32,
+    pub(super) deadline: u64,
+    pub(super) zones: ZoneUse,
+    pub(super) forecast: bool,
 }
 
 impl Scheduler {
@@ -338,333 +315,6 @@
             .collect();
     }
 
-    /// Expected work that would have to fetch its image for most of the time
-    /// that its class may wait: a settled replica with that image moves to
-    /// where it is missing, and leaves warm room behind. Seldom, so that the
-    /// gaps stay far below what the aims allow.
-    fn warm(&mut self, now: Now, cold: Vec<Cold>) {
-        for Cold { spec, machine } in cold {
-            let due_ms = self.warm_due_ms.get(&spec.class).copied();
-            if due_ms.is_some_and(|due| now.ms < due) {
-                continue;
-            }
-            let (Some(fetch_s), Some(objective_ms)) = (
-                self.fetch_s(&machine, &spec),
-                self.settings.wait_objective_ms(&spec.class),
-            ) else {
-                continue;
-            };
-            // Where the fetch is short beside the aim it may happen later;
-            // where it is long the replica would be missed for too long.
-            let hardly_missed =
-                fetch_s <= self.settings.site.workers.report_s * QUICK_FETCH_REPORTS;
-            if fetch_s * 2000.0 < objective_ms as f64 || !hardly_missed {
-                continue;
-            }
-            let Some(task) = self.mover(now, &spec, &machine) else {
-                continue;
-            };
-            log::info!("task {task} moves to {machine}, to leave warm room behind");
-            let due_ms = now.ms + (fetch_s * 1000.0 * WARM_FETCHES) as u64;
-            self.warm_due_ms.insert(spec.class.clone(), due_ms);
-            self.stop_task(now, &task);
-            self.bound_for.insert(task, machine);
-        }
-    }
-
-    fn fetch_s(&self, machine: &MachineId, spec: &JobSpec) -> Option<f64> {
-        let machine_type = &self.fleet.get(machine)?.offer.machine_type;
-        let rate = self.catalog.as_ref()?.find(machine_type)?.fetch_gb_per_s;
-        (rate > 0.0).then(|| spec.image_gb / rate)
-    }
-
-    /// A settled replica with this image that may go to `to`.
-    fn mover(&self, now: Now, spec: &JobSpec, to: &MachineId) -> Option<TaskRef> {
-        let zone = &self.fleet.get(to)?.offer.zone;
-        let settled_ms = (self.lease_ms() as f64 * SETTLED_LEASES) as u64;
-        let like = |j: &&Job| {
-            j.is_service()
-                && j.cancelled.is_none()
-                && j.spec.class == spec.class
-                && j.spec.image == spec.image
-        };
-        for job in self.jobs.values().filter(like) {
-            for (index, assign) in &job.assigns {
-                let settled = assign.stop.is_none()
-                    && assign
-                        .running_since_ms
-                        .is_some_and(|at| now.ms > at + settled_ms);
-                let up = self
-                    .fleet
-                    .get(&assign.machine)
-                    .is_some_and(|m| m.phase == Phase::Up && m.notice_until_ms.is_none());
-                let mut zones = job.zone_use();
-                zones.remove(&assign.zone);
-                if settled && up && assign.machine != *to && zones.allows(&job.spec, zone) {
-                    return Some(job.task(*index));
-                }
-            }
-        }
-        None
-    }
-
-    /// Stops tasks of less important jobs where that gives room to work with
-    /// a wait objective sooner than a rental would. What is stopped saves
-    /// first, if it can, and waits again in the queue.
-    fn preempt(&mut self, now: Now, rest: &mut Vec<Rest>, rooms: &[Room]) {
-        let mut free: Vec<Res> = rooms.iter().map(Room::soon_free).collect();
-        let mut chosen: Vec<TaskRef> = Vec::new();
-        for waiting in rest.iter_mut().filter(|r| !r.forecast) {
-            if self
-                .settings
-                .wait_objective_ms(&waiting.spec.class)
-                .is_none()
-            {
-                continue;
-            }
-            let need = Res::of_task(&waiting.spec);
-            while waiting.count > 0 {
-                let allowed = |room: &Room| {
-                    allows_offer(&waiting.spec, &room.offer)
-                        && waiting.zones.allows(&waiting.spec, &room.offer.zone)
-                };
-                let best = (0..rooms.len())
-                    .filter(|i| allowed(&rooms[*i]))
-                    .filter_map(|i| {
-                        let (cost, victims) = self.victims(
-                            now,
-                            &rooms[i].id,
-                            waiting.spec.priority,
-                            free[i],
-                            &need,
-                            &chosen,
-                        )?;
-                        Some((cost, i, victims))
-                    })
-                    .min_by(|a, b| a.0.total_cmp(&b.0));
-                let Some((_, index, victims)) = best else {
-                    break;
-                };
-                for task in victims {
-                    if let Some(job) = self.jobs.get(&task.job) {
-                        free[index].add(&job.need);
-                    }
-                    log::info!("task {task} gives way to {}", waiting.spec.id);
-                    chosen.push(task);
-                }
-                free[index].take(&need);
-                waiting.zones.add(&rooms[index].offer.zone);
-                waiting.count -= 1;
-            }
-        }
-        rest.retain(|r| r.count > 0);
-        for task in chosen {
-            self.stop_task(now, &task);
-        }
-    }
-
-    fn freeing(&self, id: &MachineId) -> Res {
-        let mut freeing = Res::default();
-        for (job, assign) in self.tasks_on(id) {
-            if assign.stop.is_some() {
-                freeing.add(&job.need);
-            }
-        }
-        freeing
-    }
-
-    /// Keeps room that is about to be free for work with a wait objective.
-    /// Without this, what was stopped for it starts again in the first gap
-    /// that is too small for it, and is stopped again, over and over.
-    fn hold_room(
-        &self,
-        spec: &JobSpec,
-        count: u32,
-        zones: &mut ZoneUse,
-        rooms: &mut [Room],
-    ) -> u32 {
-        if self.settings.wait_objective_ms(&spec.class).is_none() {
-            return count;
-        }
-        let need = Res::of_task(spec);
-        for n in 0..count {
-            let room = rooms.iter_mut().find(|r| {
-                r.soon_free().holds(&need)
-                    && allows_offer(spec, &r.offer)
-                    && zones.allows(spec, &r.offer.zone)
-            });
-            let Some(room) = room else {
-                return count - n;
-            };
-            room.free.take(&need);
-            zones.add(&room.offer.zone);
-        }
-        0
-    }
-
-    fn tasks_on(&self, id: &MachineId) -> impl Iterator<Item = (&Job, &Assign)> {
-        let tasks = self.fleet.get(id).map(|m| &m.tasks);
-        tasks.into_iter().flatten().filter_map(|task| {
-            let job = self.jobs.get(&task.job)?;
-            Some((job, job.assigns.get(&task.index)?))
-        })
-    }
-
-    /// The tasks of less important jobs whose stop costs least and makes room
-    /// on this machine, with that cost.
-    fn victims(
-        &self,
-        now: Now,
-        id: &MachineId,
-        priority: Priority,
-        mut free: Res,
-        need: &Res,
-        chosen: &[TaskRef],
-    ) -> Option<(f64, Vec<TaskRef>)> {
-        let machine = self.fleet.get(id)?;
-        let settled_ms = (self.lease_ms() as f64 * SETTLED_LEASES) as u64;
-        let mut candidates: Vec<(f64, &TaskRef, Res)> = Vec::new();
-        for task in &machine.tasks {
-            let job = self.jobs.get(&task.job)?;
-            let assign = job.assigns.get(&task.index)?;
-            if job.spec.priority <= priority || assign.stop.is_some() || chosen.contains(task) {
-                continue;
-            }
-            let ran_ms = assign.running_since_ms.map_or(0, |at| now.ms - at);
-            // Lost work in seconds; a start that was just made counts twice.
-            let lost_s = if job.spec.checkpoint_s > 0.0 {
-                job.spec.save_s
-            } else {
-                ran_ms as f64 / 1000.0
-            };
-            let fresh = assign.running_since_ms.is_some() && ran_ms < settled_ms;
-            let cost = if fresh {
-                lost_s * 2.0 + 1.0
-            } else {
-                lost_s + 1.0
-            };
-            candidates.push((cost, task, job.need));
-        }
-        candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let (mut cost, mut victims) = (0.0, Vec::new());
-        for (lost, task, room) in candidates {
-            if free.holds(need) {
-                break;
-            }
-            free.add(&room);
-            cost += lost;
-            victims.push(task.clone());
-        }
-        free.holds(need).then_some((cost, victims))
-    }
-
-    /// Scaling in: moves the replicas of the emptiest machine into free room
-    /// that nobody expects to need, so that the machine can be returned. One
-    /// machine at a time, and only where a replica is hardly missed.
-    fn gather(&mut self, now: Now, rooms: &mut [Room]) {
-        let moving = self
-            .fleet
-            .machines
-            .values()
-            .any(|m| m.phase == Phase::Draining && !m.tasks.is_empty());
-        if moving {
-            return;
-        }
-        let mut order: Vec<(f64, usize)> = rooms
-            .iter()
-            .enumerate()
-            .filter(|(_, r)| !r.reserved)
-            .filter_map(|(i, r)| {
-                let machine = self.fleet.get(&r.id)?;
-                let share = machine.used.share_of(&machine.room);
-                (!machine.tasks.is_empty() && share <= MOST_MOVED).then_some((share, i))
-            })
-            .collect();
-        order.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (share, index) in order {
-            if let Some(moves) = self.can_empty(now, index, share, rooms) {
-                self.bound_for.extend(moves);
-                let id = rooms[index].id.clone();
-                log::info!("machine {id} emptied, its replicas move");
-                if let Some(machine) = self.fleet.get_mut(&id) {
-                    machine.phase = Phase::Draining;
-                }
-                rooms[index].free = Res::default();
-                self.drain(now, &id);
-                return;
-            }
-        }
-    }
-
-    /// Where all tasks of a machine may move to, if they may and find room.
-    fn can_empty(
-        &self,
-        now: Now,
-        index: usize,
-        share: f64,
-        rooms: &[Room],
-    ) -> Option<Vec<(TaskRef, MachineId)>> {
-        let machine = self.fleet.get(&rooms[index].id)?;
-        let settled_ms = (self.settings.site.workers.lease_s * 1000.0 * SETTLED_LEASES) as u64;
-        let mut free: Vec<(usize, Res)> = rooms
-            .iter()
-            .enumerate()
-            .filter(|(i, r)| {
-                let fuller = self
-                    .fleet
-                    .get(&r.id)
-                    .is_some_and(|m| m.used.share_of(&m.room) >= share && !m.tasks.is_empty());
-                *i != index && fuller && r.offer.spot <= rooms[index].offer.spot
-            })
-            .map(|(i, r)| (i, r.free))
-            .collect();
-        let mut moves = Vec::new();
-        for task in &machine.tasks {
-            let job = self.jobs.get(&task.job)?;
-            let assign = job.assigns.get(&task.index)?;
-            let settled = assign.stop.is_none()
-                && assign
-                    .running_since_ms
-                    .is_some_and(|at| now.ms > at + settled_ms);
-            if !settled || !job.is_service() {
-                return None;
-            }
-            let mut zones = job.zone_use();
-            zones.remove(&assign.zone);
-            let has_image = |i: usize| {
-                let machine = self.fleet.get(&rooms[i].id);
-                machine.is_some_and(|m| m.has_image(&job.spec.image))
-            };
-            let (to, free) = free
-                .iter_mut()
-                .filter(|(i, free)| {
-                    let room = &rooms[*i];
-                    free.holds(&job.need)
-                        && allows_offer(&job.spec, &room.offer)
-                        && zones.allows(&job.spec, &room.offer.zone)
-                        && self.soon_there(&room.id, &job.spec)
-                })
-                .min_by_key(|(i, _)| !has_image(*i))?;
-            free.take(&job.need);
-            moves.push((task.clone(), rooms[*to].id.clone()));
-        }
-        Some(moves)
-    }
-
-    /// Whether a machine has the image, or fetches it within a few reports.
-    fn soon_there(&self, id: &MachineId, spec: &JobSpec) -> bool {
-        let Some(machine) = self.fleet.get(id) else {
-            return false;
-        };
-        let rate = self
-            .catalog
-            .as_ref()
-            .and_then(|c| c.find(&machine.offer.machine_type))
-            .map_or(0.0, |t| t.fetch_gb_per_s);
-        let patience_s = self.settings.site.workers.report_s * QUICK_FETCH_REPORTS;
-        machine.has_image(&spec.image) || spec.image_gb <= rate * patience_s
-    }
-
     /// Sets room aside for expected work: where its image is, and then on the
     /// fullest machines, so that empty ones can be returned. Says how much
     /// found none.
@@ -906,199 +556,6 @@
         }
         best.map(|(_, index)| index)
     }
-
-    /// Rents for the work that found neither free room nor room that is
-    /// already coming, and returns machines that nobody needs.
-    pub(super) fn rent(&mut self, now: Now, cloud: &mut Cloud) {
-        let Some(catalog) = self.catalog.clone() else {
-            return;
-        };
-        if now.ms < self.elected_ms + self.report_ms() * LISTEN_REPORTS || !cloud.reachable() {
-            return;
-        }
-        let mut coming = self.coming(now, cloud);
-        for rest in std::mem::take(&mut self.rest) {
-            self.cover(now, &rest, &catalog, &mut coming);
-        }
-        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
-        for room in coming.iter().filter(|c| c.new) {
-            *wanted.entry(room.offer.clone()).or_insert(0) += 1;
-        }
-        for (offer, count) in wanted {
-            // One order of a kind at a time: its answer says what there is.
-            if cloud.ordered(&offer) > 0 {
-                continue;
-            }
-            self.rentals += 1;
-            let name = format!("lf-{}-{}", self.term, self.rentals);
-            log::info!(
-                "rent {count} of {} in {} spot={} order={name}",
-                offer.machine_type,
-                offer.zone,
-                offer.spot
-            );
-            cloud.rent(name, offer, count.min(RENT_MAX));
-        }
-        self.return_idle(now, cloud);
-    }
-
-    /// Room that is on its way: machines booting, ordered, or not heard yet.
-    fn coming(&self, now: Now, cloud: &Cloud) -> Vec<Coming> {
-        let mut coming: Vec<Coming> = Vec::new();
-        let fresh_ms = self.report_ms() * FRESH_REPORTS;
-        for machine in self.fleet.machines.values() {
-            let boots = machine.phase == Phase::Booting
-                && now.ms < machine.rented_ms + self.boot_ms(&machine.offer) * 2;
-            // It will be back or be given up soon.
-            let quiet = machine.phase == Phase::Up
-                && !machine.takes_work(now.ms, fresh_ms)
-                && machine.notice_until_ms.is_none()
-                && machine.blamed_by.len() < 2
-                && now.ms < machine.heard_ms + self.lease_ms() / 2;
-            if boots || quiet {
-                coming.push(Coming {
-                    offer: machine.offer.clone(),
-                    free: machine.free(),
-                    new: false,
-                });
-            }
-        }
-        for (offer, count) in cloud.orders() {
-            let whole = self
-                .catalog
-                .as_ref()
-                .and_then(|c| c.find(&offer.machine_type))
-                .map_or(Res::default(), Res::of_type);
-            for _ in 0..count {
-                coming.push(Coming {
-                    offer: offer.clone(),
-                    free: whole,
-                    new: false,
-                });
-            }
-        }
-        coming
-    }
-
-    fn cover(
-        &self,
-        now: Now,
-        rest: &Rest,
-        catalog: &crate::wire::Catalog,
-        coming: &mut Vec<Coming>,
-    ) {
-        let need = Res::of_task(&rest.spec);
-        let mut zones = rest.zones.clone();
-        let slack_ms = rest.deadline as i64 - now.wall as i64;
-        let mut buckets: Option<Vec<Rung>> = None;
-        for _ in 0..rest.count {
-            let found = coming.iter_mut().find(|c| {
-                c.free.holds(&need)
-                    && allows_offer(&rest.spec, &c.offer)
-                    && zones.allows(&rest.spec, &c.offer.zone)
-            });
-            if let Some(room) = found {
-                room.free.take(&need);
-                zones.add(&room.offer.zone);
-                continue;
-            }
-            let rungs = buckets.get_or_insert_with(|| self.rungs(now, &rest.spec, catalog));
-            let mut open: Vec<Rung> = rungs
-                .iter()
-                .filter(|r| zones.allows(&rest.spec, &r.offer.zone))
-                .cloned()
-                .collect();
-            // Among equals, the zone with the fewest machines.
-            for rung in &mut open {
-                rung.crowd += coming
-                    .iter()
-                    .filter(|c| c.new && c.offer.zone == rung.offer.zone)
-                    .count() as u32;
-            }
-            let chosen = if rest.spec.kind == Kind::Service {
-                slackfit::cheapest(&open).cloned()
-            } else {
-                let buckets = slackfit::buckets(&open, self.options.buckets as usize);
-                slackfit::choose(&buckets, slack_ms).cloned()
-            };
-            let Some(rung) = chosen else {
-                return;
-            };
-            log::debug!(
-                "rung for {} slack_ms={slack_ms} latency_ms={} cost={:.2} type={} zone={} spot={}",
-                rest.spec.id,
-                rung.latency_ms,
-                rung.cost,
-                rung.offer.machine_type,
-                rung.offer.zone,
-                rung.offer.spot
-            );
-            let mut free = catalog
-                .find(&rung.offer.machine_type)
-                .map_or(Res::default(), Res::of_type);
-            free.take(&need);
-            zones.add(&rung.offer.zone);
-            coming.push(Coming {
-                offer: rung.offer,
-                free,
-                new: true,
-            });
-        }
-    }
-
-    /// The rentals that could hold a task of the job and weren't refused
-    /// lately.
-    fn rungs(&self, now: Now, spec: &JobSpec, catalog: &crate::wire::Catalog) -> Vec<Rung> {
-        let need = Res::of_task(spec);
-        let run_s = spec.estimate_s * self.learning.bias(&spec.class);
-        offers_for(spec, catalog)
-            .into_iter()
-            .filter(|(offer, ..)| {
-                self.refused
-                    .get(offer)
-                    .is_none_or(|(until, _)| now.ms >= *until)
-            })
-            .map(|(offer, price, whole, boot_s)| {
-                let boot_s = self.learning.boot_s(&offer.machine_type, boot_s);
-                Rung {
-                    latency_ms: ((boot_s + run_s) * 1000.0) as u64,
-                    cost: price / f64::from(whole.times(&need).clamp(1, 10_000)),
-                    crowd: self.fleet.crowd(&offer.zone),
-                    offer,
-                }
-            })
-            .collect()
-    }
-
-    /// Machines that have been empty for a while and that no expected work
-    /// needs go back.
-    fn return_idle(&mut self, now: Now, cloud: &mut Cloud) {
-        let mut idle = Vec::new();
-        for machine in self.fleet.machines.values() {
-            let Some(since) = machine.idle_since_ms else {
-                continue;
-            };
-            if !matches!(machine.phase, Phase::Up | Phase::Draining) || !machine.tasks.is_empty() {
-                continue;
-            }
-            let patience = (self.boot_ms(&machine.offer) as f64 * self.options.idle_boots) as u64;
-            let faulty = machine.blamed_by.len() >= 2;
-            let emptied = machine.phase == Phase::Draining;
-            let unneeded =
-                emptied || (!self.reserved.contains(&machine.id) && now.ms > since + patience);
-            // The first minute is paid for in any case.
-            if faulty || (unneeded && now.ms > machine.rented_ms + 60_000) {
-                idle.push(machine.id.clone());
-            }
-        }
-        for id in idle {
-            if let Some(machine) = self.fleet.get_mut(&id) {
-                log::info!("machine {id} returned, idle");
-                machine.phase = Phase::Releasing;
-                cloud.release(id);
-            }
-        }
-    }
 }
 
 /// Gives up room that was set aside, where that makes room for this task.
