Tell the leader of cancellations past the state service

Cause: found by reading: a cancellation stored in the moment before an outage reaches the leader by its watch only afterwards; with an outage longer than cancel_s its tasks would outlive it. A follower that passes reports on did so without bound while its leader knew of no cancellations. Change: peers' hellos carry cancellations just written; the leader stops the tasks at once and reads the record before it writes. Passing reports on has the bound that renewing leases has. Reads that an outage fails are repeated every 200 ms, not at once.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -107,6 +107,8 @@
     pub calls: Vec<StateCall<GatewayCall>>,
     /// Jobs just written, for the leader's ears.
     pub nudges: Vec<JobId>,
+    /// Cancellations just written.
+    pub cancelled: Vec<JobId>,
 }
 
 /// Requests are answered within this time, come what may; users wait 5 s for
@@ -383,7 +385,10 @@
                         self.live_reply(&task.id, 201)
                     }
                 };
-                out.nudges.push(task.id);
+                match task.goal {
+                    Goal::Cancel => out.cancelled.push(task.id),
+                    _ => out.nudges.push(task.id),
+                }
                 out.replies.push((task.conn, reply));
             }
             // Somebody else wrote first, or nobody knows: reading tells.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -78,6 +78,7 @@
     /// What peers were last told, so that only changes go out.
     told: HashMap<JobId, (u32, u32)>,
     nudges: Vec<JobId>,
+    cancelled_here: Vec<JobId>,
     leader_share: f64,
     /// Workers whose leases this node renews in the leader's stead, and when
     /// it last did.
@@ -153,6 +154,7 @@
             hello_every_ms: ttl_ms / 4,
             told: HashMap::new(),
             nudges: Vec::new(),
+            cancelled_here: Vec::new(),
             leader_share,
             held: HashMap::new(),
             relay: Vec::new(),
@@ -288,10 +290,11 @@
                 return;
             }
         };
+        let informed = now.ms <= self.informed_ms + self.uninformed_ms();
         if self.scheduler.leading() {
             // Perhaps deposed: jobs may have been cancelled that it doesn't
             // know of, and their tasks must not live on its answers.
-            if now.ms > self.informed_ms + self.uninformed_ms() {
+            if !informed {
                 out.push(Effect::Reply(conn, Reply::later(503, "cut off", 1)));
                 return;
             }
@@ -305,7 +308,8 @@
             self.take_scheduler(now, scheduler, out);
             return;
         }
-        let reply = if let Some(term) = self.relays(now, &report.zone) {
+        let relays = self.relays(now, &report.zone).filter(|_| informed);
+        let reply = if let Some(term) = relays {
             self.relay.push(body.to_vec());
             let stops = self.stops.remove(&report.machine).unwrap_or_default();
             answer_for_leader(&report, term, &stops)
@@ -357,6 +361,10 @@
         for job in hello.nudges.iter().filter(|id| wire::valid_job_id(id)) {
             self.scheduler.nudge(now, &JobId::new(job), &mut scheduler);
         }
+        for job in &hello.cancelled {
+            self.scheduler
+                .cancelled(now, &JobId::new(job), &mut scheduler);
+        }
         let mut answer = HelloAnswer::default();
         for body in &hello.reports {
             if let Ok(report) = serde_json::from_slice::<Report>(body) {
@@ -379,7 +387,8 @@
     }
 
     fn say_hello(&mut self, now: Now, out: &mut Vec<Effect>) {
-        let urgent = !self.nudges.is_empty() && !self.election.is_leader();
+        let news = !self.nudges.is_empty() || !self.cancelled_here.is_empty();
+        let urgent = news && !self.election.is_leader();
         if now.ms < self.hello_ms && !urgent {
             return;
         }
@@ -398,6 +407,11 @@
             state_reachable: self.store.reachable(),
             counts: Vec::new(),
             nudges: self.nudges.drain(..).map(|id| id.to_string()).collect(),
+            cancelled: self
+                .cancelled_here
+                .drain(..)
+                .map(|id| id.to_string())
+                .collect(),
             reports: Vec::new(),
         };
         if self.scheduler.active() {
@@ -442,7 +456,7 @@
         out.push(Effect::Call(id, call));
     }
 
-    fn take_gateway(&mut self, _now: Now, gateway: GatewayOut, out: &mut Vec<Effect>) {
+    fn take_gateway(&mut self, now: Now, gateway: GatewayOut, out: &mut Vec<Effect>) {
         out.extend(
             gateway
                 .replies
@@ -453,6 +467,12 @@
             self.store.submit(retag(call, StateTag::Gateway));
         }
         self.nudges.extend(gateway.nudges);
+        let mut scheduler = SchedulerOut::default();
+        for id in &gateway.cancelled {
+            self.scheduler.cancelled(now, id, &mut scheduler);
+        }
+        self.take_scheduler(now, scheduler, out);
+        self.cancelled_here.extend(gateway.cancelled);
     }
 
     fn take_scheduler(&mut self, now: Now, scheduler: SchedulerOut, out: &mut Vec<Effect>) {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -24,6 +24,9 @@
     /// A job or cancellation that the sender has just written.
     #[prost(string, repeated, tag = "6")]
     pub nudges: Vec<String>,
+    /// Cancellations that the sender has just written.
+    #[prost(string, repeated, tag = "8")]
+    pub cancelled: Vec<String>,
     /// To the leader: workers' reports that the sender has answered, as they
     /// came.
     #[prost(bytes = "vec", repeated, tag = "7")]
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -84,6 +84,8 @@
 
 /// Periods of the leader's own, in worker report intervals.
 const ROUND_REPORTS: f64 = 1.0;
+/// What the state service couldn't answer is asked again after this pause.
+const RETRY_MS: u64 = 200;
 /// Time between two rounds at least, so that a rush is served in gulps.
 const ROUND_GAP_MS: u64 = 20;
 
@@ -128,6 +130,8 @@
     warm_due_ms: HashMap<Rc<str>, u64>,
     /// Where tasks that are being moved are to go.
     bound_for: HashMap<TaskRef, MachineId>,
+    stale_due_ms: u64,
+    list_retry_ms: Option<u64>,
     /// When the state service last failed us.
     state_failed_ms: Option<u64>,
 }
@@ -169,6 +173,8 @@
             asking_held: false,
             warm_due_ms: HashMap::new(),
             bound_for: HashMap::new(),
+            stale_due_ms: 0,
+            list_retry_ms: None,
             state_failed_ms: None,
         }
     }
@@ -228,6 +234,7 @@
         self.refused.clear();
         self.push.clear();
         self.asking_held = false;
+        self.list_retry_ms = None;
         self.bound_for.clear();
     }
 
@@ -266,7 +273,7 @@
     fn on_list(&mut self, now: Now, what: SchedulerCall, answer: &Answer, out: &mut SchedulerOut) {
         let Some(items) = answer.read::<Items>(200) else {
             // Away for now; the lease decides whether we get to retry.
-            self.list(now, out);
+            self.list_retry_ms = Some(now.ms + RETRY_MS);
             return;
         };
         let last = items.items.last().map(|i| i.key.clone());
@@ -449,6 +456,23 @@
         }
     }
 
+    /// A peer, or this node, has stored a cancellation. Should the state
+    /// service go away before the watch tells, the tasks must stop all the
+    /// same; stopping them can do no harm.
+    pub fn cancelled(&mut self, now: Now, id: &JobId, out: &mut SchedulerOut) {
+        if self.stage != Stage::Active {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(id).filter(|j| j.cancelled.is_none()) else {
+            return;
+        };
+        job.cancelled = Some(now.wall);
+        // Its record has changed: read it before anything is written.
+        job.stale = true;
+        self.enforce_cancel(now, id);
+        self.read_job(now, id, out);
+    }
+
     fn read_job(&mut self, now: Now, id: &JobId, out: &mut SchedulerOut) {
         let call = store::get(&crate::gateway::job_key(id), 1000);
         let tag = SchedulerCall::ReadJob(id.clone());
@@ -461,12 +485,27 @@
             if let Some(job) = self.jobs.get_mut(id) {
                 job.stale = false;
             }
-        } else if self.jobs.get(id).is_some_and(|j| j.stale) {
-            if answer.status() == Some(404) {
-                out.resign = Some("a live job's record is gone");
-            } else {
-                self.read_job(now, id, out);
-            }
+        } else if answer.status() == Some(404) && self.jobs.get(id).is_some_and(|j| j.stale) {
+            out.resign = Some("a live job's record is gone");
+        }
+        // What couldn't be read now is read again by `read_stale`.
+    }
+
+    /// Jobs whose record changed under us are read until that succeeds, with
+    /// pauses: an outage isn't shortened by asking.
+    fn read_stale(&mut self, now: Now, out: &mut SchedulerOut) {
+        if now.ms < self.stale_due_ms {
+            return;
+        }
+        self.stale_due_ms = now.ms + RETRY_MS;
+        let stale: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.stale)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &stale {
+            self.read_job(now, id, out);
         }
     }
 
@@ -555,10 +594,18 @@
     }
 
     pub fn tick(&mut self, now: Now, cloud: &mut Cloud, out: &mut SchedulerOut) -> u64 {
+        if self.stage == Stage::Loading {
+            let due = self.list_retry_ms.filter(|at| now.ms >= *at).is_some();
+            if due {
+                self.list_retry_ms = None;
+                self.list(now, out);
+            }
+        }
         if self.stage != Stage::Active {
-            return now.ms + 1000;
+            return self.list_retry_ms.unwrap_or(now.ms + 1000);
         }
         self.watch(now, out);
+        self.read_stale(now, out);
         let every = (self.report_ms() as f64 * ROUND_REPORTS) as u64;
         if now.ms >= self.round_ms + every
             || (self.round_wanted && now.ms >= self.round_ms + ROUND_GAP_MS)
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -632,3 +632,28 @@
         w.trace
     );
 }
+
+/// The state service goes away in the moment after a cancellation, before the
+/// leader's watch can tell of it.
+#[test]
+fn a_cancellation_reaches_the_leader_past_an_outage() {
+    let mut w = up(3);
+    let leader = w.leader().unwrap();
+    assert_eq!(w.submit(0, &service("run-1", 4)), 201);
+    w.run_for(3000);
+    w.hook = Box::new(move |_, node, call| match call.target {
+        Target::StateWatch if node == leader => Fate::LoseRequest,
+        _ => Fate::Pass,
+    });
+    // The watch in flight ends unheard: it is lost with the next one.
+    w.state.mute_watches = true;
+    assert_eq!(w.cancel((leader + 1) % 3, "run-1").1, "cancelled");
+    w.state.away = true;
+    w.run_for(25_000);
+    assert_eq!(w.on_machines("run-1"), 0);
+    w.state.mute_watches = false;
+    w.state_returns();
+    w.run_for(15_000);
+    assert_eq!(w.poll(leader, "run-1").1, "cancelled");
+    assert!(!w.state.items.contains_key("j/run-1"), "cleared away");
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -163,6 +163,8 @@
     events: Vec<(u64, String, Option<Value>)>,
     watches: Vec<(usize, u64, CallId, String, u64, u64)>,
     pub away: bool,
+    /// Watches stay open and say nothing.
+    pub mute_watches: bool,
 }
 
 pub type Hook = Box<dyn FnMut(u64, usize, &Call) -> Fate>;
@@ -642,7 +644,7 @@
     }
 
     fn serve_watches(&mut self) {
-        if self.state.away {
+        if self.state.away || self.state.mute_watches {
             return;
         }
         let mut kept = Vec::new();
