Let no slow answer bring a finished job back

A slow read of the record, or the watch's word, came after the job's end and made a ghost of it; ending the ghost failed a guard. Ruled out: another writer; the guards did what they are for, no rule was touched. Change: the leader remembers for a minute which jobs ended under it and takes no older word of them.

--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -15,6 +15,8 @@
 const TXN_BYTES: usize = 52 * 1024;
 const TIMEOUT_MS: u64 = 1000;
 const RETRY_MS: u64 = 200;
+/// Longer than any call's patience.
+const OVER_MS: u64 = 60_000;
 
 #[derive(Debug)]
 struct ShardWrite {
@@ -298,6 +300,7 @@
             }
         }
         for (id, state) in batch.finished {
+            self.over.insert(id.clone(), now.ms + OVER_MS);
             if let Some(job) = self.jobs.remove(&id) {
                 log::info!(
                     "job {id} over state={state:?} class={} after_ms={}",
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -131,6 +131,9 @@
     /// Where tasks that are being moved are to go.
     bound_for: HashMap<TaskRef, MachineId>,
     stale_due_ms: u64,
+    /// Jobs that ended under us, and until when slow answers may speak of
+    /// them as if they hadn't.
+    over: HashMap<JobId, u64>,
     list_retry_ms: Option<u64>,
     /// When the state service last failed us.
     state_failed_ms: Option<u64>,
@@ -174,6 +177,7 @@
             warm_due_ms: HashMap::new(),
             bound_for: HashMap::new(),
             stale_due_ms: 0,
+            over: HashMap::new(),
             list_retry_ms: None,
             state_failed_ms: None,
         }
@@ -235,6 +239,7 @@
         self.push.clear();
         self.asking_held = false;
         self.list_retry_ms = None;
+        self.over.clear();
         self.bound_for.clear();
     }
 
@@ -370,6 +375,10 @@
             }
         };
         let id = record.spec.id.clone();
+        // What is over never comes back; this is an old answer.
+        if self.over.contains_key(&id) {
+            return;
+        }
         match self.jobs.get_mut(&id) {
             Some(job) => {
                 if version <= job.version {
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -358,6 +358,7 @@
     /// Looks after every machine and every stop that is due.
     pub(super) fn tend_fleet(&mut self, now: Now, cloud: &mut Cloud) {
         self.fleet.forget_gone(now.ms);
+        self.over.retain(|_, until| now.ms < *until);
         let cancelled: Vec<_> = self
             .jobs
             .iter()
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -657,3 +657,29 @@
     assert_eq!(w.poll(leader, "run-1").1, "cancelled");
     assert!(!w.state.items.contains_key("j/run-1"), "cleared away");
 }
+
+/// A slow answer to a read once brought a job back that was already over: its
+/// end was written again, failed, and the leader gave up its term over it.
+#[test]
+fn a_slow_read_brings_no_job_back() {
+    let mut w = up(3);
+    let leader = w.leader().unwrap();
+    assert_eq!(w.submit(0, &service("run-1", 2)), 201);
+    w.run_for(3000);
+    w.hook = Box::new(move |_, node, call| {
+        if node == leader && call.path.starts_with("/kv/j/") {
+            return Fate::SlowAnswer(400);
+        }
+        Fate::Pass
+    });
+    let other = (leader + 1) % 3;
+    assert_eq!(w.cancel(other, "run-1").1, "cancelled");
+    w.run_for(3000);
+    assert_eq!(w.cancel(leader, "run-2").1, "cancelled");
+    w.run_for(5000);
+    assert_eq!(
+        w.state.items["leader/term"].0["term"], 1,
+        "the same leadership"
+    );
+    assert!(!w.state.items.keys().any(|k| k.starts_with("j/")));
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -84,6 +84,8 @@
     LoseAnswer,
     /// The caller gives up; it is carried out so much later.
     Late(u64),
+    /// Is carried out at once; the answer takes so much longer.
+    SlowAnswer(u64),
 }
 
 #[derive(Clone, Debug)]
@@ -195,6 +197,7 @@
     pub run_ms: u64,
     /// Nodes and zones whose machines can't hear each other.
     pub cuts: Vec<(usize, String)>,
+    slow: HashMap<(usize, u64, CallId), u64>,
 }
 
 impl World {
@@ -223,6 +226,7 @@
             trace: Vec::new(),
             run_ms: 3000,
             cuts: Vec::new(),
+            slow: HashMap::new(),
         };
         for n in 0..nodes {
             world.nodes.push(None);
@@ -308,6 +312,10 @@
         };
         let (delay, answer) = match fate {
             Fate::Pass => (2, true),
+            Fate::SlowAnswer(ms) => {
+                self.slow.insert((node, epoch, id), ms);
+                (2, true)
+            }
             Fate::LoseRequest => {
                 self.at(give_up, unclear);
                 return;
@@ -514,8 +522,9 @@
             }
         };
         if answer {
+            let slow = self.slow.remove(&(node, epoch, id)).unwrap_or(0);
             self.at(
-                self.now + 2,
+                self.now + 2 + slow,
                 Action::Return {
                     node,
                     epoch,
