Avoid and return machines that run far too slowly

A run three times as long as its job's usual one is blamed on the machine; estimates are too often wrong to go by.

--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -19,6 +19,11 @@
     Some((JobId::new(job), shard.parse().ok()?))
 }
 
+/// So many finished tasks make a job's usual run time.
+const SIBLINGS: u32 = 3;
+/// A run so many times as long as usual is the machine's fault: sound ones of
+/// a type differ by a tenth.
+const FAR_SLOWER: u64 = 3;
 /// Bytes that one assignment may take in a stored record, generously.
 const ROW_BYTES: f64 = 80.0;
 
@@ -150,6 +155,8 @@
     pub failures: u32,
     pub failed_on: Vec<MachineId>,
     pub succeeded: bool,
+    /// Tasks whose whole run was seen, and how long they took together.
+    pub runs: (u32, u64),
     /// The record changed under us; read it before the next write.
     pub stale: bool,
     pub arrived_ms: u64,
@@ -174,6 +181,7 @@
             failures: 0,
             failed_on: Vec::new(),
             succeeded: false,
+            runs: (0, 0),
             stale: false,
             arrived_ms: now_ms,
             spec: Rc::new(record.spec),
@@ -216,6 +224,17 @@
         Some(shard.next)
     }
 
+    /// Notes how long a task ran, and tells whether that was far longer than
+    /// its siblings took: estimates are too often wrong to go by.
+    pub fn ran(&mut self, took_ms: u64) -> bool {
+        let (count, total) = self.runs;
+        let slow = count >= SIBLINGS && took_ms > total / u64::from(count) * FAR_SLOWER;
+        if !slow {
+            self.runs = (count + 1, total + took_ms);
+        }
+        slow
+    }
+
     /// One new attempt for tasks of every shard.
     pub fn common_attempt(&mut self) -> Attempt {
         let latest = self.shards.iter().map(|s| s.next).max().unwrap_or_default();
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -217,9 +217,14 @@
         };
         let need = job.need;
         let cancelled = job.cancelled.is_some();
+        let took_ms = assign.running_since_ms.map(|since| now.ms - since);
+        let slow = reason == EndReason::Done && took_ms.is_some_and(|took| job.ran(took));
         if let Some(machine) = self.fleet.get_mut(id) {
             machine.unassign(task, &need, now.ms);
-            if reason == EndReason::Done {
+            if slow {
+                log::info!("machine {id} runs {task} far too slowly");
+                machine.blamed_by.push(task.job.clone());
+            } else if reason == EndReason::Done {
                 machine.blamed_by.clear();
             }
         }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -685,3 +685,16 @@
     );
     assert!(!w.state.items.keys().any(|k| k.starts_with("j/")));
 }
+
+#[test]
+fn a_machine_that_runs_far_too_slowly_is_left_and_returned() {
+    let mut w = up(1);
+    w.workers.get_mut("vm-b").unwrap().slowness = 5;
+    assert_eq!(w.submit(0, &array("run-1", 40)), 201);
+    w.run_for(60_000);
+    assert_eq!(w.poll(0, "run-1").1, "done");
+    let slow = w.trace.iter().filter(|t| t.contains("vm-b")).count();
+    assert!(slow <= 8, "nothing more goes there: {:?}", w.trace);
+    assert!(w.workers["vm-b"].gone);
+    assert!(!w.workers["vm-a"].gone || w.workers.len() > 2);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -154,6 +154,8 @@
     pub node: usize,
     pub tasks: BTreeMap<String, Running>,
     pub sick: bool,
+    /// How many times as long as usual its tasks run.
+    pub slowness: u64,
 }
 
 #[derive(Default)]
@@ -818,6 +820,7 @@
             node: 0,
             tasks: BTreeMap::new(),
             sick: false,
+            slowness: 1,
         };
         self.workers.insert(name.into(), worker);
         if up {
@@ -1052,7 +1055,11 @@
                         w.tasks.insert(task.clone(), running);
                     }
                     if !service || sick {
-                        let after = if sick { 100 } else { self.run_ms };
+                        let after = if sick {
+                            100
+                        } else {
+                            self.run_ms * self.workers[name].slowness
+                        };
                         let finish = Action::Finish {
                             machine: name.into(),
                             task,
