--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -698,3 +698,21 @@
     assert!(w.workers["vm-b"].gone);
     assert!(!w.workers["vm-a"].gone || w.workers.len() > 2);
 }
+
+/// A rental carried out long after its caller gave up: nobody expects the
+/// machine.
+#[test]
+fn a_machine_that_turns_up_unasked_is_used_and_then_returned() {
+    let mut w = World::new(3);
+    w.run_until(3000);
+    w.cloud_away = true;
+    assert_eq!(w.submit(0, &array("run-1", 2)), 201);
+    w.run_for(2000);
+    assert!(w.trace.is_empty());
+    w.add_machine("vm-late", "b", true, true);
+    w.run_for(8000);
+    assert_eq!(w.poll(0, "run-1").1, "done", "{:?}", w.trace);
+    w.cloud_away = false;
+    w.run_for(90_000);
+    assert!(w.workers["vm-late"].gone);
+}
