--- a/src/election.rs
+++ b/src/election.rs
@@ -73,8 +73,6 @@
     /// When the next step is due.
     due_ms: u64,
     read_ms: u64,
-    renewed_ms: u64,
-    renew_sent_ms: u64,
     /// Spreads candidates, so that they don't all claim in one moment.
     stagger_ms: u64,
 }
@@ -96,8 +94,6 @@
             watching: false,
             due_ms: 0,
             read_ms: 0,
-            renewed_ms: 0,
-            renew_sent_ms: 0,
             stagger_ms,
         }
     }
@@ -123,11 +119,6 @@
         self.term.term
     }
 
-    /// Whether the lease was surely ours a moment ago.
-    pub fn certain(&self, now: Now) -> bool {
-        self.is_leader() && now.ms < self.renewed_ms + self.ttl_ms
-    }
-
     fn timeout_ms(&self) -> u64 {
         (self.ttl_ms / 3).max(200)
     }
@@ -154,7 +145,6 @@
             match &self.role {
                 Role::Leader { .. } => {
                     let lease = self.lease.unwrap_or(0);
-                    self.renew_sent_ms = now.ms;
                     let call = store::lease_renew(lease, timeout);
                     self.ask(now, ElectionCall::Renew, (call, 0), out);
                 }
@@ -235,7 +225,7 @@
             ElectionCall::Claim => self.on_claim(now, &answer),
             ElectionCall::Renew => self.on_renew(now, &answer),
             ElectionCall::Watch => {
-                self.on_watch(now, &answer, out);
+                self.on_watch(now, &answer);
                 None
             }
             ElectionCall::End => None,
@@ -296,7 +286,6 @@
     fn won(&mut self, now: Now, term: Term, key_version: Revision) -> Change {
         self.role = Role::Leader { term, key_version };
         self.term.term = term;
-        self.renewed_ms = now.ms;
         self.due_ms = now.ms + self.ttl_ms / 4;
         Change::Elected { term, key_version }
     }
@@ -346,7 +335,6 @@
     fn on_renew(&mut self, now: Now, answer: &Answer) -> Option<Change> {
         match answer.status() {
             Some(200) => {
-                self.renewed_ms = self.renew_sent_ms;
                 self.due_ms = now.ms + self.ttl_ms / 4;
                 None
             }
@@ -364,7 +352,7 @@
         }
     }
 
-    fn on_watch(&mut self, now: Now, answer: &Answer, _out: &mut ElectionOut) {
+    fn on_watch(&mut self, now: Now, answer: &Answer) {
         match answer.read::<WatchAnswer>(200) {
             Some(seen) if seen.events.is_empty() => {
                 self.revision = Revision(seen.revision.max(self.revision.0));
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -401,10 +401,6 @@
             _ => self.give_up(task, out),
         }
     }
-
-    pub fn in_work(&self) -> usize {
-        self.tasks.len()
-    }
 }
 
 /// Whether a task of the job could ever stand on a machine of this type.
--- a/src/reactor.rs
+++ b/src/reactor.rs
@@ -64,7 +64,6 @@
     sent: bool,
     connected: bool,
     close_after: bool,
-    reused: bool,
     deadline_ms: u64,
 }
 
@@ -228,7 +227,7 @@
                     }
                     let _ = stream.set_nodelay(true);
                     self.servers += 1;
-                    self.insert(now, stream, Role::Server(port), now.ms + IDLE_MS);
+                    self.insert(stream, Role::Server(port), now.ms + IDLE_MS);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e) => {
@@ -278,13 +277,7 @@
         }
     }
 
-    fn insert(
-        &mut self,
-        _now: Now,
-        stream: TcpStream,
-        role: Role,
-        deadline_ms: u64,
-    ) -> Option<usize> {
+    fn insert(&mut self, stream: TcpStream, role: Role, deadline_ms: u64) -> Option<usize> {
         let key = self.next_key;
         self.next_key += 1;
         let client = matches!(role, Role::Client(_));
@@ -313,7 +306,6 @@
                 sent: false,
                 connected: !client,
                 close_after: false,
-                reused: false,
                 deadline_ms,
             },
         );
@@ -464,12 +456,7 @@
             }
         }
         let stream: TcpStream = socket.into();
-        let key = self.insert(
-            Now::default(),
-            stream,
-            Role::Client(target.clone()),
-            deadline_ms,
-        )?;
+        let key = self.insert(stream, Role::Client(target.clone()), deadline_ms)?;
         self.pools.entry(target.clone()).or_default().open += 1;
         Some(key)
     }
@@ -686,7 +673,6 @@
             Ok(Some(parsed)) => {
                 conn.input = Vec::new();
                 let id = conn.call.take();
-                conn.reused = true;
                 let close = parsed.close || ended;
                 let Role::Client(target) = &conn.role else {
                     return false;
--- a/src/store.rs
+++ b/src/store.rs
@@ -122,7 +122,7 @@
     writes: TokenBucket,
     rps: f64,
     write_rps: f64,
-    /// Share of the request timeout that the settings give.
+    /// When the service last answered, and last failed to.
     last_ok_ms: Option<u64>,
     last_fail_ms: Option<u64>,
     next: u64,
