Pass reports on in messages of bounded size

Cause: found by reading: reports of one moment were passed on in one message of any size, and the leader refused bodies above 64 KiB; with many tasks a zone would have gone silent to it. Change: controllers take four times the users' limit from each other, and a follower fills at most half of that at once.

--- a/src/http.rs
+++ b/src/http.rs
@@ -8,6 +8,8 @@
 pub const MAX_HEAD: usize = 16 * 1024;
 /// The protocol's limit on request bodies.
 pub const MAX_REQUEST_BODY: usize = 64 * 1024;
+/// Controllers pass several reports on in one message.
+pub const MAX_PEER_BODY: usize = 4 * MAX_REQUEST_BODY;
 /// Watches have no limit of their own; this one guards memory.
 pub const MAX_RESPONSE_BODY: usize = 6 * 1024 * 1024;
 
@@ -184,15 +186,14 @@
 pub type Response = (u16, Vec<u8>);
 
 /// A request, once `buf` holds all of it.
-pub fn parse_request(buf: &[u8]) -> Result<Option<Parsed<Request>>, HttpError> {
+pub fn parse_request(buf: &[u8], max_body: usize) -> Result<Option<Parsed<Request>>, HttpError> {
     let Some(head) = parse_head(buf)? else {
         return Ok(None);
     };
     if !head.first[2].starts_with("HTTP/1.") || !head.first[1].starts_with('/') {
         return Err(HttpError::Malformed);
     }
-    let Some((body, size)) = parse_body(&head, buf, head.length.unwrap_or(0), MAX_REQUEST_BODY)?
-    else {
+    let Some((body, size)) = parse_body(&head, buf, head.length.unwrap_or(0), max_body)? else {
         return Ok(None);
     };
     let [method, path, _] = head.first;
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -5,6 +5,7 @@
 use super::{CallTag, Node, StateTag};
 use crate::election::Role;
 use crate::gateway::JOB_PREFIX;
+use crate::http::MAX_PEER_BODY;
 use crate::ids::{JobId, Session, TaskRef, Term, Token};
 use crate::msg::{Call, Effect, Now, Reply, Target};
 use crate::peer::{self, Hello, PEER_PATH};
@@ -16,6 +17,9 @@
 /// Reports are passed on to the leader in gulps.
 const RELAY_MS: u64 = 50;
 
+/// Half of what a peer takes: one more report of any size still fits.
+const RELAY_BYTES: usize = MAX_PEER_BODY / 2;
+
 /// A list of cancelled jobs that is being read.
 #[derive(Debug)]
 pub(super) struct CancelList {
@@ -70,7 +74,17 @@
             .enumerate()
             .filter(|(_, p)| p.leads_ms.is_some())
             .max_by_key(|(_, p)| p.leads_term);
-        let reports = std::mem::take(&mut self.relay);
+        // What doesn't fit into one message goes with the next.
+        let mut bytes = 0;
+        let fits = self
+            .relay
+            .iter()
+            .take_while(|r| {
+                bytes += r.len();
+                bytes <= RELAY_BYTES
+            })
+            .count();
+        let reports: Vec<Vec<u8>> = self.relay.drain(..fits.max(1)).collect();
         let Some((index, addr)) = leader.map(|(i, p)| (i, p.addr.clone())) else {
             return;
         };
--- a/src/reactor.rs
+++ b/src/reactor.rs
@@ -609,7 +609,11 @@
         if conn.busy || conn.input.is_empty() {
             return true;
         }
-        match http::parse_request(&conn.input) {
+        let max_body = match port {
+            Port::Client => http::MAX_REQUEST_BODY,
+            Port::Peer => http::MAX_PEER_BODY,
+        };
+        match http::parse_request(&conn.input, max_body) {
             Ok(None) => {
                 // The clock runs from the request's first byte.
                 let limit = now.ms + SLOW_REQUEST_MS;
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -10,11 +10,16 @@
 fn a_request_is_whole_at_its_last_byte_and_not_before() {
     for (text, path) in [(REQUEST, "/v2/runs"), (CHUNKED, "/x")] {
         for n in 0..text.len() {
-            assert!(parse_request(&text[..n]).unwrap().is_none(), "{n}");
+            assert!(
+                parse_request(&text[..n], MAX_REQUEST_BODY)
+                    .unwrap()
+                    .is_none(),
+                "{n}"
+            );
         }
         let mut longer = text.to_vec();
         longer.extend_from_slice(b"GET / HT");
-        let parsed = parse_request(&longer).unwrap().unwrap();
+        let parsed = parse_request(&longer, MAX_REQUEST_BODY).unwrap().unwrap();
         assert_eq!(parsed.size, text.len());
         assert_eq!(parsed.message.path, path);
         assert_eq!(parsed.message.body, b"body");
@@ -69,12 +74,12 @@
         (b"GET /\xff HTTP/1.1\r\n\r\n", HttpError::Malformed),
     ];
     for (text, error) in cases {
-        let got = parse_request(text).expect_err(&String::from_utf8_lossy(text));
+        let got = parse_request(text, MAX_REQUEST_BODY).expect_err(&String::from_utf8_lossy(text));
         assert_eq!(got, *error, "{}", String::from_utf8_lossy(text));
     }
     let endless = vec![b'a'; MAX_HEAD];
     assert_eq!(
-        parse_request(&endless).unwrap_err(),
+        parse_request(&endless, MAX_REQUEST_BODY).unwrap_err(),
         HttpError::HeadTooLarge
     );
     let big = format!(
@@ -82,7 +87,7 @@
         MAX_REQUEST_BODY + 1
     );
     assert_eq!(
-        parse_request(big.as_bytes()).unwrap_err(),
+        parse_request(big.as_bytes(), MAX_REQUEST_BODY).unwrap_err(),
         HttpError::BodyTooLarge
     );
 }
@@ -100,7 +105,7 @@
                 _ => text.insert(at, rng.u8(..)),
             }
         }
-        if let Ok(Some(parsed)) = parse_request(&text) {
+        if let Ok(Some(parsed)) = parse_request(&text, MAX_REQUEST_BODY) {
             assert!(parsed.size <= text.len());
         }
         let _ = parse_response(&text, rng.bool());
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -716,3 +716,39 @@
     w.run_for(90_000);
     assert!(w.workers["vm-late"].gone);
 }
+
+/// Reports that are passed on together once made messages that the leader
+/// refused as too large.
+#[test]
+fn reports_are_passed_on_in_messages_that_are_taken() {
+    let mut w = up(3);
+    assert_ne!(w.leader(), Some(1), "the leader stands in the other zone");
+    let sizes = std::rc::Rc::new(std::cell::RefCell::new(Vec::new()));
+    let seen = sizes.clone();
+    w.hook = Box::new(move |_, node, call| {
+        if node == 1 && matches!(call.target, Target::Peer(_)) {
+            seen.borrow_mut().push(call.body.len());
+        }
+        Fate::Pass
+    });
+    let tasks: Vec<_> = (0..900)
+        .map(|n| json!({"piece": format!("run-9/{n}"), "essai": 1, "etat": "running"}))
+        .collect();
+    for n in 0..10 {
+        let name = format!("vm-z{n}");
+        let report = json!({"banc": name, "address": format!("w/{name}"), "gamme": "g8",
+            "secteur": "b", "occasion": false, "quart": 1, "numero": 1, "jeton": 0,
+            "preavisS": null, "pieces": tasks});
+        w.deliver_report(1, &report);
+    }
+    w.run_for(1000);
+    let sizes = sizes.borrow();
+    assert!(
+        sizes.iter().all(|n| *n <= lilacfork::http::MAX_PEER_BODY),
+        "{sizes:?}"
+    );
+    assert!(
+        sizes.iter().sum::<usize>() > 400_000,
+        "all went out: {sizes:?}"
+    );
+}
