Write repeated checks once

Found by reading the whole change: settled tasks, hardly missed fetches, where a task may stand and the report interval were each spelled out in several places; the traces set up the same cut three times. No change of behaviour; tests keep their assertions.

--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -292,7 +292,8 @@
 
 /// The answer that a follower gives in its leader's stead: the lease is
 /// renewed and the token kept or raised to the term's first, and no commands
-/// go out but stops of cancelled jobs' tasks, which can do no harm. `None`: the worker has seen a later term than we have.
+/// go out but stops of cancelled jobs' tasks, which can do no harm. `None`:
+/// the worker has seen a later term than we have.
 pub(super) fn answer_for_leader(report: &Report, term: Term, stops: &[Command]) -> Option<Reply> {
     if report.token.term() > term {
         return None;
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -117,6 +117,12 @@
             .is_none_or(|types| types.contains(&offer.machine_type))
 }
 
+/// Whether one more task of the job may stand on such a machine, given where
+/// its others may be.
+pub fn may_stand(spec: &JobSpec, zones: &ZoneUse, offer: &Offer) -> bool {
+    allows_offer(spec, offer) && zones.allows(spec, &offer.zone)
+}
+
 /// Every rental that could hold a task of the job, with its nominal price.
 pub fn offers_for(spec: &JobSpec, catalog: &Catalog) -> Vec<(Offer, f64, Res, f64)> {
     let mut offers = Vec::new();
--- a/src/scheduler/moves.rs
+++ b/src/scheduler/moves.rs
@@ -6,7 +6,7 @@
 use crate::fleet::Phase;
 use crate::ids::{MachineId, TaskRef};
 use crate::msg::Now;
-use crate::placement::{allows_offer, Res, ZoneUse};
+use crate::placement::{may_stand, Res, ZoneUse};
 use crate::wire::{JobSpec, Priority};
 
 /// A machine with more than this share in use isn't emptied.
@@ -36,10 +36,7 @@
             }
             let need = Res::of_task(&waiting.spec);
             while waiting.count > 0 {
-                let allowed = |room: &Room| {
-                    allows_offer(&waiting.spec, &room.offer)
-                        && waiting.zones.allows(&waiting.spec, &room.offer.zone)
-                };
+                let allowed = |room: &Room| may_stand(&waiting.spec, &waiting.zones, &room.offer);
                 let best = (0..rooms.len())
                     .filter(|i| allowed(&rooms[*i]))
                     .filter_map(|i| {
@@ -100,11 +97,9 @@
         }
         let need = Res::of_task(spec);
         for n in 0..count {
-            let room = rooms.iter_mut().find(|r| {
-                r.soon_free().holds(&need)
-                    && allows_offer(spec, &r.offer)
-                    && zones.allows(spec, &r.offer.zone)
-            });
+            let room = rooms
+                .iter_mut()
+                .find(|r| r.soon_free().holds(&need) && may_stand(spec, zones, &r.offer));
             let Some(room) = room else {
                 return count - n;
             };
@@ -134,7 +129,7 @@
         chosen: &[TaskRef],
     ) -> Option<(f64, Vec<TaskRef>)> {
         let machine = self.fleet.get(id)?;
-        let settled_ms = (self.lease_ms() as f64 * SETTLED_LEASES) as u64;
+        let settled_ms = self.settled_ms();
         let mut candidates: Vec<(f64, &TaskRef, Res)> = Vec::new();
         for task in &machine.tasks {
             let job = self.jobs.get(&task.job)?;
@@ -217,7 +212,6 @@
         rooms: &[Room],
     ) -> Option<Vec<(TaskRef, MachineId)>> {
         let machine = self.fleet.get(&rooms[index].id)?;
-        let settled_ms = (self.settings.site.workers.lease_s * 1000.0 * SETTLED_LEASES) as u64;
         let mut free: Vec<(usize, Res)> = rooms
             .iter()
             .enumerate()
@@ -234,11 +228,7 @@
         for task in &machine.tasks {
             let job = self.jobs.get(&task.job)?;
             let assign = job.assigns.get(&task.index)?;
-            let settled = assign.stop.is_none()
-                && assign
-                    .running_since_ms
-                    .is_some_and(|at| now.ms > at + settled_ms);
-            if !settled || !job.is_service() {
+            if !self.may_move(now, assign) || !job.is_service() {
                 return None;
             }
             let mut zones = job.zone_use();
@@ -252,8 +242,7 @@
                 .filter(|(i, free)| {
                     let room = &rooms[*i];
                     free.holds(&job.need)
-                        && allows_offer(&job.spec, &room.offer)
-                        && zones.allows(&job.spec, &room.offer.zone)
+                        && may_stand(&job.spec, &zones, &room.offer)
                         && self.soon_there(&room.id, &job.spec)
                 })
                 .min_by_key(|(i, _)| !has_image(*i))?;
@@ -263,18 +252,31 @@
         Some(moves)
     }
 
+    fn settled_ms(&self) -> u64 {
+        (self.lease_ms() as f64 * SETTLED_LEASES) as u64
+    }
+
+    /// Whether a task has run long enough that its start counts anyway.
+    fn may_move(&self, now: Now, assign: &Assign) -> bool {
+        let settled_ms = self.settled_ms();
+        assign.stop.is_none()
+            && assign
+                .running_since_ms
+                .is_some_and(|at| now.ms > at + settled_ms)
+    }
+
+    /// Whether a replica that fetches for so long is hardly missed.
+    fn hardly_missed(&self, fetch_s: f64) -> bool {
+        fetch_s <= self.settings.site.workers.report_s * QUICK_FETCH_REPORTS
+    }
+
     /// Whether a machine has the image, or fetches it within a few reports.
     fn soon_there(&self, id: &MachineId, spec: &JobSpec) -> bool {
-        let Some(machine) = self.fleet.get(id) else {
-            return false;
-        };
-        let rate = self
-            .catalog
-            .as_ref()
-            .and_then(|c| c.find(&machine.offer.machine_type))
-            .map_or(0.0, |t| t.fetch_gb_per_s);
-        let patience_s = self.settings.site.workers.report_s * QUICK_FETCH_REPORTS;
-        machine.has_image(&spec.image) || spec.image_gb <= rate * patience_s
+        let machine = self.fleet.get(id);
+        machine.is_some_and(|m| m.has_image(&spec.image))
+            || self
+                .fetch_s(id, spec)
+                .is_some_and(|fetch_s| self.hardly_missed(fetch_s))
     }
 
     /// Expected work that would have to fetch its image for most of the time
@@ -295,9 +297,7 @@
             };
             // Where the fetch is short beside the aim it may happen later;
             // where it is long the replica would be missed for too long.
-            let hardly_missed =
-                fetch_s <= self.settings.site.workers.report_s * QUICK_FETCH_REPORTS;
-            if fetch_s * 2000.0 < objective_ms as f64 || !hardly_missed {
+            if fetch_s * 2000.0 < objective_ms as f64 || !self.hardly_missed(fetch_s) {
                 continue;
             }
             let Some(task) = self.mover(now, &spec, &machine) else {
@@ -313,6 +313,9 @@
 
     fn fetch_s(&self, machine: &MachineId, spec: &JobSpec) -> Option<f64> {
         let machine_type = &self.fleet.get(machine)?.offer.machine_type;
+        if spec.image_gb <= 0.0 {
+            return Some(0.0);
+        }
         let rate = self.catalog.as_ref()?.find(machine_type)?.fetch_gb_per_s;
         (rate > 0.0).then(|| spec.image_gb / rate)
     }
@@ -320,7 +323,6 @@
     /// A settled replica with this image that may go to `to`.
     fn mover(&self, now: Now, spec: &JobSpec, to: &MachineId) -> Option<TaskRef> {
         let zone = &self.fleet.get(to)?.offer.zone;
-        let settled_ms = (self.lease_ms() as f64 * SETTLED_LEASES) as u64;
         let like = |j: &&Job| {
             j.is_service()
                 && j.cancelled.is_none()
@@ -329,17 +331,17 @@
         };
         for job in self.jobs.values().filter(like) {
             for (index, assign) in &job.assigns {
-                let settled = assign.stop.is_none()
-                    && assign
-                        .running_since_ms
-                        .is_some_and(|at| now.ms > at + settled_ms);
                 let up = self
                     .fleet
                     .get(&assign.machine)
                     .is_some_and(|m| m.phase == Phase::Up && m.notice_until_ms.is_none());
                 let mut zones = job.zone_use();
                 zones.remove(&assign.zone);
-                if settled && up && assign.machine != *to && zones.allows(&job.spec, zone) {
+                if self.may_move(now, assign)
+                    && up
+                    && assign.machine != *to
+                    && zones.allows(&job.spec, zone)
+                {
                     return Some(job.task(*index));
                 }
             }
--- a/src/scheduler/renting.rs
+++ b/src/scheduler/renting.rs
@@ -6,7 +6,7 @@
 use crate::cloud::{Cloud, Offer, RENT_MAX};
 use crate::fleet::Phase;
 use crate::msg::Now;
-use crate::placement::{allows_offer, offers_for, Res};
+use crate::placement::{may_stand, offers_for, Res};
 use crate::slackfit::{self, Rung};
 use crate::wire::{Catalog, JobSpec, Kind};
 use std::collections::BTreeMap;
@@ -101,11 +101,9 @@
         let slack_ms = rest.deadline as i64 - now.wall as i64;
         let mut buckets: Option<Vec<Rung>> = None;
         for _ in 0..rest.count {
-            let found = coming.iter_mut().find(|c| {
-                c.free.holds(&need)
-                    && allows_offer(&rest.spec, &c.offer)
-                    && zones.allows(&rest.spec, &c.offer.zone)
-            });
+            let found = coming
+                .iter_mut()
+                .find(|c| c.free.holds(&need) && may_stand(&rest.spec, &zones, &c.offer));
             if let Some(room) = found {
                 room.free.take(&need);
                 zones.add(&room.offer.zone);
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -168,9 +168,9 @@
                 None => {
                     assign.phase = None;
                     if assign.stop.is_none() {
-                        unheeded |= assign.first_sent_ms.is_some_and(|at| {
-                            now.ms > at + DEAF_REPORTS * self.settings_report_ms()
-                        });
+                        unheeded |= assign
+                            .first_sent_ms
+                            .is_some_and(|at| now.ms > at + DEAF_REPORTS * self.report_ms());
                         continue;
                     }
                     let proven = match (assign.first_sent_ms, assign.absent_proof) {
@@ -203,10 +203,6 @@
         }
     }
 
-    fn settings_report_ms(&self) -> u64 {
-        (self.settings.site.workers.report_s * 1000.0) as u64
-    }
-
     /// The worker says that the attempt is over.
     fn ended(&mut self, now: Now, id: &MachineId, task: &TaskRef, reason: EndReason) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -295,7 +291,7 @@
         out: &mut SchedulerOut,
     ) -> Vec<Command> {
         let mut commands = Vec::new();
-        let resend_ms = (self.settings_report_ms() as f64 * RESEND_REPORTS) as u64;
+        let resend_ms = (self.report_ms() as f64 * RESEND_REPORTS) as u64;
         let Some(machine) = self.fleet.get_mut(id) else {
             return commands;
         };
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -5,7 +5,7 @@
 use crate::cloud::Offer;
 use crate::ids::{JobId, MachineId, TaskRef};
 use crate::msg::Now;
-use crate::placement::{allows_offer, Fit, Res, ZoneUse};
+use crate::placement::{allows_offer, may_stand, Fit, Res, ZoneUse};
 use crate::wire::{JobSpec, Kind, Priority};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
@@ -410,10 +410,7 @@
             });
             let bound = bound.and_then(|to| {
                 rooms.iter().position(|r| {
-                    r.id == to
-                        && r.free.holds(&need)
-                        && allows_offer(&spec, &r.offer)
-                        && zones.allows(&spec, &r.offer.zone)
+                    r.id == to && r.free.holds(&need) && may_stand(&spec, &zones, &r.offer)
                 })
             });
             let mut best = bound.or_else(|| self.best_room(&spec, &need, &zones, rooms, id));
@@ -523,10 +520,7 @@
         let job = self.jobs.get(id)?;
         let mut best: Option<(f64, usize)> = None;
         for (index, room) in rooms.iter().enumerate() {
-            if !room.free.holds(need)
-                || !allows_offer(spec, &room.offer)
-                || !zones.allows(spec, &room.offer.zone)
-            {
+            if !room.free.holds(need) || !may_stand(spec, zones, &room.offer) {
                 continue;
             }
             let Some(machine) = self.fleet.get(&room.id) else {
@@ -563,7 +557,7 @@
     let index = rooms.iter().position(|room| {
         let mut all = room.free;
         all.add(&room.kept);
-        all.holds(need) && allows_offer(spec, &room.offer) && zones.allows(spec, &room.offer.zone)
+        all.holds(need) && may_stand(spec, zones, &room.offer)
     })?;
     let room = &mut rooms[index];
     room.free.add(&room.kept);
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -16,6 +16,19 @@
     w
 }
 
+/// The second node's zone apart from the others'.
+fn cut_zones() -> Vec<(usize, String)> {
+    (0..3)
+        .flat_map(|n| ["a", "b"].map(|z| (n, z.to_string())))
+        .filter(|(n, z)| (*n == 1) != (z == "b"))
+        .collect()
+}
+
+/// Whether a call from this node to that peer crosses the cut.
+fn crosses(node: usize, peer: &str) -> bool {
+    (node == 1) != (peer == "10.0.0.2:8081")
+}
+
 #[test]
 fn a_job_runs_and_is_done_within_three_seconds_of_its_end() {
     let mut w = up(3);
@@ -452,13 +465,9 @@
     w.run_for(3000);
     assert_eq!(w.on_machines("run-"), 16);
     let started = w.trace.len();
-    let side = |n: usize| n == 1;
-    w.cuts = (0..3)
-        .flat_map(|n| ["a", "b"].map(|z| (n, z.to_string())))
-        .filter(|(n, z)| side(*n) != (z == "b"))
-        .collect();
+    w.cuts = cut_zones();
     w.hook = Box::new(move |_, node, call| match &call.target {
-        Target::Peer(addr) if side(node) != (addr == "10.0.0.2:8081") => Fate::LoseRequest,
+        Target::Peer(addr) if crosses(node, addr) => Fate::LoseRequest,
         _ => Fate::Pass,
     });
     w.run_for(15_000);
@@ -484,13 +493,9 @@
     let mut w = up(3);
     assert_eq!(w.submit(0, &service("run-1", 16)), 201);
     w.run_for(3000);
-    let side = |n: usize| n == 1;
-    w.cuts = (0..3)
-        .flat_map(|n| ["a", "b"].map(|z| (n, z.to_string())))
-        .filter(|(n, z)| side(*n) != (z == "b"))
-        .collect();
+    w.cuts = cut_zones();
     w.hook = Box::new(move |_, node, call| match &call.target {
-        Target::Peer(addr) if side(node) != (addr == "10.0.0.2:8081") => Fate::LoseRequest,
+        Target::Peer(addr) if crosses(node, addr) => Fate::LoseRequest,
         _ => Fate::Pass,
     });
     w.run_for(6000);
@@ -516,13 +521,9 @@
         w.run_for(3000);
         assert_eq!(w.on_machines("run-"), 16);
         let leader = w.leader().unwrap();
-        let side = |n: usize| n == 1;
-        w.cuts = (0..3)
-            .flat_map(|n| ["a", "b"].map(|z| (n, z.to_string())))
-            .filter(|(n, z)| side(*n) != (z == "b"))
-            .collect();
+        w.cuts = cut_zones();
         w.hook = Box::new(move |_, node, call| match &call.target {
-            Target::Peer(addr) if side(node) != (addr == "10.0.0.2:8081") => Fate::LoseRequest,
+            Target::Peer(addr) if crosses(node, addr) => Fate::LoseRequest,
             // The far follower alone loses the state service too.
             Target::State | Target::StateWatch if state_goes_too && node == 1 => Fate::LoseRequest,
             _ => Fate::Pass,
