Trade places with less important replicas where a late start's image is

Change: work whose objective leaves no time for the slowest fetch takes the place of settled, less important replicas on a machine with its image; they move into free room where they are hardly missed.

--- /dev/null
+++ b/src/scheduler/exchange.rs
@@ -0,0 +1,143 @@
+//! Places change hands where an image is. Work whose aim leaves no time for a
+//! fetch finds free room, but only where its image isn't, while less
+//! important replicas that would hardly be missed stand where it is. They
+//! move into that room, and the work takes theirs.
+
+use super::rounds::Room;
+use super::Scheduler;
+use crate::fleet::Machine;
+use crate::ids::TaskRef;
+use crate::msg::Now;
+use crate::placement::{may_stand, Res, ZoneUse};
+use crate::wire::JobSpec;
+
+/// A fetch takes up to so many times its nominal time (PROTOCOL: give or take
+/// a third).
+const SLOWEST_FETCH: f64 = 4.0 / 3.0;
+/// Stopping, storing and starting take about this share of a report interval.
+const HANDOVER_REPORTS: f64 = 0.25;
+
+/// A task that makes room, and the room that it goes to.
+struct Moving {
+    task: TaskRef,
+    need: Res,
+    to: usize,
+}
+
+impl Scheduler {
+    /// Makes room for one task on a machine that has its image, if the fetch
+    /// that it would need on `cold` may cost it its aim. Tells where; the
+    /// room is held for it from then on.
+    pub(super) fn exchange(
+        &mut self,
+        now: Now,
+        spec: &JobSpec,
+        deadline: u64,
+        zones: &ZoneUse,
+        cold: usize,
+        rooms: &mut [Room],
+    ) -> Option<usize> {
+        self.settings.wait_objective_ms(&spec.class)?;
+        let slack_ms = deadline.saturating_sub(now.wall) as f64;
+        let fetch_ms = self.fetch_s(&rooms[cold].id, spec)? * 1000.0;
+        let handover_ms = self.report_ms() as f64 * HANDOVER_REPORTS;
+        if slack_ms < handover_ms || fetch_ms * SLOWEST_FETCH < slack_ms {
+            return None;
+        }
+        let need = Res::of_task(spec);
+        let (index, moves) = (0..rooms.len())
+            .filter(|i| may_stand(spec, zones, &rooms[*i].offer))
+            .filter_map(|i| {
+                let machine = self.fleet.get(&rooms[i].id)?;
+                if !machine.has_image(&spec.image) {
+                    return None;
+                }
+                let (cost, moves) = self.movers(now, spec, &need, i, machine, rooms)?;
+                Some((cost, i, moves))
+            })
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, i, moves)| (i, moves))?;
+        for moving in moves {
+            log::info!("task {} makes place for {}", moving.task, spec.id);
+            rooms[index].freeing.add(&moving.need);
+            rooms[moving.to].free.take(&moving.need);
+            rooms[moving.to].reserved = true;
+            self.stop_task(now, &moving.task);
+            self.bound_for
+                .insert(moving.task, rooms[moving.to].id.clone());
+        }
+        rooms[index].free.take(&need);
+        Some(index)
+    }
+
+    /// Less important, settled replicas of a machine that make enough room
+    /// and have somewhere to go, with the seconds that they would be missed.
+    fn movers(
+        &self,
+        now: Now,
+        spec: &JobSpec,
+        need: &Res,
+        from: usize,
+        machine: &Machine,
+        rooms: &[Room],
+    ) -> Option<(f64, Vec<Moving>)> {
+        let mut free = rooms[from].soon_free();
+        let mut taken: Vec<(usize, Res)> = Vec::new();
+        let (mut cost, mut moves) = (0.0, Vec::new());
+        for task in &machine.tasks {
+            if free.holds(need) {
+                break;
+            }
+            let Some(job) = self.jobs.get(&task.job) else {
+                continue;
+            };
+            let movable = job.is_service()
+                && job.cancelled.is_none()
+                && job.spec.priority > spec.priority
+                && job
+                    .assigns
+                    .get(&task.index)
+                    .is_some_and(|a| self.may_move(now, a));
+            if !movable {
+                continue;
+            }
+            let mut zones = job.zone_use();
+            zones.remove(&machine.offer.zone);
+            let goal = (0..rooms.len())
+                .filter(|i| *i != from && may_stand(&job.spec, &zones, &rooms[*i].offer))
+                .filter(|i| {
+                    let mut left = rooms[*i].free;
+                    for (_, gone) in taken.iter().filter(|(t, _)| t == i) {
+                        left.take(gone);
+                    }
+                    left.holds(&job.need)
+                })
+                .filter_map(|i| {
+                    let missed_s = self.missed_s(&rooms[i], &job.spec)?;
+                    Some((missed_s, i))
+                })
+                .min_by(|a, b| a.0.total_cmp(&b.0));
+            let Some((missed_s, to)) = goal.filter(|(s, _)| self.hardly_missed(*s)) else {
+                continue;
+            };
+            cost += missed_s + self.settings.site.workers.report_s * HANDOVER_REPORTS;
+            free.add(&job.need);
+            taken.push((to, job.need));
+            moves.push(Moving {
+                task: task.clone(),
+                need: job.need,
+                to,
+            });
+        }
+        free.holds(need).then_some((cost, moves))
+    }
+
+    /// How long a replica would be missed that moves there.
+    fn missed_s(&self, room: &Room, spec: &JobSpec) -> Option<f64> {
+        if self.fleet.get(&room.id)?.has_image(&spec.image) {
+            return Some(0.0);
+        }
+        let fetches = f64::from(room.fetches + 1);
+        Some(self.fetch_s(&room.id, spec)? * fetches)
+    }
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -2,6 +2,7 @@
 //! and the cloud. A plain struct: messages and time in, messages out.
 
 mod commit;
+mod exchange;
 mod jobs;
 mod learn;
 mod moves;
--- a/src/scheduler/moves.rs
+++ b/src/scheduler/moves.rs
@@ -257,7 +257,7 @@
     }
 
     /// Whether a task has run long enough that its start counts anyway.
-    fn may_move(&self, now: Now, assign: &Assign) -> bool {
+    pub(super) fn may_move(&self, now: Now, assign: &Assign) -> bool {
         let settled_ms = self.settled_ms();
         assign.stop.is_none()
             && assign
@@ -266,7 +266,7 @@
     }
 
     /// Whether a replica that fetches for so long is hardly missed.
-    fn hardly_missed(&self, fetch_s: f64) -> bool {
+    pub(super) fn hardly_missed(&self, fetch_s: f64) -> bool {
         fetch_s <= self.settings.site.workers.report_s * QUICK_FETCH_REPORTS
     }
 
@@ -311,7 +311,7 @@
         }
     }
 
-    fn fetch_s(&self, machine: &MachineId, spec: &JobSpec) -> Option<f64> {
+    pub(super) fn fetch_s(&self, machine: &MachineId, spec: &JobSpec) -> Option<f64> {
         let machine_type = &self.fleet.get(machine)?.offer.machine_type;
         if spec.image_gb <= 0.0 {
             return Some(0.0);
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -390,6 +390,7 @@
             });
         }
         let mut placed = 0;
+        let mut promised = 0;
         let mut blocked = 0;
         // The tasks of a gang know each other by their common attempt.
         let shared = match spec.kind {
@@ -400,20 +401,46 @@
             let team = used.entry(spec.team.clone()).or_default();
             if !self.quota_allows(&spec.team, team, &need) {
                 // Renting wouldn't help it: its team has to give room back.
-                blocked = (tasks.len() - placed) as u32;
+                blocked = (tasks.len() - placed - promised) as u32;
                 log::debug!("job {id} waits for quota of {} tasks={blocked}", spec.team);
                 break;
             }
-            let bound = self.bound_for.remove(&TaskRef {
+            let task_ref = TaskRef {
                 job: id.clone(),
                 index: *task,
+            };
+            let bound = self.bound_for.remove(&task_ref).and_then(|to| {
+                rooms
+                    .iter()
+                    .position(|r| r.id == to && may_stand(&spec, &zones, &r.offer))
             });
-            let bound = bound.and_then(|to| {
-                rooms.iter().position(|r| {
-                    r.id == to && r.free.holds(&need) && may_stand(&spec, &zones, &r.offer)
-                })
-            });
-            let mut best = bound.or_else(|| self.best_room(&spec, &need, &zones, rooms, id));
+            let soon = |i: &usize| now.wall < deadline && rooms[*i].soon_free().holds(&need);
+            let mut best = bound.filter(|i| rooms[*i].free.holds(&need));
+            // Room that is being made for it is worth waiting for while its
+            // aim can still be met.
+            let mut held = match best {
+                None => bound.filter(soon),
+                Some(_) => None,
+            };
+            if let Some(index) = held {
+                rooms[index].free.take(&need);
+            } else if best.is_none() {
+                best = self.best_room(&spec, &need, &zones, rooms, id);
+                let cold = best.filter(|i| {
+                    let machine = self.fleet.get(&rooms[*i].id);
+                    machine.is_some_and(|m| !m.has_image(&spec.image))
+                });
+                held =
+                    cold.and_then(|cold| self.exchange(now, &spec, deadline, &zones, cold, rooms));
+            }
+            if let Some(index) = held {
+                let room = &rooms[index];
+                self.bound_for.insert(task_ref, room.id.clone());
+                zones.add(&room.offer.zone);
+                team.add(&need);
+                promised += 1;
+                continue;
+            }
             if best.is_none() && self.settings.wait_objective_ms(&spec.class).is_some() {
                 // What waits now goes before what is only expected.
                 best = release_kept(&spec, &need, &zones, rooms);
@@ -464,7 +491,7 @@
             team.add(&need);
             placed += 1;
         }
-        let count = (tasks.len() - placed) as u32 - blocked;
+        let count = (tasks.len() - placed - promised) as u32 - blocked;
         let count = self.hold_room(&spec, count, &mut zones, rooms);
         (count > 0).then_some(Rest {
             spec,
