Judge no machine by a silence that it shared, nor by the list alone

And six good, empty machines were given up 0.3 s after a change of leader: the new one knew them by the cloud's list alone and took them for ones that had never come up. Change: after a zone's common silence every machine of it has the full limit again; a machine that the list brings has the time to report. Ruled out: the leases themselves. 257 tasks were killed because the zone's only controller ended during the cut; workers come round to it again only after 11 s.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -132,6 +132,8 @@
     /// Where tasks that are being moved are to go.
     bound_for: HashMap<TaskRef, MachineId>,
     stale_due_ms: u64,
+    /// When most machines of a zone were last silent.
+    zones_silent: HashMap<Rc<str>, u64>,
     /// Jobs that ended under us, and until when slow answers may speak of
     /// them as if they hadn't.
     over: HashMap<JobId, u64>,
@@ -178,6 +180,7 @@
             warm_due_ms: HashMap::new(),
             bound_for: HashMap::new(),
             stale_due_ms: 0,
+            zones_silent: HashMap::new(),
             over: HashMap::new(),
             list_retry_ms: None,
             state_failed_ms: None,
@@ -242,6 +245,7 @@
         self.list_retry_ms = None;
         self.over.clear();
         self.bound_for.clear();
+        self.zones_silent.clear();
     }
 
     // ---- loading and watching ----
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -17,6 +17,9 @@
 /// A job that failed on so many machines is itself to blame.
 const GUILTY_AFTER: usize = 3;
 const PAUSE_MS: u64 = 500;
+/// When most machines of a zone are silent, they are waited for this many
+/// times as long.
+const CUT_PATIENCE: f64 = 2.5;
 
 impl Scheduler {
     /// A worker's report: an answer goes out in any case.
@@ -379,13 +382,16 @@
             .filter(|m| m.phase == Phase::Booting)
             .map(|m| (m.id.clone(), self.boot_ms(&m.offer)))
             .collect();
+        let listen_ms = (lease_ms as f64 * self.options.silent_leases) as u64;
         let late: Vec<MachineId> = boots
             .into_iter()
             .filter(|(id, boot_ms)| {
                 let limit = (*boot_ms as f64 * self.options.late_boots) as u64;
-                self.fleet
-                    .get(id)
-                    .is_some_and(|m| now.ms > m.rented_ms + limit)
+                // A new leader may know an old machine by the list alone: it
+                // has to have had time to report.
+                self.fleet.get(id).is_some_and(|m| {
+                    now.ms > m.rented_ms + limit && now.ms > m.heard_ms + listen_ms
+                })
             })
             .map(|(id, _)| id)
             .collect();
@@ -396,14 +402,17 @@
             if machine.phase != Phase::Up {
                 continue;
             }
-            let limit_ms = silent_ms.get(&machine.offer.zone).copied();
-            let heard_ms = machine.heard_ms.max(machine.held_ms);
+            let (limit_ms, excused_ms) = silent_ms
+                .get(&machine.offer.zone)
+                .copied()
+                .unwrap_or((u64::MAX / 2, 0));
+            let heard_ms = machine.heard_ms.max(machine.held_ms).max(excused_ms);
             // In an outage followers can't tell whose leases they renew, and
             // nothing could be placed anew in any case.
             let blind = self
                 .state_failed_ms
                 .is_some_and(|at| now.ms < at + lease_ms / 2);
-            if !blind && limit_ms.is_some_and(|limit| now.ms > heard_ms + limit) {
+            if !blind && now.ms > heard_ms + limit_ms {
                 give_up.push((machine.id.clone(), "silent"));
             } else if machine
                 .deaf_since_ms
@@ -445,10 +454,12 @@
         }
     }
 
-    /// How long a zone's machines may be silent. When most of them are, the
-    /// fault is more likely a cut or ours, and returning them all would be
-    /// the worst answer.
-    fn silent_limits_ms(&self, now: Now) -> BTreeMap<Rc<str>, u64> {
+    /// How long a zone's machines may be silent, and until when they were all
+    /// excused. When most of a zone are silent, the fault is more likely a cut
+    /// or ours, and returning them all would be the worst answer. After it
+    /// they come back one by one: those that are last must not be judged by
+    /// the silence that all of them kept.
+    fn silent_limits_ms(&mut self, now: Now) -> BTreeMap<Rc<str>, (u64, u64)> {
         let lease_ms = self.lease_ms();
         let mut zones: BTreeMap<Rc<str>, (u32, u32)> = BTreeMap::new();
         for machine in self.fleet.machines.values() {
@@ -458,13 +469,19 @@
                 *silent += u32::from(now.ms > machine.heard_ms + lease_ms / 2);
             }
         }
-        let limit = |(all, silent): (u32, u32)| {
-            let most = silent * 2 > all && silent > 2;
-            let leases = self.options.silent_leases;
-            let leases = if most { leases * 2.5 } else { leases };
-            (lease_ms as f64 * leases) as u64
-        };
-        zones.into_iter().map(|(z, n)| (z, limit(n))).collect()
+        let limit_ms = (lease_ms as f64 * self.options.silent_leases) as u64;
+        let mut limits = BTreeMap::new();
+        for (zone, (all, silent)) in zones {
+            let limit = if silent * 2 > all && silent > 2 {
+                self.zones_silent.insert(zone.clone(), now.ms);
+                ((limit_ms as f64 * CUT_PATIENCE) as u64, 0)
+            } else {
+                let excused_ms = self.zones_silent.get(&zone).copied().unwrap_or(0);
+                (limit_ms, excused_ms)
+            };
+            limits.insert(zone, limit);
+        }
+        limits
     }
 
     /// Stops what a machine runs, letting it save what it can.
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -801,3 +801,61 @@
         "all went out: {sizes:?}"
     );
 }
+
+/// After a cut a zone's workers come back one by one. The last of them were
+/// once given up in the moment in which most had come back.
+#[test]
+fn workers_that_are_last_to_come_back_from_a_cut_are_kept() {
+    let mut w = up(1);
+    w.run_ms = 600_000;
+    w.capacity = 0;
+    let names: Vec<String> = (1..7).map(|n| format!("vm-z{n}")).collect();
+    for name in &names {
+        w.add_machine(name, "b", false, true);
+    }
+    let mut spec = array("run-1", 56);
+    spec["secteur"] = json!("b");
+    assert_eq!(w.submit(0, &spec), 201);
+    w.run_for(5000);
+    assert_eq!(w.on_machines("run-1"), 56);
+    let set = |w: &mut World, names: &[String], silent: bool| {
+        for name in names {
+            w.workers.get_mut(name).unwrap().silent = silent;
+        }
+    };
+    set(&mut w, &names, true);
+    w.run_for(14_000);
+    set(&mut w, &names[..4], false);
+    w.run_for(4000);
+    set(&mut w, &names[4..], false);
+    w.run_for(5000);
+    let gone: Vec<&String> = names.iter().filter(|n| w.workers[*n].gone).collect();
+    assert!(gone.is_empty(), "none is returned: {gone:?}");
+    // One that is silent alone is given up as ever.
+    set(&mut w, &names[5..], true);
+    w.run_for(12_000);
+    assert!(w.workers[&names[5]].gone);
+}
+
+/// A new leader once took empty machines, which it knew by the cloud's list
+/// alone, for ones that had never come up, and returned them at once.
+#[test]
+fn a_new_leader_waits_for_the_reports_of_machines_that_it_finds_in_the_list() {
+    let mut w = up(3);
+    w.run_until(40_000);
+    w.kill(w.leader().unwrap());
+    // Their next reports come a little after the list.
+    for worker in w.workers.values_mut() {
+        worker.silent = true;
+    }
+    w.run_for(6000);
+    for worker in w.workers.values_mut() {
+        worker.silent = false;
+    }
+    w.run_for(3000);
+    assert!(w.leader().is_some());
+    assert!(!w.workers["vm-a"].gone && !w.workers["vm-b"].gone);
+    assert_eq!(w.submit(w.leader().unwrap(), &service("run-1", 2)), 201);
+    w.run_for(2000);
+    assert_eq!(w.on_machines("run-1"), 2, "they are of use at once");
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -141,6 +141,7 @@
 
 #[derive(Clone, Debug)]
 pub struct Worker {
+    pub rented_ms: u64,
     pub up: bool,
     pub gone: bool,
     /// Hears nothing and says nothing.
@@ -810,6 +811,7 @@
         let worker = Worker {
             up,
             gone: false,
+            rented_ms: self.now,
             silent: false,
             spot,
             zone: zone.into(),
@@ -880,7 +882,8 @@
                     .filter(|(_, w)| !w.gone)
                     .map(|(name, w)| {
                         json!({"id": name, "address": format!("w/{name}"), "gamme": "g8", "secteur": w.zone,
-                        "occasion": w.spot, "etat": if w.up { "running" } else { "starting" }, "heldS": 1.0})
+                        "occasion": w.spot, "etat": if w.up { "running" } else { "starting" },
+                        "heldS": (self.now - w.rented_ms) as f64 / 1000.0})
                     })
                     .collect();
                 ok(json!({"bancs": list, "truncated": false}))
