Let preempted tasks skip saving where the waiting work has no time for it

The choice of the room looked at the saving alone. Change: the cost of a place counts the fetch there; tasks with checkpoints go back to the last one where saving would cost the waiting work its aim and stopping at once would not (what is lost is what ran since that checkpoint). Ruled out: slow rentals (each was asked for within a second; boots take 25 to 50 s); the state service's rates (2 calls refused).

--- a/src/scheduler/exchange.rs
+++ b/src/scheduler/exchange.rs
@@ -40,7 +40,7 @@
         self.settings.wait_objective_ms(&spec.class)?;
         let slack_ms = deadline.saturating_sub(now.wall) as f64;
         let fetch_ms = self.fetch_s(&rooms[cold].id, spec)? * 1000.0;
-        let handover_ms = self.report_ms() as f64 * HANDOVER_REPORTS;
+        let handover_ms = self.handover_s() * 1000.0;
         if slack_ms < handover_ms || fetch_ms * SLOWEST_FETCH < slack_ms {
             return None;
         }
@@ -62,7 +62,7 @@
             rooms[index].freeing.add(&moving.need);
             rooms[moving.to].free.take(&moving.need);
             rooms[moving.to].reserved = true;
-            self.stop_task(now, &moving.task);
+            self.stop_task(now, &moving.task, true);
             self.bound_for
                 .insert(moving.task, rooms[moving.to].id.clone());
         }
@@ -120,7 +120,7 @@
             let Some((missed_s, to)) = goal.filter(|(s, _)| self.hardly_missed(*s)) else {
                 continue;
             };
-            cost += missed_s + self.settings.site.workers.report_s * HANDOVER_REPORTS;
+            cost += missed_s + self.handover_s();
             free.add(&job.need);
             taken.push((to, job.need));
             moves.push(Moving {
@@ -132,8 +132,13 @@
         free.holds(need).then_some((cost, moves))
     }
 
-    /// How long a replica would be missed that moves there.
-    fn missed_s(&self, room: &Room, spec: &JobSpec) -> Option<f64> {
+    /// Stopping a task, storing that, and starting another in its place.
+    pub(super) fn handover_s(&self) -> f64 {
+        self.settings.site.workers.report_s * HANDOVER_REPORTS
+    }
+
+    /// How long a task would fetch that starts there.
+    pub(super) fn missed_s(&self, room: &Room, spec: &JobSpec) -> Option<f64> {
         if self.fleet.get(&room.id)?.has_image(&spec.image) {
             return Some(0.0);
         }
--- a/src/scheduler/moves.rs
+++ b/src/scheduler/moves.rs
@@ -25,7 +25,7 @@
     /// first, if it can, and waits again in the queue.
     pub(super) fn preempt(&mut self, now: Now, rest: &mut Vec<Rest>, rooms: &[Room]) {
         let mut free: Vec<Res> = rooms.iter().map(Room::soon_free).collect();
-        let mut chosen: Vec<TaskRef> = Vec::new();
+        let mut chosen: Vec<(TaskRef, bool)> = Vec::new();
         for waiting in rest.iter_mut().filter(|r| !r.forecast) {
             if self
                 .settings
@@ -35,31 +35,34 @@
                 continue;
             }
             let need = Res::of_task(&waiting.spec);
+            let slack_s = (waiting.deadline as f64 - now.wall as f64) / 1000.0;
             while waiting.count > 0 {
                 let allowed = |room: &Room| may_stand(&waiting.spec, &waiting.zones, &room.offer);
                 let best = (0..rooms.len())
                     .filter(|i| allowed(&rooms[*i]))
                     .filter_map(|i| {
+                        let fetch_s = self.missed_s(&rooms[i], &waiting.spec)?;
                         let (cost, victims) = self.victims(
                             now,
                             &rooms[i].id,
                             waiting.spec.priority,
                             free[i],
                             &need,
+                            slack_s - fetch_s,
                             &chosen,
                         )?;
-                        Some((cost, i, victims))
+                        Some((cost + fetch_s, i, victims))
                     })
                     .min_by(|a, b| a.0.total_cmp(&b.0));
                 let Some((_, index, victims)) = best else {
                     break;
                 };
-                for task in victims {
+                for (task, saves) in victims {
                     if let Some(job) = self.jobs.get(&task.job) {
                         free[index].add(&job.need);
                     }
-                    log::info!("task {task} gives way to {}", waiting.spec.id);
-                    chosen.push(task);
+                    log::info!("task {task} gives way to {} saves={saves}", waiting.spec.id);
+                    chosen.push((task, saves));
                 }
                 free[index].take(&need);
                 waiting.zones.add(&rooms[index].offer.zone);
@@ -67,8 +70,8 @@
             }
         }
         rest.retain(|r| r.count > 0);
-        for task in chosen {
-            self.stop_task(now, &task);
+        for (task, saves) in chosen {
+            self.stop_task(now, &task, saves);
         }
     }
 
@@ -118,7 +121,10 @@
     }
 
     /// The tasks of less important jobs whose stop costs least and makes room
-    /// on this machine, with that cost.
+    /// on this machine, with that cost in seconds, and whether each may save
+    /// first. Where saving would cost the waiting work its aim and stopping at
+    /// once would not, tasks go back to their last checkpoint instead.
+    #[allow(clippy::too_many_arguments)]
     fn victims(
         &self,
         now: Now,
@@ -126,23 +132,32 @@
         priority: Priority,
         mut free: Res,
         need: &Res,
-        chosen: &[TaskRef],
-    ) -> Option<(f64, Vec<TaskRef>)> {
+        patience_s: f64,
+        chosen: &[(TaskRef, bool)],
+    ) -> Option<(f64, Vec<(TaskRef, bool)>)> {
         let machine = self.fleet.get(id)?;
         let settled_ms = self.settled_ms();
-        let mut candidates: Vec<(f64, &TaskRef, Res)> = Vec::new();
+        let handover_s = self.handover_s();
+        let mut candidates: Vec<(f64, &TaskRef, bool, Res)> = Vec::new();
         for task in &machine.tasks {
             let job = self.jobs.get(&task.job)?;
             let assign = job.assigns.get(&task.index)?;
-            if job.spec.priority <= priority || assign.stop.is_some() || chosen.contains(task) {
+            if job.spec.priority <= priority
+                || assign.stop.is_some()
+                || chosen.iter().any(|(t, _)| t == task)
+            {
                 continue;
             }
             let ran_ms = assign.running_since_ms.map_or(0, |at| now.ms - at);
+            let ran_s = ran_ms as f64 / 1000.0;
+            let checkpoint_s = job.spec.checkpoint_s;
+            let in_time = handover_s + job.spec.save_s <= patience_s;
+            let saves = checkpoint_s > 0.0 && (in_time || patience_s < handover_s);
             // Lost work in seconds; a start that was just made counts twice.
-            let lost_s = if job.spec.checkpoint_s > 0.0 {
-                job.spec.save_s
-            } else {
-                ran_ms as f64 / 1000.0
+            let lost_s = match (saves, checkpoint_s > 0.0) {
+                (true, _) => job.spec.save_s,
+                (false, true) => ran_s % checkpoint_s,
+                (false, false) => ran_s,
             };
             let fresh = assign.running_since_ms.is_some() && ran_ms < settled_ms;
             let cost = if fresh {
@@ -150,17 +165,17 @@
             } else {
                 lost_s + 1.0
             };
-            candidates.push((cost, task, job.need));
+            candidates.push((cost, task, saves, job.need));
         }
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
         let (mut cost, mut victims) = (0.0, Vec::new());
-        for (lost, task, room) in candidates {
+        for (lost, task, saves, room) in candidates {
             if free.holds(need) {
                 break;
             }
             free.add(&room);
             cost += lost;
-            victims.push(task.clone());
+            victims.push((task.clone(), saves));
         }
         free.holds(need).then_some((cost, victims))
     }
@@ -306,7 +321,7 @@
             log::info!("task {task} moves to {machine}, to leave warm room behind");
             let due_ms = now.ms + (fetch_s * 1000.0 * WARM_FETCHES) as u64;
             self.warm_due_ms.insert(spec.class.clone(), due_ms);
-            self.stop_task(now, &task);
+            self.stop_task(now, &task, true);
             self.bound_for.insert(task, machine);
         }
     }
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -488,16 +488,16 @@
     pub(super) fn drain(&mut self, now: Now, id: &MachineId) {
         let tasks = self.fleet.get(id).map(|m| m.tasks.clone());
         for task in tasks.into_iter().flatten() {
-            self.stop_task(now, &task);
+            self.stop_task(now, &task, true);
         }
     }
 
-    /// Stops one task, letting it save what it can.
-    pub(super) fn stop_task(&mut self, now: Now, task: &TaskRef) {
+    /// Stops one task, letting it save what it can if it may.
+    pub(super) fn stop_task(&mut self, now: Now, task: &TaskRef, saves: bool) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let grace_s = if job.spec.checkpoint_s > 0.0 {
+        let grace_s = if saves && job.spec.checkpoint_s > 0.0 {
             job.spec.save_s.ceil() as u64 + 1
         } else {
             0
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -610,6 +610,34 @@
     );
 }
 
+/// Saving once took the time that the waiting service had: it was late, and
+/// the array's tasks were gone all the same.
+#[test]
+fn tasks_go_back_to_their_checkpoint_where_saving_would_take_too_long() {
+    for (save_s, late) in [(6.0, false), (2.0, false), (2.0, true)] {
+        let mut w = up(1);
+        w.cloud_away = true;
+        w.run_ms = 600_000;
+        let mut batch = array("run-1", 16);
+        batch["jalonS"] = json!(5.0);
+        batch["sauvegardeS"] = json!(save_s);
+        assert_eq!(w.submit(0, &batch), 201);
+        w.run_for(3000);
+        let mut spec = service("run-2", 1);
+        spec["pullGb"] = json!(1.0);
+        if late {
+            // It would be late even so: then nothing is lost by saving.
+            spec["pullGb"] = json!(9.0);
+        }
+        assert_eq!(w.submit(0, &spec), 201);
+        w.run_for(1000);
+        let saved = w.on_machines("run-2") == 0;
+        assert_eq!(saved, save_s < 5.0, "{save_s} {late}: {:?}", w.trace);
+        w.run_for(3000);
+        assert_eq!(w.on_machines("run-2"), 1, "{save_s} {late}: {:?}", w.trace);
+    }
+}
+
 /// Room for arrivals was once kept on machines without their image, where a
 /// class that may wait for a moment only was late each time.
 #[test]
