Let a new leader expect what the stored jobs' times show

Cause: a new leader counted arrivals from its election on, so for up to a learning window it kept too little room and gave back what its predecessor had kept. Stored jobs hold their submission times: the new leader reads arrivals from them at no cost, by the time of day, which all controllers share. Ruled out: storing what was learned (one write more, for what is there already).

--- a/src/scheduler/learn.rs
+++ b/src/scheduler/learn.rs
@@ -28,7 +28,7 @@
 /// Arrivals of one class, over a sliding window.
 #[derive(Clone, Debug, Default)]
 struct Arrivals {
-    /// (when, tasks).
+    /// (when, tasks), in order. Time of day: all controllers share it.
     seen: VecDeque<(u64, u32)>,
     latest: Option<Rc<JobSpec>>,
 }
@@ -39,7 +39,7 @@
     boots: BTreeMap<Rc<str>, Learned>,
     bias: BTreeMap<Rc<str>, Learned>,
     arrivals: BTreeMap<Rc<str>, Arrivals>,
-    since_ms: u64,
+    since: u64,
     window_ms: u64,
 }
 
@@ -60,14 +60,15 @@
             boots: BTreeMap::new(),
             bias: BTreeMap::new(),
             arrivals: BTreeMap::new(),
-            since_ms: 0,
+            since: 0,
             window_ms,
         }
     }
 
-    /// A new leadership counts arrivals from here on.
-    pub fn start(&mut self, now_ms: u64) {
-        self.since_ms = now_ms;
+    /// A new leadership counts arrivals from here on, and those before that
+    /// stored jobs tell of.
+    pub fn start(&mut self, wall: u64) {
+        self.since = wall;
         self.arrivals.clear();
     }
 
@@ -97,19 +98,21 @@
         self.bias.get(class).map_or(1.0, |l| l.value)
     }
 
-    pub fn arrived(&mut self, now_ms: u64, spec: &Rc<JobSpec>) {
+    pub fn arrived(&mut self, wall: u64, spec: &Rc<JobSpec>) {
+        self.since = self.since.min(wall);
         let entry = self.arrivals.entry(spec.class.clone()).or_default();
         entry.latest = Some(spec.clone());
-        entry.seen.push_back((now_ms, spec.tasks));
+        let place = entry.seen.partition_point(|(at, _)| *at <= wall);
+        entry.seen.insert(place, (wall, spec.tasks));
         while entry.seen.len() > 256 {
             entry.seen.pop_front();
         }
     }
 
-    pub fn flows(&mut self, now_ms: u64) -> Vec<Flow> {
-        let from = now_ms.saturating_sub(self.window_ms).max(self.since_ms);
+    pub fn flows(&mut self, wall: u64) -> Vec<Flow> {
+        let from = wall.saturating_sub(self.window_ms).max(self.since);
         // A short past says little: it counts as if it had been longer.
-        let span_s = (now_ms.saturating_sub(from).max(self.window_ms / 4)) as f64 / 1000.0;
+        let span_s = (wall.saturating_sub(from).max(self.window_ms / 4)) as f64 / 1000.0;
         let mut flows = Vec::new();
         for arrivals in self.arrivals.values_mut() {
             while arrivals.seen.front().is_some_and(|(at, _)| *at < from) {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -219,7 +219,7 @@
         self.term = term;
         self.key_version = key_version.0;
         self.elected_ms = now.ms;
-        self.learning.start(now.ms);
+        self.learning.start(now.wall);
         log::info!("leader term={term} elected, loading");
         self.list(now, out);
     }
@@ -400,8 +400,10 @@
                     log::debug!("job {id} known to the leader");
                 }
                 let job = Job::new(record, version, self.shard_size, now.ms);
-                if fresh && job.is_service() {
-                    self.learning.arrived(now.ms, &job.spec);
+                if job.is_service() {
+                    // Stored jobs tell a new leader of arrivals, too.
+                    let at = if fresh { now.wall } else { job.submitted };
+                    self.learning.arrived(at, &job.spec);
                 }
                 self.jobs.insert(id.clone(), job);
             }
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -169,7 +169,7 @@
             .fold(0.0, f64::max);
         let flows: Vec<Flow> = self
             .learning
-            .flows(now.ms)
+            .flows(now.wall)
             .into_iter()
             .filter(|f| self.settings.wait_objective_ms(&f.spec.class).is_some())
             .collect();
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -887,3 +887,23 @@
     w.run_for(2000);
     assert_eq!(w.on_machines("run-1"), 2, "they are of use at once");
 }
+
+/// A new leader once began with no idea of what to expect, and gave back the
+/// room that its predecessor had kept.
+#[test]
+fn a_new_leader_expects_what_stored_jobs_show() {
+    let mut w = up(3);
+    w.capacity = 0;
+    for n in 0..16 {
+        assert_eq!(w.submit(0, &service(&format!("run-{n}"), 1)), 201);
+    }
+    w.run_for(3000);
+    assert_eq!(w.on_machines("run-"), 16, "all room is taken");
+    w.kill(w.leader().unwrap());
+    w.run_for(4000);
+    assert!(w.leader().is_some());
+    w.capacity = 100;
+    let machines = w.workers.len();
+    w.run_for(15_000);
+    assert!(w.workers.len() > machines, "room is made for more");
+}
