Know settled replicas across a change of leader, and by when starts count

Change: settled is 30 s (PROTOCOL) and two reports; an inherited replica counts as old as its job; one whose start was late by its aim may move at any time. The run time of an inherited task is no longer learned: only its end was seen.

--- a/src/scheduler/exchange.rs
+++ b/src/scheduler/exchange.rs
@@ -97,7 +97,7 @@
                 && job
                     .assigns
                     .get(&task.index)
-                    .is_some_and(|a| self.may_move(now, a));
+                    .is_some_and(|a| self.may_move(now, job, a));
             if !movable {
                 continue;
             }
--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -116,7 +116,12 @@
     pub sent_ms: Option<u64>,
     /// As last reported; `None`: not seen there.
     pub phase: Option<TaskPhase>,
+    /// Since when it was seen running, under this leader.
     pub running_since_ms: Option<u64>,
+    /// An earlier leader started it: it may have run for longer.
+    pub inherited: bool,
+    /// It started later than its class may wait.
+    pub late: bool,
     pub stop: Option<StopPlan>,
     /// Absence under at least this token proves that it isn't there and
     /// never will be.
@@ -306,6 +311,8 @@
                     sent_ms: None,
                     phase: None,
                     running_since_ms: None,
+                    inherited: true,
+                    late: false,
                     stop: None,
                     absent_proof: None,
                 },
--- a/src/scheduler/moves.rs
+++ b/src/scheduler/moves.rs
@@ -11,9 +11,11 @@
 
 /// A machine with more than this share in use isn't emptied.
 const MOST_MOVED: f64 = 0.6;
-/// A replica that started less than this many leases ago isn't moved: its
-/// start would count for nothing.
-const SETTLED_LEASES: f64 = 4.0;
+/// A start counts for the users once it has lasted for this long (PROTOCOL,
+/// "How aims are counted"); moving a replica before would make it late.
+const START_COUNTS_S: f64 = 30.0;
+/// Between a worker's start and our word of it, in report intervals.
+const SEEN_REPORTS: f64 = 2.0;
 /// A fetch that takes so many report intervals is hardly missed.
 const QUICK_FETCH_REPORTS: f64 = 2.5;
 /// A replica moves to spread an image at most once in so many fetch times.
@@ -243,7 +245,7 @@
         for task in &machine.tasks {
             let job = self.jobs.get(&task.job)?;
             let assign = job.assigns.get(&task.index)?;
-            if !self.may_move(now, assign) || !job.is_service() {
+            if !self.may_move(now, job, assign) || !job.is_service() {
                 return None;
             }
             let mut zones = job.zone_use();
@@ -268,16 +270,21 @@
     }
 
     fn settled_ms(&self) -> u64 {
-        (self.lease_ms() as f64 * SETTLED_LEASES) as u64
+        let seen_s = self.settings.site.workers.report_s * SEEN_REPORTS;
+        ((START_COUNTS_S + seen_s) * 1000.0) as u64
     }
 
-    /// Whether a task has run long enough that its start counts anyway.
-    pub(super) fn may_move(&self, now: Now, assign: &Assign) -> bool {
+    /// Whether a task may be moved: it has run long enough that its start
+    /// counts anyway, or started so late that it doesn't.
+    pub(super) fn may_move(&self, now: Now, job: &Job, assign: &Assign) -> bool {
         let settled_ms = self.settled_ms();
+        let settled = |since_ms: u64| now.ms > since_ms + settled_ms;
+        // A new leader can't know better than by the job's age.
+        let old = assign.inherited && now.wall > job.submitted + settled_ms;
         assign.stop.is_none()
             && assign
                 .running_since_ms
-                .is_some_and(|at| now.ms > at + settled_ms)
+                .is_some_and(|at| old || assign.late || settled(at))
     }
 
     /// Whether a replica that fetches for so long is hardly missed.
@@ -352,7 +359,7 @@
                     .is_some_and(|m| m.phase == Phase::Up && m.notice_until_ms.is_none());
                 let mut zones = job.zone_use();
                 zones.remove(&assign.zone);
-                if self.may_move(now, assign)
+                if self.may_move(now, job, assign)
                     && up
                     && assign.machine != *to
                     && zones.allows(&job.spec, zone)
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -153,10 +153,14 @@
                     let gb = job.spec.image_gb;
                     if seen.phase != TaskPhase::Fetching && assign.running_since_ms.is_none() {
                         assign.running_since_ms = Some(now.ms);
+                        let waited_ms = now.wall.saturating_sub(job.submitted);
+                        assign.late = self
+                            .settings
+                            .wait_objective_ms(&job.spec.class)
+                            .is_some_and(|most| waited_ms > most);
                         log::info!(
-                            "task {task} running attempt={} on {id} waited_ms={}",
+                            "task {task} running attempt={} on {id} waited_ms={waited_ms}",
                             assign.attempt,
-                            now.wall.saturating_sub(job.submitted)
                         );
                     }
                     assign.phase = Some(seen.phase);
@@ -216,7 +220,11 @@
         };
         let need = job.need;
         let cancelled = job.cancelled.is_some();
-        let took_ms = assign.running_since_ms.map(|since| now.ms - since);
+        // Of an inherited task only the end of its run was seen.
+        let took_ms = assign
+            .running_since_ms
+            .filter(|_| !assign.inherited)
+            .map(|since| now.ms - since);
         let slow = reason == EndReason::Done && took_ms.is_some_and(|took| job.ran(took));
         if let Some(machine) = self.fleet.get_mut(id) {
             machine.unassign(task, &need, now.ms);
@@ -241,8 +249,8 @@
             job.done.insert(task.index);
             job.succeeded = true;
             job.touch(task.index, now.ms, false);
-            if let Some(since) = assign.running_since_ms {
-                let took_s = (now.ms - since) as f64 / 1000.0;
+            if let Some(took_ms) = took_ms {
+                let took_s = took_ms as f64 / 1000.0;
                 let (class, estimate) = (job.spec.class.clone(), job.spec.estimate_s);
                 self.learning.ran(&class, estimate, took_s);
             }
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -476,6 +476,8 @@
                     sent_ms: None,
                     phase: None,
                     running_since_ms: None,
+                    inherited: false,
+                    late: false,
                     stop: None,
                     absent_proof: None,
                 },
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -666,35 +666,48 @@
 /// than their class may wait, while small-image replicas stood where it was.
 #[test]
 fn less_important_replicas_make_place_where_a_large_image_is() {
-    let mut w = up(1);
+    for leader_ends in [false, true] {
+        make_place(leader_ends);
+    }
+}
+
+fn make_place(leader_ends: bool) {
+    let mut w = up(3);
+    let mut node = w.leader().unwrap();
     w.cloud_away = true;
     let mut spec = service("run-1", 4);
     spec["secteur"] = json!("a");
-    assert_eq!(w.submit(0, &spec), 201);
+    assert_eq!(w.submit(node, &spec), 201);
     let mut other = service("run-3", 4);
     other["secteur"] = json!("b");
     other["moule"] = json!("img-3");
-    assert_eq!(w.submit(0, &other), 201);
+    assert_eq!(w.submit(node, &other), 201);
     other["id"] = json!("run-0");
-    assert_eq!(w.submit(0, &other), 201);
+    assert_eq!(w.submit(node, &other), 201);
     w.run_for(1000);
     let mut small = service("run-2", 4);
     small["rang"] = json!("high");
     small["gabarit"] = json!("help");
     small["moule"] = json!("img-2");
     small["pullGb"] = json!(1.0);
-    assert_eq!(w.submit(0, &small), 201);
+    assert_eq!(w.submit(node, &small), 201);
     // Until nothing more is expected, and all have settled.
     w.run_for(150_000);
-    w.cancel(0, "run-0");
+    w.cancel(node, "run-0");
     w.run_for(1000);
     let on = |w: &World, m: &str, job: &str| {
         let tasks = w.workers[m].tasks.keys();
         tasks.filter(|t| t.starts_with(job)).count()
     };
     assert_eq!(on(&w, "vm-a", "run-2"), 4, "{:?}", w.trace);
+    if leader_ends {
+        // Its successor sees them for the first time.
+        w.kill(node);
+        w.run_for(6000);
+        node = w.leader().unwrap();
+    }
     // 6.2 GB take 6.2 s at the nominal rate; its class may wait 5 s.
-    assert_eq!(w.submit(0, &service("run-4", 2)), 201);
+    assert_eq!(w.submit(node, &service("run-4", 2)), 201);
     w.run_for(1000);
     assert_eq!(on(&w, "vm-a", "run-4"), 2, "{:?}", w.trace);
     w.run_for(2000);
@@ -705,7 +718,7 @@
     small["rang"] = json!("critical");
     small["moule"] = json!("img-1");
     small["pullGb"] = json!(6.2);
-    assert_eq!(w.submit(0, &small), 201);
+    assert_eq!(w.submit(node, &small), 201);
     w.run_for(8000);
     assert_eq!(w.trace.len(), 16 + 2 + 2 + 2, "{:?}", w.trace);
 }
