--- a/src/placement.rs
+++ b/src/placement.rs
@@ -151,9 +151,6 @@
 /// What the choice between fitting machines looks at.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Fit {
-    /// Too late for its aim already, and with a quick fetch: it may as well
-    /// bring its image to where that is missing.
-    pub spreads: bool,
     /// Image there already.
     pub cached: bool,
     /// Image on its way for another task.
@@ -174,10 +171,7 @@
     /// Smaller is better. Late work for a second of fetching is worse than
     /// any packing; among equals, full machines fill up so that others empty.
     pub fn rank(&self) -> f64 {
-        let fetch = if self.spreads {
-            let there = if self.cached || self.coming { 0.2 } else { 0.0 };
-            there + 0.1 * f64::from(self.fetches)
-        } else if self.cached {
+        let fetch = if self.cached {
             0.0
         } else if self.coming {
             0.6
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -389,7 +389,6 @@
                 forecast: false,
             });
         }
-        let late = self.settings.wait_objective_ms(&spec.class).is_some() && now.wall >= deadline;
         let mut placed = 0;
         let mut promised = 0;
         let mut blocked = 0;
@@ -426,7 +425,7 @@
             if let Some(index) = held {
                 rooms[index].free.take(&need);
             } else if best.is_none() {
-                best = self.best_room(&spec, &need, &zones, rooms, id, late);
+                best = self.best_room(&spec, &need, &zones, rooms, id);
                 let cold = best.filter(|i| {
                     let machine = self.fleet.get(&rooms[*i].id);
                     machine.is_some_and(|m| !m.has_image(&spec.image))
@@ -546,7 +545,6 @@
         zones: &ZoneUse,
         rooms: &[Room],
         id: &JobId,
-        late: bool,
     ) -> Option<usize> {
         let job = self.jobs.get(id)?;
         let mut best: Option<(f64, usize)> = None;
@@ -562,9 +560,7 @@
             // Replicas are kept apart; tasks that end soon fill machines up.
             let apart = u32::from(spec.kind == Kind::Service);
             let siblings = machine.tasks.iter().filter(|t| t.job == *id).count() as u32;
-            let quick = |s: f64| self.hardly_missed(s);
             let fit = Fit {
-                spreads: late && self.fetch_s(&room.id, spec).is_some_and(quick),
                 cached: machine.has_image(&spec.image),
                 coming: machine.fetching.contains_key(&spec.image),
                 fetches: room.fetches,
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -147,7 +147,6 @@
 #[test]
 fn an_image_at_hand_beats_packing_and_packing_beats_emptiness() {
     let base = Fit {
-        spreads: false,
         cached: false,
         coming: false,
         fetches: 0,
