Let settled equals trade places where a late start's image is

Change: settled replicas of the same priority may move as well, dearer by a report interval, to held room where they are hardly missed.

--- a/src/scheduler/exchange.rs
+++ b/src/scheduler/exchange.rs
@@ -1,8 +1,8 @@
 //! Places change hands where an image is. Work whose aim leaves no time for a
-//! fetch finds free room, but only where its image isn't, while less
-//! important replicas that would hardly be missed stand where it is. They
-//! move into that room, and the work takes theirs.
-
+//! fetch finds free room, but only where its image isn't, while settled
+//! replicas that would hardly be missed stand where it is. They move into that
+//! room, and the work takes theirs: less important replicas first, equals if
+//! need be, more important ones never.
 use super::rounds::Room;
 use super::Scheduler;
 use crate::fleet::Machine;
@@ -70,8 +70,8 @@
         Some(index)
     }
 
-    /// Less important, settled replicas of a machine that make enough room
-    /// and have somewhere to go, with the seconds that they would be missed.
+    /// Settled replicas of a machine that make enough room and have somewhere
+    /// to go, with the seconds that they would be missed.
     fn movers(
         &self,
         now: Now,
@@ -93,7 +93,7 @@
             };
             let movable = job.is_service()
                 && job.cancelled.is_none()
-                && job.spec.priority > spec.priority
+                && job.spec.priority >= spec.priority
                 && job
                     .assigns
                     .get(&task.index)
@@ -121,6 +121,9 @@
                 continue;
             };
             cost += missed_s + self.handover_s();
+            if job.spec.priority == spec.priority {
+                cost += self.settings.site.workers.report_s;
+            }
             free.add(&job.need);
             taken.push((to, job.need));
             moves.push(Moving {
