Empty several machines at a time, one in sixteen at most

Change: one in sixteen at a time (4 of 64, 9 of 150), and no machine that others move to is emptied itself.

--- a/src/scheduler/moves.rs
+++ b/src/scheduler/moves.rs
@@ -3,12 +3,14 @@
 
 use super::rounds::{Cold, Rest, Room};
 use super::{Assign, Job, Scheduler};
-use crate::fleet::Phase;
+use crate::fleet::{Machine, Phase};
 use crate::ids::{MachineId, TaskRef};
 use crate::msg::Now;
 use crate::placement::{may_stand, Res, ZoneUse};
 use crate::wire::{JobSpec, Priority};
 
+/// One of so many machines at a time is emptied.
+const GATHERED_OF: usize = 16;
 /// A machine with more than this share in use isn't emptied.
 const MOST_MOVED: f64 = 0.6;
 /// A start counts for the users once it has lasted for this long (PROTOCOL,
@@ -186,14 +188,15 @@
     /// that nobody expects to need, so that the machine can be returned. One
     /// machine at a time, and only where a replica is hardly missed.
     pub(super) fn gather(&mut self, now: Now, rooms: &mut [Room]) {
+        let up = |m: &&Machine| matches!(m.phase, Phase::Up | Phase::Draining);
+        let machines = self.fleet.machines.values().filter(up);
         let moving = self
             .fleet
             .machines
             .values()
-            .any(|m| m.phase == Phase::Draining && !m.tasks.is_empty());
-        if moving {
-            return;
-        }
+            .filter(|m| m.phase == Phase::Draining && !m.tasks.is_empty())
+            .count();
+        let most = (machines.count() / GATHERED_OF).max(1);
         let mut order: Vec<(f64, usize)> = rooms
             .iter()
             .enumerate()
@@ -205,8 +208,21 @@
             })
             .collect();
         order.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut left = most.saturating_sub(moving);
         for (share, index) in order {
+            if left == 0 {
+                return;
+            }
             if let Some(moves) = self.can_empty(now, index, share, rooms) {
+                left -= 1;
+                for (_, to) in &moves {
+                    // Room that is promised is nobody else's, and no machine
+                    // that others move to is emptied itself.
+                    if let Some(room) = rooms.iter_mut().find(|r| r.id == *to) {
+                        room.free = Res::default();
+                        room.reserved = true;
+                    }
+                }
                 self.bound_for.extend(moves);
                 let id = rooms[index].id.clone();
                 log::info!("machine {id} emptied, its replicas move");
@@ -215,7 +231,6 @@
                 }
                 rooms[index].free = Res::default();
                 self.drain(now, &id);
-                return;
             }
         }
     }
