Let most of many empty machines leave soon

Change: half the root of the fleet's size wait for the whole time, the others for a quarter of it: what comes and goes spreads with the root.

--- a/src/scheduler/renting.rs
+++ b/src/scheduler/renting.rs
@@ -5,6 +5,7 @@
 use super::Scheduler;
 use crate::cloud::{Cloud, Offer, RENT_MAX};
 use crate::fleet::Phase;
+use crate::ids::MachineId;
 use crate::msg::Now;
 use crate::placement::{may_stand, offers_for, Res};
 use crate::slackfit::{self, Rung};
@@ -14,6 +15,11 @@
 /// A new leader listens for so many report intervals before it rents.
 const LISTEN_REPORTS: u64 = 3;
 
+/// So many empty machines wait for work, in roots of the fleet's size.
+const SPARE_ROOTS: f64 = 0.5;
+/// Those beyond leave after this share of the usual time.
+const SOONER: f64 = 0.25;
+
 /// Room that isn't there yet.
 struct Coming {
     offer: Offer,
@@ -178,24 +184,42 @@
     }
 
     /// Machines that have been empty for a while and that no expected work
-    /// needs go back.
+    /// needs go back. How much work comes and goes spreads with the root of
+    /// the fleet: so many empty machines wait for it, and those beyond leave
+    /// soon.
     fn return_idle(&mut self, now: Now, cloud: &mut Cloud) {
+        let mut empty: Vec<(u64, MachineId)> = self
+            .fleet
+            .machines
+            .values()
+            .filter(|m| matches!(m.phase, Phase::Up | Phase::Draining) && m.tasks.is_empty())
+            .filter_map(|m| Some((m.idle_since_ms?, m.id.clone())))
+            .collect();
+        // Those that are empty for the shortest time stay.
+        empty.sort_by(|a, b| b.cmp(a));
+        let waiting = ((self.fleet.machines.len() as f64).sqrt() * SPARE_ROOTS).ceil();
+        let mut spare = 0.0;
         let mut idle = Vec::new();
-        for machine in self.fleet.machines.values() {
-            let Some(since) = machine.idle_since_ms else {
+        for (since, id) in empty {
+            let Some(machine) = self.fleet.get(&id) else {
                 continue;
             };
-            if !matches!(machine.phase, Phase::Up | Phase::Draining) || !machine.tasks.is_empty() {
-                continue;
-            }
-            let patience = (self.boot_ms(&machine.offer) as f64 * self.options.idle_boots) as u64;
             let faulty = machine.blamed_by.len() >= 2;
             let emptied = machine.phase == Phase::Draining;
-            let unneeded =
-                emptied || (!self.reserved.contains(&machine.id) && now.ms > since + patience);
+            let reserved = self.reserved.contains(&id);
+            if !faulty && !emptied && !reserved {
+                spare += 1.0;
+            }
+            let boots = if spare <= waiting {
+                self.options.idle_boots
+            } else {
+                self.options.idle_boots * SOONER
+            };
+            let patience = (self.boot_ms(&machine.offer) as f64 * boots) as u64;
+            let unneeded = emptied || (!reserved && now.ms > since + patience);
             // The first minute is paid for in any case.
             if faulty || (unneeded && now.ms > machine.rented_ms + 60_000) {
-                idle.push(machine.id.clone());
+                idle.push(id);
             }
         }
         for id in idle {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -920,3 +920,24 @@
     w.run_for(15_000);
     assert!(w.workers.len() > machines, "room is made for more");
 }
+
+/// After a wave of work dozens of machines once stood empty for as long as the
+/// one or two that the next arrival would need.
+#[test]
+fn of_many_empty_machines_most_leave_soon() {
+    let mut w = up(1);
+    w.capacity = 0;
+    w.run_ms = 75_000;
+    for n in 0..14 {
+        w.add_machine(&format!("vm-e{n:02}"), "a", false, true);
+    }
+    w.run_for(3000);
+    assert_eq!(w.submit(0, &array("run-1", 128)), 201);
+    let there = |w: &World| w.workers.values().filter(|m| !m.gone).count();
+    w.run_until(82_500);
+    assert_eq!((there(&w), w.on_machines("run-1")), (16, 128));
+    w.run_until(85_000);
+    assert_eq!((there(&w), w.on_machines("run-1")), (1, 0), "one waits");
+    w.run_until(92_000);
+    assert_eq!(there(&w), 0, "and leave in the end");
+}
