--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -81,16 +81,12 @@
     /// The time of day that orders a job in the queue.
     fn deadline_of(&self, now: Now, spec: &JobSpec, submitted: u64) -> u64 {
         let Some(deadline_s) = spec.deadline_s else {
-            return match self.wait_aim(spec, submitted) {
-                // The next that comes may still be on time: it goes before
-                // one that isn't, for a while.
-                Some((aim, most)) if now.wall >= aim => {
-                    submitted + (most as f64 * LAST_DEADLINE) as u64
-                }
-                Some((aim, _)) => aim,
+            let ms = match self.settings.wait_objective_ms(&spec.class) {
+                Some(ms) => ms,
                 // The design's: twice the estimate.
-                None => submitted + (spec.estimate_s * 2000.0) as u64,
+                None => (spec.estimate_s * 2000.0) as u64,
             };
+            return submitted + ms;
         };
         // What can't be on time any more would only make others late too:
         // it goes for the next deadline that still means something.
@@ -104,13 +100,6 @@
             .unwrap_or_else(|| at(LAST_DEADLINE))
     }
 
-    /// By when a task of a class with a wait objective should start, and how
-    /// long it may wait.
-    fn wait_aim(&self, spec: &JobSpec, submitted: u64) -> Option<(u64, u64)> {
-        let most = self.settings.wait_objective_ms(&spec.class)?;
-        Some((submitted + most, most))
-    }
-
     /// Jobs that fit into their team's guarantee together with the team's
     /// earlier unfinished ones.
     fn within_guarantee(&self) -> BTreeMap<JobId, bool> {
@@ -383,10 +372,6 @@
     ) -> Option<Rest> {
         let job = self.jobs.get(id)?;
         let (spec, need) = (job.spec.clone(), job.need);
-        // The place in the queue is one thing, what its users hope for another.
-        let deadline = self
-            .wait_aim(&spec, job.submitted)
-            .map_or(deadline, |(aim, _)| aim);
         let mut zones = job.zone_use();
         // A gang is seen whole; of a huge array a round's worth will do.
         let most = match spec.kind {
