Count no silence against a zone that an outage hides

Change: while most of a zone are silent, the limit runs from the last failure of the state service. Ruled out: keeping the tasks. The follower is alone and must stop renewing leases after half of cancel_s.

--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -482,7 +482,10 @@
         for (zone, (all, silent)) in zones {
             let limit = if silent * 2 > all && silent > 2 {
                 self.zones_silent.insert(zone.clone(), now.ms);
-                ((limit_ms as f64 * CUT_PATIENCE) as u64, 0)
+                // Nor does silence count while followers can't store whose
+                // leases they renew.
+                let excused_ms = self.state_failed_ms.unwrap_or(0);
+                ((limit_ms as f64 * CUT_PATIENCE) as u64, excused_ms)
             } else {
                 let excused_ms = self.zones_silent.get(&zone).copied().unwrap_or(0);
                 (limit_ms, excused_ms)
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -843,10 +843,8 @@
     );
 }
 
-/// After a cut a zone's workers come back one by one. The last of them were
-/// once given up in the moment in which most had come back.
-#[test]
-fn workers_that_are_last_to_come_back_from_a_cut_are_kept() {
+/// One controller, and a zone of six full machines beside the two.
+fn full_zone() -> (World, Vec<String>) {
     let mut w = up(1);
     w.run_ms = 600_000;
     w.capacity = 0;
@@ -859,23 +857,51 @@
     assert_eq!(w.submit(0, &spec), 201);
     w.run_for(5000);
     assert_eq!(w.on_machines("run-1"), 56);
-    let set = |w: &mut World, names: &[String], silent: bool| {
-        for name in names {
-            w.workers.get_mut(name).unwrap().silent = silent;
-        }
-    };
-    set(&mut w, &names, true);
+    (w, names)
+}
+
+fn set_silent(w: &mut World, names: &[String], silent: bool) {
+    for name in names {
+        w.workers.get_mut(name).unwrap().silent = silent;
+    }
+}
+
+fn gone<'a>(w: &World, names: &'a [String]) -> Vec<&'a String> {
+    names.iter().filter(|n| w.workers[*n].gone).collect()
+}
+
+/// After a cut a zone's workers come back one by one. The last of them were
+/// once given up in the moment in which most had come back.
+#[test]
+fn workers_that_are_last_to_come_back_from_a_cut_are_kept() {
+    let (mut w, names) = full_zone();
+    set_silent(&mut w, &names, true);
     w.run_for(14_000);
-    set(&mut w, &names[..4], false);
+    set_silent(&mut w, &names[..4], false);
     w.run_for(4000);
-    set(&mut w, &names[4..], false);
+    set_silent(&mut w, &names[4..], false);
     w.run_for(5000);
-    let gone: Vec<&String> = names.iter().filter(|n| w.workers[*n].gone).collect();
-    assert!(gone.is_empty(), "none is returned: {gone:?}");
+    assert!(gone(&w, &names).is_empty(), "{:?}", gone(&w, &names));
     // One that is silent alone is given up as ever.
-    set(&mut w, &names[5..], true);
+    set_silent(&mut w, &names[5..], true);
     w.run_for(12_000);
-    assert!(w.workers[&names[5]].gone);
+    assert_eq!(gone(&w, &names), [&names[5]]);
+}
+
+/// A zone beyond a cut was once given up at the end of an outage, during which
+/// no follower could have stored that it renews leases there.
+#[test]
+fn a_silence_that_an_outage_hides_does_not_count() {
+    let (mut w, names) = full_zone();
+    set_silent(&mut w, &names, true);
+    w.run_for(5000);
+    w.state.away = true;
+    w.run_for(25_000);
+    w.state_returns();
+    w.run_for(12_000);
+    assert!(gone(&w, &names).is_empty(), "{:?}", gone(&w, &names));
+    w.run_for(15_000);
+    assert_eq!(gone(&w, &names).len(), 6, "in the end it does");
 }
 
 /// A new leader once took empty machines, which it knew by the cloud's list
