--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 mod jobs;
 mod learn;
 mod moves;
+mod overload;
 mod renting;
 mod reports;
 mod rounds;
