--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -240,12 +240,6 @@
         slow
     }
 
-    /// How long its tasks usually run, once enough of them have.
-    pub fn usual_ms(&self) -> Option<f64> {
-        let (count, total) = self.runs;
-        (count >= SIBLINGS).then(|| total as f64 / f64::from(count))
-    }
-
     /// One new attempt for tasks of every shard.
     pub fn common_attempt(&mut self) -> Attempt {
         let latest = self.shards.iter().map(|s| s.next).max().unwrap_or_default();
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -6,7 +6,6 @@
 mod jobs;
 mod learn;
 mod moves;
-mod overload;
 mod renting;
 mod reports;
 mod rounds;
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -14,26 +14,24 @@
 pub(super) const FRESH_REPORTS: u64 = 3;
 /// A job that is late by every aim is due at so many times its deadline, so
 /// that its turn comes all the same.
-pub(super) const LAST_DEADLINE: f64 = 3.0;
+const LAST_DEADLINE: f64 = 3.0;
 
 /// So many tasks of one job are looked at in one round.
 const ROUND_TASKS: usize = 512;
 
 /// One entry of the queue.
 #[derive(Debug)]
-pub(super) struct Waiting {
-    pub(super) priority: Priority,
+struct Waiting {
+    priority: Priority,
     /// Beyond what its team is guaranteed.
-    pub(super) beyond: bool,
-    /// Others can be on time only if it waits.
-    pub(super) put_off: bool,
+    beyond: bool,
     /// Time of day.
-    pub(super) deadline: u64,
-    pub(super) what: Work,
+    deadline: u64,
+    what: Work,
 }
 
 #[derive(Debug)]
-pub(super) enum Work {
+enum Work {
     Job(JobId),
     /// Work that is expected, by what was seen.
     Forecast(Rc<JobSpec>, u32),
@@ -206,7 +204,6 @@
                     all.push(Waiting {
                         priority: f.spec.priority,
                         beyond: true,
-                        put_off: false,
                         deadline: now.wall + (slowest * 1000.0) as u64,
                         what: Work::Forecast(spec, part),
                     });
@@ -229,7 +226,7 @@
         images
     }
 
-    fn queue(&mut self, now: Now, rooms: &[Room]) -> Vec<Waiting> {
+    fn queue(&mut self, now: Now) -> Vec<Waiting> {
         let within = self.within_guarantee();
         // A task on the move has its place already; nothing expected may
         // take that before it arrives.
@@ -246,15 +243,12 @@
                     job.spec.priority
                 },
                 beyond: !moving.contains(id) && !within.get(id).copied().unwrap_or(false),
-                put_off: false,
                 deadline: self.deadline_of(now, &job.spec, job.submitted),
                 what: Work::Job(id.clone()),
             })
             .collect();
         queue.extend(self.forecasts(now));
         queue.sort_by_key(|w| (w.priority, w.beyond, w.deadline));
-        self.put_off(now, rooms, &mut queue);
-        queue.sort_by_key(|w| (w.priority, w.beyond, w.put_off, w.deadline));
         queue
     }
 
@@ -288,7 +282,7 @@
         let mut used = self.team_use();
         let mut rest = Vec::new();
         let mut cold = Vec::new();
-        for waiting in self.queue(now, &rooms) {
+        for waiting in self.queue(now) {
             match waiting.what {
                 Work::Job(id) => {
                     let left = self.place_job(now, &id, waiting.deadline, &mut rooms, &mut used);
