Trace a fleet of 200 machines under seven controllers, and take every default

Two kept traces in virtual time: 1600 tasks placed within the rates of the state service and the limits of a transaction; ten quiet seconds cost no more calls with 200 machines than with 20; a change of leader ends no task and new work is placed within seconds. And: the default of [fleet] silent_leases lay outside its own bounds, so that an operator who wrote it down was refused.

--- a/src/options.rs
+++ b/src/options.rs
@@ -63,7 +63,7 @@
     "slackfit" headroom = 1.0 in 0.0 .. 5.0;
     /// A silent machine is given up after this many worker leases; after
     /// 2.5 times as many when most machines of its zone are silent.
-    "fleet" silent_leases = 0.8 in 1.0 .. 20.0;
+    "fleet" silent_leases = 0.8 in 0.5 .. 20.0;
     /// An idle machine is returned after this share of its boot time.
     "fleet" idle_boots = 0.6 in 0.0 .. 20.0;
     /// A machine that doesn't come up is given up after this many boot times.
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -241,6 +241,11 @@
     );
     let ini = |text: &str| Options::from_ini(&ini::Ini::load_from_str(text).unwrap(), "f.ini");
     assert_eq!(ini("[slackfit]\nheadroom = 2\n").unwrap().headroom, 2.0);
+    // Every default may be written down: one once lay outside its own bounds.
+    for line in Options::describe().lines() {
+        let text = line.replace("] ", "]\n");
+        assert_eq!(ini(&text).unwrap(), Options::default(), "{line}");
+    }
     for (text, says) in [
         (
             "[slackfit]\nheadrom = 2\n",
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -5,6 +5,9 @@
 
 use lilacfork::msg::Target;
 use serde_json::json;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
 use world::{array, service, Fate, World};
 
 fn up(nodes: usize) -> World {
@@ -967,3 +970,109 @@
     w.run_until(92_000);
     assert_eq!(there(&w), 0, "and leave in the end");
 }
+
+/// What the state service was asked, by the second.
+#[derive(Default)]
+struct Asked {
+    calls: BTreeMap<u64, usize>,
+    changes: BTreeMap<u64, usize>,
+}
+
+fn count_calls(w: &mut World) -> Rc<RefCell<Asked>> {
+    let asked: Rc<RefCell<Asked>> = Rc::default();
+    let counts = asked.clone();
+    w.hook = Box::new(move |ms, _, call| {
+        if matches!(call.target, Target::State | Target::StateWatch) {
+            *counts.borrow_mut().calls.entry(ms / 1000).or_default() += 1;
+        }
+        if call.path == "/txn" {
+            let txn: serde_json::Value = serde_json::from_slice(&call.body).unwrap();
+            let count = |part: &str| txn[part].as_array().map_or(0, Vec::len);
+            assert!(count("writes") <= 16 && count("guards") <= 64, "{txn}");
+            assert!(call.body.len() <= 64 * 1024);
+            *counts.borrow_mut().changes.entry(ms / 1000).or_default() += count("writes");
+        }
+        Fate::Pass
+    });
+    asked
+}
+
+/// A service of a class without an aim, so that no room is kept for others.
+fn patient(id: &str) -> serde_json::Value {
+    let mut spec = service(id, 20);
+    spec["gabarit"] = json!("help");
+    spec
+}
+
+/// Seven controllers, full machines, thousands of tasks.
+fn large(machines: usize) -> (World, Rc<RefCell<Asked>>) {
+    let mut w = World::new(7);
+    w.capacity = 0;
+    w.run_ms = 600_000;
+    for n in 0..machines {
+        let zone = if n % 2 == 0 { "a" } else { "b" };
+        w.add_machine(&format!("vm-{n:04}"), zone, false, true);
+    }
+    w.run_until(5000);
+    let asked = count_calls(&mut w);
+    for n in 0..machines / 10 {
+        let job = array(&format!("run-a{n}"), 60);
+        w.ask(n % 7, "POST", "/v2/runs", job);
+        w.ask(
+            (n + 3) % 7,
+            "POST",
+            "/v2/runs",
+            patient(&format!("run-s{n}")),
+        );
+    }
+    w.run_for(8000);
+    assert_eq!(w.on_machines("run-"), machines * 8, "all are full");
+    (w, asked)
+}
+
+/// A rush of hundreds of tasks flows within the state service's rates, nothing
+/// starts twice, and what quiet seconds cost doesn't follow the fleet's size.
+#[test]
+fn a_large_fleet_asks_for_no_more_than_a_small_one_when_nothing_changes() {
+    let mut quiet = Vec::new();
+    for machines in [20, 200] {
+        let (mut w, asked) = large(machines);
+        assert_eq!(w.trace.len(), machines * 8, "each task starts once");
+        for (what, most) in [(&asked.borrow().calls, 200), (&asked.borrow().changes, 100)] {
+            assert!(what.values().all(|n| *n <= most), "{machines}: {what:?}");
+        }
+        let before: usize = asked.borrow().calls.values().sum();
+        w.run_for(10_000);
+        quiet.push(asked.borrow().calls.values().sum::<usize>() - before);
+    }
+    assert!(
+        quiet[0] > 0 && quiet[1] <= quiet[0] + 2,
+        "calls in ten seconds: {quiet:?}"
+    );
+}
+
+/// A new leader of a large fleet is of use within a few report intervals, and
+/// no lease ends for the change.
+#[test]
+fn a_new_leader_takes_a_large_fleet_over_without_ending_a_task() {
+    let (mut w, asked) = large(200);
+    let old = w.leader().unwrap();
+    w.kill(old);
+    let killed = w.now;
+    while w.leader().is_none() {
+        w.run_for(100);
+    }
+    assert!(w.now < killed + 4000, "elected after {}", w.now - killed);
+    let node = w.leader().unwrap();
+    w.cancel(node, "run-s0");
+    w.run_for(3000);
+    assert_eq!(w.on_machines("run-s0"), 0, "cancellations reach all zones");
+    assert_eq!(w.submit(node, &patient("run-new")), 201);
+    w.run_for(2000);
+    assert_eq!(w.on_machines("run-new"), 20, "its room is given anew");
+    assert_eq!(w.trace.len(), 1620, "and nothing else starts");
+    w.run_for(10_000);
+    assert_eq!(w.on_machines("run-"), 1600);
+    let asked = asked.borrow();
+    assert!(asked.calls.values().all(|n| *n <= 200), "{:?}", asked.calls);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -68,9 +68,16 @@
 max_connections = 500
 "#;
 
-pub fn settings(name: &str) -> Settings {
+/// For as many controllers as there are, but three at least.
+pub fn settings(name: &str, nodes: usize) -> Settings {
     let zone = if name == "n-1" { "b" } else { "a" };
-    let text = SETTINGS.replace("NAME", name).replace("ZONE", zone);
+    let mut text = SETTINGS.replace("NAME", name).replace("ZONE", zone);
+    for n in 3..nodes {
+        let port = format!("10.0.0.{}:8081", n + 1);
+        let peer =
+            format!("[[peers]]\nnode_name = \"n-{n}\"\ndomain = \"a\"\npeer_addr = \"{port}\"\n");
+        text = text.replace("[services]", &format!("{peer}[services]"));
+    }
     Settings::parse(&text, "test").expect("test settings")
 }
 
@@ -242,7 +249,7 @@
         self.epochs[n] += 1;
         let incarnation = self.epochs[n] * 100 + n as u64 + 1;
         self.nodes[n] = Some(Node::new(
-            settings(&format!("n-{n}")),
+            settings(&format!("n-{n}"), self.epochs.len()),
             Options::default(),
             incarnation,
         ));
