--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -120,8 +120,6 @@
     rentals: u64,
     /// Machines whose commands should go out by the direct path.
     push: BTreeSet<MachineId>,
-    /// Unfinished jobs of teams with a guarantee: whether they lie within it.
-    within: BTreeMap<JobId, bool>,
     /// Work of the last round that found no room.
     rest: Vec<rounds::Rest>,
     /// Machines that hold room for expected work.
@@ -175,7 +173,6 @@
             refused: HashMap::new(),
             rentals: 0,
             push: BTreeSet::new(),
-            within: BTreeMap::new(),
             rest: Vec::new(),
             reserved: BTreeSet::new(),
             held_due_ms: 0,
--- a/src/scheduler/moves.rs
+++ b/src/scheduler/moves.rs
@@ -7,7 +7,7 @@
 use crate::ids::{MachineId, TaskRef};
 use crate::msg::Now;
 use crate::placement::{may_stand, Res, ZoneUse};
-use crate::wire::JobSpec;
+use crate::wire::{JobSpec, Priority};
 
 /// One of so many machines at a time is emptied.
 const GATHERED_OF: usize = 16;
@@ -31,18 +31,15 @@
         let mut free: Vec<Res> = rooms.iter().map(Room::soon_free).collect();
         let mut chosen: Vec<(TaskRef, bool)> = Vec::new();
         for waiting in rest.iter_mut().filter(|r| !r.forecast) {
-            let urgent = self.settings.wait_objective_ms(&waiting.spec.class);
-            let claims = self.claims_guarantee(&waiting.spec.id);
-            if urgent.is_none() && !claims {
+            if self
+                .settings
+                .wait_objective_ms(&waiting.spec.class)
+                .is_none()
+            {
                 continue;
             }
             let need = Res::of_task(&waiting.spec);
-            let submitted = self.jobs.get(&waiting.spec.id).map(|j| j.submitted);
-            let aim = match (urgent, submitted, self.settings.guarantee_objective_ms()) {
-                (None, Some(submitted), Some(most)) => submitted + most,
-                _ => waiting.deadline,
-            };
-            let slack_s = (aim as f64 - now.wall as f64) / 1000.0;
+            let slack_s = (waiting.deadline as f64 - now.wall as f64) / 1000.0;
             while waiting.count > 0 {
                 let allowed = |room: &Room| may_stand(&waiting.spec, &waiting.zones, &room.offer);
                 let best = (0..rooms.len())
@@ -52,7 +49,7 @@
                         let (cost, victims) = self.victims(
                             now,
                             &rooms[i].id,
-                            &waiting.spec,
+                            waiting.spec.priority,
                             free[i],
                             &need,
                             slack_s - fetch_s,
@@ -102,8 +99,7 @@
         zones: &mut ZoneUse,
         rooms: &mut [Room],
     ) -> u32 {
-        let urgent = self.settings.wait_objective_ms(&spec.class).is_some();
-        if !urgent && !self.claims_guarantee(&spec.id) {
+        if self.settings.wait_objective_ms(&spec.class).is_none() {
             return count;
         }
         let need = Res::of_task(spec);
@@ -137,7 +133,7 @@
         &self,
         now: Now,
         id: &MachineId,
-        spec: &JobSpec,
+        priority: Priority,
         mut free: Res,
         need: &Res,
         patience_s: f64,
@@ -146,19 +142,14 @@
         let machine = self.fleet.get(id)?;
         let settled_ms = self.settled_ms();
         let handover_s = self.handover_s();
-        let claims = self.claims_guarantee(&spec.id);
         let mut candidates: Vec<(f64, &TaskRef, bool, Res)> = Vec::new();
         for task in &machine.tasks {
             let job = self.jobs.get(&task.job)?;
             let assign = job.assigns.get(&task.index)?;
-            let gives_way = job.spec.priority > spec.priority
-                // A guarantee takes back what other teams have borrowed.
-                || (claims
-                    && job.spec.priority == spec.priority
-                    && !job.is_service()
-                    && job.spec.team != spec.team
-                    && self.within.get(&task.job) != Some(&true));
-            if !gives_way || assign.stop.is_some() || chosen.iter().any(|(t, _)| t == task) {
+            if job.spec.priority <= priority
+                || assign.stop.is_some()
+                || chosen.iter().any(|(t, _)| t == task)
+            {
                 continue;
             }
             let ran_ms = assign.running_since_ms.map_or(0, |at| now.ms - at);
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -135,12 +135,6 @@
         within
     }
 
-    /// Work that its team's guarantee covers, where the users care how soon
-    /// that starts.
-    pub(super) fn claims_guarantee(&self, id: &JobId) -> bool {
-        self.settings.guarantee_objective_ms().is_some() && self.within.get(id) == Some(&true)
-    }
-
     /// What each team's tasks may be using now.
     fn team_use(&self) -> HashMap<Rc<str>, Res> {
         let mut used: HashMap<Rc<str>, Res> = HashMap::new();
@@ -233,8 +227,7 @@
     }
 
     fn queue(&mut self, now: Now) -> Vec<Waiting> {
-        self.within = self.within_guarantee();
-        let within = &self.within;
+        let within = self.within_guarantee();
         // A task on the move has its place already; nothing expected may
         // take that before it arrives.
         let moving: BTreeSet<&JobId> = self.bound_for.keys().map(|t| &t.job).collect();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -197,18 +197,6 @@
             .min()
     }
 
-    /// How long work within its team's guarantee may wait, if that is an aim.
-    pub fn guarantee_objective_ms(&self) -> Option<u64> {
-        self.site
-            .objectives
-            .iter()
-            .filter(|o| o.kind == "guarantee")
-            .filter_map(|o| o.within_s)
-            .filter(|s| s.is_finite() && *s >= 0.0)
-            .map(|s| (s * 1000.0) as u64)
-            .min()
-    }
-
     /// The multiples of its deadline by which the class's jobs should be
     /// done, in order; the deadline itself is always one.
     pub fn deadline_times(&self, class: &str) -> Vec<f64> {
