--- a/src/scheduler/exchange.rs
+++ b/src/scheduler/exchange.rs
@@ -39,7 +39,7 @@
     ) -> Option<usize> {
         self.settings.wait_objective_ms(&spec.class)?;
         let slack_ms = deadline.saturating_sub(now.wall) as f64;
-        let fetch_ms = self.missed_s(&rooms[cold], spec)? * 1000.0;
+        let fetch_ms = self.fetch_s(&rooms[cold].id, spec)? * 1000.0;
         let handover_ms = self.handover_s() * 1000.0;
         if slack_ms < handover_ms || fetch_ms * SLOWEST_FETCH < slack_ms {
             return None;
