Count on no machine that boots for unusually long

Machines rented at 3 s took 90 to 107 s to boot (nominal 40) and counted as room to come for twice the boot time, so nothing was rented in their stead until then. Change: room to come is counted for 1.5 boot times, which PROTOCOL calls usual.

--- a/src/scheduler/renting.rs
+++ b/src/scheduler/renting.rs
@@ -15,6 +15,9 @@
 /// A new leader listens for so many report intervals before it rents.
 const LISTEN_REPORTS: u64 = 3;
 
+/// A boot usually takes up to so many times what is known (PROTOCOL). What
+/// takes longer may take several times as long, and isn't counted on.
+const USUAL_BOOTS: f64 = 1.5;
 /// So many empty machines wait for work, in roots of the fleet's size.
 const SPARE_ROOTS: f64 = 0.5;
 /// Those beyond leave after this share of the usual time.
@@ -68,8 +71,8 @@
         let mut coming: Vec<Coming> = Vec::new();
         let fresh_ms = self.report_ms() * FRESH_REPORTS;
         for machine in self.fleet.machines.values() {
-            let boots = machine.phase == Phase::Booting
-                && now.ms < machine.rented_ms + self.boot_ms(&machine.offer) * 2;
+            let usual_ms = (self.boot_ms(&machine.offer) as f64 * USUAL_BOOTS) as u64;
+            let boots = machine.phase == Phase::Booting && now.ms < machine.rented_ms + usual_ms;
             // It will be back or be given up soon.
             let quiet = machine.phase == Phase::Up
                 && !machine.takes_work(now.ms, fresh_ms)
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -971,6 +971,26 @@
     assert_eq!(there(&w), 0, "and leave in the end");
 }
 
+/// Jobs once waited for machines that took several times the usual time to
+/// boot: they counted as room to come until twice that time.
+#[test]
+fn a_machine_that_boots_for_unusually_long_is_not_counted_on() {
+    let mut w = World::new(1);
+    w.boot_ms = 40_000;
+    w.run_until(5000);
+    assert_eq!(w.submit(0, &patient("run-1")), 201);
+    w.run_for(6500);
+    let first = w.workers.len();
+    assert!(first >= 3, "twenty replicas, eight to a machine: {first}");
+    // The catalog says five seconds.
+    w.run_for(2500);
+    assert_eq!(
+        w.workers.len(),
+        first * 2,
+        "others are rented in their stead"
+    );
+}
+
 /// What the state service was asked, by the second.
 #[derive(Default)]
 struct Asked {
