--- a/src/scheduler/exchange.rs
+++ b/src/scheduler/exchange.rs
@@ -3,6 +3,7 @@
 //! replicas that would hardly be missed stand where it is. They move into that
 //! room, and the work takes theirs: less important replicas first, equals if
 //! need be, more important ones never.
+
 use super::rounds::Room;
 use super::Scheduler;
 use crate::fleet::Machine;
@@ -104,14 +105,14 @@
             let mut zones = job.zone_use();
             zones.remove(&machine.offer.zone);
             let goal = (0..rooms.len())
-                .filter(|i| *i != from && may_stand(&job.spec, &zones, &rooms[*i].offer))
                 .filter(|i| {
                     let mut left = rooms[*i].free;
                     for (_, gone) in taken.iter().filter(|(t, _)| t == i) {
                         left.take(gone);
                     }
-                    left.holds(&job.need)
+                    *i != from && left.holds(&job.need)
                 })
+                .filter(|i| may_stand(&job.spec, &zones, &rooms[*i].offer))
                 .filter_map(|i| {
                     let missed_s = self.missed_s(&rooms[i], &job.spec)?;
                     Some((missed_s, i))
--- a/src/scheduler/moves.rs
+++ b/src/scheduler/moves.rs
@@ -7,7 +7,7 @@
 use crate::ids::{MachineId, TaskRef};
 use crate::msg::Now;
 use crate::placement::{may_stand, Res, ZoneUse};
-use crate::wire::{JobSpec, Priority};
+use crate::wire::JobSpec;
 
 /// One of so many machines at a time is emptied.
 const GATHERED_OF: usize = 16;
@@ -46,15 +46,9 @@
                     .filter(|i| allowed(&rooms[*i]))
                     .filter_map(|i| {
                         let fetch_s = self.missed_s(&rooms[i], &waiting.spec)?;
-                        let (cost, victims) = self.victims(
-                            now,
-                            &rooms[i].id,
-                            waiting.spec.priority,
-                            free[i],
-                            &need,
-                            slack_s - fetch_s,
-                            &chosen,
-                        )?;
+                        let patience_s = slack_s - fetch_s;
+                        let (cost, victims) =
+                            self.victims(now, &rooms[i].id, waiting, free[i], patience_s, &chosen)?;
                         Some((cost + fetch_s, i, victims))
                     })
                     .min_by(|a, b| a.0.total_cmp(&b.0));
@@ -128,25 +122,24 @@
     /// on this machine, with that cost in seconds, and whether each may save
     /// first. Where saving would cost the waiting work its aim and stopping at
     /// once would not, tasks go back to their last checkpoint instead.
-    #[allow(clippy::too_many_arguments)]
     fn victims(
         &self,
         now: Now,
         id: &MachineId,
-        priority: Priority,
+        waiting: &Rest,
         mut free: Res,
-        need: &Res,
         patience_s: f64,
         chosen: &[(TaskRef, bool)],
     ) -> Option<(f64, Vec<(TaskRef, bool)>)> {
         let machine = self.fleet.get(id)?;
         let settled_ms = self.settled_ms();
         let handover_s = self.handover_s();
+        let need = Res::of_task(&waiting.spec);
         let mut candidates: Vec<(f64, &TaskRef, bool, Res)> = Vec::new();
         for task in &machine.tasks {
             let job = self.jobs.get(&task.job)?;
             let assign = job.assigns.get(&task.index)?;
-            if job.spec.priority <= priority
+            if job.spec.priority <= waiting.spec.priority
                 || assign.stop.is_some()
                 || chosen.iter().any(|(t, _)| t == task)
             {
@@ -174,14 +167,14 @@
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
         let (mut cost, mut victims) = (0.0, Vec::new());
         for (lost, task, saves, room) in candidates {
-            if free.holds(need) {
+            if free.holds(&need) {
                 break;
             }
             free.add(&room);
             cost += lost;
             victims.push((task.clone(), saves));
         }
-        free.holds(need).then_some((cost, victims))
+        free.holds(&need).then_some((cost, victims))
     }
 
     /// Scaling in: moves the replicas of the emptiest machine into free room
