Empty no machine that others are moving to, and say silence's limit once

Read again: since several machines are emptied in one round, one of them could be where another's replicas were being sent, against what the comment there said; the list of candidates was drawn up before any move was promised. The loop now passes over machines with promised room, so fewer are emptied at a time in that case. No trace: one needs both machines to become movable in the same round, and a test that passes either way would guard nothing. The time that a machine may be silent by itself was computed in two places; it has one name now.

--- a/src/scheduler/moves.rs
+++ b/src/scheduler/moves.rs
@@ -206,11 +206,14 @@
             if left == 0 {
                 return;
             }
+            // Replicas of one that was emptied just now may be on their way here.
+            if rooms[index].reserved {
+                continue;
+            }
             if let Some(moves) = self.can_empty(now, index, share, rooms) {
                 left -= 1;
                 for (_, to) in &moves {
-                    // Room that is promised is nobody else's, and no machine
-                    // that others move to is emptied itself.
+                    // Room that is promised is nobody else's.
                     if let Some(room) = rooms.iter_mut().find(|r| r.id == *to) {
                         room.free = Res::default();
                         room.reserved = true;
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -390,7 +390,7 @@
             .filter(|m| m.phase == Phase::Booting)
             .map(|m| (m.id.clone(), self.boot_ms(&m.offer)))
             .collect();
-        let listen_ms = (lease_ms as f64 * self.options.silent_leases) as u64;
+        let listen_ms = self.silence_ms();
         let late: Vec<MachineId> = boots
             .into_iter()
             .filter(|(id, boot_ms)| {
@@ -462,6 +462,11 @@
         }
     }
 
+    /// How long a machine may be silent by itself.
+    fn silence_ms(&self) -> u64 {
+        (self.lease_ms() as f64 * self.options.silent_leases) as u64
+    }
+
     /// How long a zone's machines may be silent, and until when they were all
     /// excused. When most of a zone are silent, the fault is more likely a cut
     /// or ours, and returning them all would be the worst answer. After it
@@ -477,7 +482,7 @@
                 *silent += u32::from(now.ms > machine.heard_ms + lease_ms / 2);
             }
         }
-        let limit_ms = (lease_ms as f64 * self.options.silent_leases) as u64;
+        let limit_ms = self.silence_ms();
         let mut limits = BTreeMap::new();
         for (zone, (all, silent)) in zones {
             let limit = if silent * 2 > all && silent > 2 {
