End no task beyond a cut: lone controllers renew leases, deaf leaders step aside

A leader parted from workers alone led on: followers sent its workers back to it, all leases ended, and it returned 215 machines.

Now: who relayed for its zone stands in when alone; leases are renewed up to a report interval before a cancellation would outlive them, counted from the state service's last answer (not from when a failure is noticed); a shared silence of a zone with a controller is waited out for as long as leases can live in there, and a cancelled task there doesn't condemn its machine before 0.9 of cancel_s. A leader that hears none of its workers says so; any controller then takes their reports for it, and once one does it steps aside and lets others claim first. A controller that stepped aside isn't named to workers until one reaches it.

Ruled out: processor time (mean shares of 0.15), state service, cloud.

--- a/src/election.rs
+++ b/src/election.rs
@@ -75,6 +75,8 @@
     read_ms: u64,
     /// Spreads candidates, so that they don't all claim in one moment.
     stagger_ms: u64,
+    /// It stepped aside: others may claim first until then.
+    aside_until_ms: u64,
 }
 
 impl Election {
@@ -95,6 +97,7 @@
             due_ms: 0,
             read_ms: 0,
             stagger_ms,
+            aside_until_ms: 0,
         }
     }
 
@@ -178,6 +181,13 @@
         was.then_some(Change::Deposed)
     }
 
+    /// Gives leadership up to somebody better placed, and claims it again only
+    /// if nobody else does.
+    pub fn step_aside(&mut self, now: Now, out: &mut ElectionOut) -> Option<Change> {
+        self.aside_until_ms = now.ms + self.ttl_ms * 2;
+        self.resign(now, out)
+    }
+
     /// Word from outside the state service that a later term exists.
     pub fn superseded(&mut self, now: Now, leader: Option<(&str, Term)>) -> Option<Change> {
         let was = self.is_leader();
@@ -265,14 +275,20 @@
         match &self.leader {
             Some(record) if record.node != self.node => {
                 self.role = Role::Follower(record.clone());
-                // The watch brings changes; this is in case it hangs.
-                self.due_ms = now.ms + self.ttl_ms * 2;
+                // The watch brings changes; this is in case it hangs, and so
+                // that a quiet follower knows that it is informed.
+                self.due_ms = now.ms + self.ttl_ms / 2;
                 None
             }
             Some(record) if record.incarnation == self.incarnation && self.lease.is_some() => {
                 let (term, key_version) = (record.term, Revision(self.key_version));
                 Some(self.won(now, term, key_version))
             }
+            None if now.ms < self.aside_until_ms => {
+                self.role = Role::Unknown;
+                self.retry_soon(now);
+                None
+            }
             // Nobody, or an earlier process of this very name, which is dead.
             _ => {
                 self.role = Role::Unknown;
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -41,24 +41,23 @@
                 // One that reaches neither us nor the state service would
                 // send the worker back, round and round.
                 let seen = |at: Option<u64>| at.is_some_and(|at| now.ms < at + recent);
-                p.zone == zone && seen(p.follows_ms) && seen(p.state_seen_ms)
+                p.zone == zone && !p.deaf && seen(p.follows_ms) && seen(p.state_seen_ms)
             })
             .map(|p| p.name.as_str())
     }
 
-    /// Whether this follower takes its zone's reports for a leader in another
-    /// zone, and that leader's term.
+    /// Whether this follower takes a zone's reports for the leader, and that
+    /// leader's term: its own zone's for one in another zone, and anybody's
+    /// for one that says that no worker reaches it.
     pub(super) fn relays(&self, now: Now, zone: &str) -> Option<Term> {
-        if zone != self.settings.zone {
-            return None;
-        }
         let quiet = self.quiet_ms();
         self.peers
             .iter()
             .filter(|p| p.leads_ms.is_some_and(|at| now.ms < at + quiet))
             .max_by_key(|p| p.leads_term)
+            .filter(|p| p.deaf || (zone == self.settings.zone && p.zone != zone))
             // To hear it is not enough: what it can't be told is lost on it.
-            .filter(|p| p.zone != zone && p.reached_ms.is_some_and(|at| now.ms < at + quiet))
+            .filter(|p| p.reached_ms.is_some_and(|at| now.ms < at + quiet))
             .map(|p| p.leads_term)
     }
 
@@ -133,15 +132,12 @@
         } else if heard {
             !self.peers.iter().any(|p| recent(p.state_seen_ms))
         } else {
-            // Alone. If it stood in before that, a cut and an outage have met
-            // and its workers have nobody else. If everything went at once,
-            // the fault is here, and it would only keep workers from others.
-            let bound_ms = (self.settings.site.workers.cancel_s * 500.0) as u64;
-            let in_time = |since: u64| now.ms < since + bound_ms;
-            recent(self.stood_in_ms) && in_time(self.alone_since_ms.unwrap_or(now.ms))
+            // Alone. If it answered its zone's workers before that, the zone
+            // is cut off with it and they have nobody else; `hold` bounds how
+            // long that may last. If they had reported elsewhere, the fault
+            // is here, and it would only keep workers from others.
+            recent(self.stood_in_ms)
         };
-        let alone = !heard && !self.store.reachable();
-        self.alone_since_ms = alone.then(|| self.alone_since_ms.unwrap_or(now.ms));
         if stands {
             self.stood_in_ms = Some(now.ms);
         }
@@ -154,16 +150,9 @@
             // In an outage that all share, what the worker knows is enough.
             _ => report.token.term(),
         };
-        let known_ms = if self.store.reachable() {
-            self.cancels_read_ms
-        } else {
-            self.cancels_read_ms.max(self.informed_ms)
-        };
-        if self.held.is_empty() {
-            self.hold_began_ms = now.ms;
-        }
-        if now.ms > known_ms.max(self.hold_began_ms) + self.uninformed_ms() {
+        if now.ms > self.cancels_read_ms.max(self.led_ms) + self.settings.uninformed_ms() {
             // What was cancelled meanwhile must end in time: no more leases.
+            self.wants_cancels = true;
             return None;
         }
         let stops: Vec<Command> = report
@@ -185,13 +174,6 @@
         Some(reply)
     }
 
-    /// How long leases may be renewed without word of cancellations: with the
-    /// lease itself it has to stay well within the time a cancellation has.
-    pub(super) fn uninformed_ms(&self) -> u64 {
-        let workers = &self.settings.site.workers;
-        ((workers.cancel_s - workers.lease_s).max(0.0) * 700.0) as u64
-    }
-
     pub(super) fn tend_informed(&mut self, now: Now) {
         let quiet = self.quiet_ms();
         let recent = |at: Option<u64>| at.is_some_and(|at| now.ms < at + quiet);
@@ -200,17 +182,26 @@
             .peers
             .iter()
             .all(|p| recent(p.heard_ms) && !recent(p.state_seen_ms));
-        if self.store.reachable() || nobody {
+        // Its last answer counts, not that none has failed since: a process
+        // that stood still, or asks for nothing, learns of no failure.
+        let answered_ms = self.store.last_ok_ms().unwrap_or(0);
+        self.informed_ms = self.informed_ms.max(answered_ms);
+        let led_ms = self.peers.iter().filter_map(|p| p.leads_ms).max();
+        self.led_ms = self.led_ms.max(led_ms.unwrap_or(0).min(answered_ms));
+        if nobody {
             self.informed_ms = now.ms;
+            self.led_ms = now.ms;
         }
     }
 
     /// Reads which jobs are cancelled, while leases are renewed here.
     pub(super) fn tend_cancels(&mut self, now: Now) {
-        let due = self.cancels_read_ms + self.uninformed_ms() / 5;
-        if self.held.is_empty() || self.cancels.is_some() || now.ms < due {
+        let due = self.cancels_read_ms + self.settings.uninformed_ms() / 5;
+        let wanted = self.wants_cancels || !self.held.is_empty();
+        if !wanted || self.cancels.is_some() || now.ms < due {
             return;
         }
+        self.wants_cancels = false;
         self.cancels = Some(CancelList {
             asked_ms: now.ms,
             found: HashSet::new(),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -56,6 +56,8 @@
     /// When it last said that it leads.
     leads_ms: Option<u64>,
     leads_term: Term,
+    /// It said that workers don't reach it.
+    deaf: bool,
     /// When it last named us as its leader.
     follows_ms: Option<u64>,
 }
@@ -80,6 +82,8 @@
     nudges: Vec<JobId>,
     cancelled_here: Vec<JobId>,
     leader_share: f64,
+    /// It stepped aside as leader, and no worker has reached it since.
+    unreached: bool,
     /// Workers whose leases this node renews in the leader's stead, and when
     /// it last did.
     held: HashMap<String, (u64, Session)>,
@@ -88,17 +92,20 @@
     relay_due_ms: u64,
     held_due_ms: u64,
     held_stored: bool,
+    /// When it last answered a worker in the leader's stead.
     stood_in_ms: Option<u64>,
-    alone_since_ms: Option<u64>,
     /// When this node last knew that no cancellation escapes it: the state
     /// service answered it, or answered nobody.
     informed_ms: u64,
-    /// Since when leases are being renewed for the leader.
-    hold_began_ms: u64,
+    /// When both the leader and the state service were last heard: what was
+    /// cancelled before that, the leader has seen to.
+    led_ms: u64,
     /// Cancelled jobs as last listed, and when that was asked for.
     cancelled: HashSet<JobId>,
     cancels_read_ms: u64,
     cancels: Option<CancelList>,
+    /// Leases could be renewed here if it were known what is cancelled.
+    wants_cancels: bool,
     /// Tasks that the leader wants stopped, by machine.
     stops: HashMap<String, Vec<Command>>,
 }
@@ -133,6 +140,7 @@
                 state_seen_ms: None,
                 leads_ms: None,
                 leads_term: Term(0),
+                deaf: false,
                 follows_ms: None,
             })
             .collect();
@@ -156,18 +164,19 @@
             nudges: Vec::new(),
             cancelled_here: Vec::new(),
             leader_share,
+            unreached: false,
             held: HashMap::new(),
             relay: Vec::new(),
             relay_due_ms: 0,
             held_due_ms: 0,
             held_stored: false,
             stood_in_ms: None,
-            alone_since_ms: None,
             informed_ms: 0,
-            hold_began_ms: 0,
+            led_ms: 0,
             cancelled: HashSet::new(),
             cancels_read_ms: 0,
             cancels: None,
+            wants_cancels: false,
             stops: HashMap::new(),
         };
         node.set_share(Now::default(), false);
@@ -290,7 +299,8 @@
                 return;
             }
         };
-        let informed = now.ms <= self.informed_ms + self.uninformed_ms();
+        self.unreached = false;
+        let informed = now.ms <= self.informed_ms + self.settings.uninformed_ms();
         if self.scheduler.leading() {
             // Perhaps deposed: jobs may have been cancelled that it doesn't
             // know of, and their tasks must not live on its answers.
@@ -310,6 +320,7 @@
         }
         let relays = self.relays(now, &report.zone).filter(|_| informed);
         let reply = if let Some(term) = relays {
+            self.stood_in_ms = Some(now.ms);
             self.relay.push(body.to_vec());
             let stops = self.stops.remove(&report.machine).unwrap_or_default();
             answer_for_leader(&report, term, &stops)
@@ -326,6 +337,13 @@
 
     // ---- peers ----
 
+    /// Whether none of the workers that should report to this leader itself
+    /// is heard. While it leads on, nobody else may serve them.
+    fn deaf(&self, now: Now) -> bool {
+        let to_us = |zone: &str| self.relay_for(now, zone).is_none();
+        self.scheduler.hears_nobody(now, to_us)
+    }
+
     fn on_hello(&mut self, now: Now, body: &[u8], out: &mut Vec<Effect>) -> Reply {
         let Some(hello) = peer::decode(body) else {
             return Reply::error(400, "not a hello");
@@ -339,6 +357,7 @@
             if hello.reports.is_empty() {
                 peer.leads_ms = (hello.node == hello.leader).then_some(now.ms);
                 peer.leads_term = Term(hello.term);
+                peer.deaf = hello.deaf;
                 let ours = hello.leader == self.settings.node_name
                     && Term(hello.term) == self.election.known_term();
                 peer.follows_ms = ours.then_some(now.ms);
@@ -357,6 +376,17 @@
                     .insert(JobId::new(&count.job), (count.done, count.running));
             }
         }
+        if !hello.reports.is_empty() && self.election.is_leader() && self.deaf(now) {
+            // Workers reach another and not us, and so do commands.
+            log::error!("leader steps aside: workers reach {} only", hello.node);
+            let mut calls = Vec::new();
+            self.unreached = true;
+            let change = self.election.step_aside(now, &mut calls);
+            self.take_election(calls);
+            if let Some(change) = change {
+                self.on_change(now, change, out);
+            }
+        }
         let mut scheduler = SchedulerOut::default();
         for job in hello.nudges.iter().filter(|id| wire::valid_job_id(id)) {
             self.scheduler.nudge(now, &JobId::new(job), &mut scheduler);
@@ -405,6 +435,7 @@
             leader,
             term: self.election.known_term().0,
             state_reachable: self.store.reachable(),
+            deaf: self.unreached || self.deaf(now),
             counts: Vec::new(),
             nudges: self.nudges.drain(..).map(|id| id.to_string()).collect(),
             cancelled: self
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -27,6 +27,9 @@
     /// Cancellations that the sender has just written.
     #[prost(string, repeated, tag = "8")]
     pub cancelled: Vec<String>,
+    /// Workers that should report to the sender don't reach it.
+    #[prost(bool, tag = "9")]
+    pub deaf: bool,
     /// To the leader: workers' reports that the sender has answered, as they
     /// came.
     #[prost(bytes = "vec", repeated, tag = "7")]
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -20,6 +20,21 @@
 /// When most machines of a zone are silent, they are waited for this many
 /// times as long.
 const CUT_PATIENCE: f64 = 2.5;
+/// A leader that hears none of its workers for so many report intervals is
+/// deaf.
+const DEAF_LEADER_REPORTS: f64 = 2.5;
+/// Share of `cancel_s` after which a machine that shares its zone's silence is
+/// returned over a cancelled task. Its lease ends before that by itself, or
+/// somebody who knows of the cancellation renews it and stops the task.
+const CUT_CANCEL_SHARE: f64 = 0.9;
+
+/// How silence is judged in a zone.
+struct Silence {
+    /// Most of its machines are silent.
+    silent: bool,
+    limit_ms: u64,
+    excused_ms: u64,
+}
 
 impl Scheduler {
     /// A worker's report: an answer goes out in any case.
@@ -381,8 +396,8 @@
             self.enforce_cancel(now, id);
         }
         let lease_ms = self.lease_ms();
-        let silent_ms = self.silent_limits_ms(now);
-        let cancel_ms = self.settings.site.workers.cancel_s * 1000.0 * self.options.cancel_share;
+        let silent_ms = self.silent_limits(now);
+        let cancel_ms = self.settings.site.workers.cancel_s * 1000.0;
         let boots: Vec<(MachineId, u64)> = self
             .fleet
             .machines
@@ -410,17 +425,16 @@
             if machine.phase != Phase::Up {
                 continue;
             }
-            let (limit_ms, excused_ms) = silent_ms
-                .get(&machine.offer.zone)
-                .copied()
-                .unwrap_or((u64::MAX / 2, 0));
-            let heard_ms = machine.heard_ms.max(machine.held_ms).max(excused_ms);
+            let Some(zone) = silent_ms.get(&machine.offer.zone) else {
+                continue;
+            };
+            let heard_ms = machine.heard_ms.max(machine.held_ms).max(zone.excused_ms);
             // In an outage followers can't tell whose leases they renew, and
             // nothing could be placed anew in any case.
             let blind = self
                 .state_failed_ms
                 .is_some_and(|at| now.ms < at + lease_ms / 2);
-            if !blind && now.ms > heard_ms + limit_ms {
+            if !blind && now.ms > heard_ms + zone.limit_ms {
                 give_up.push((machine.id.clone(), "silent"));
             } else if machine
                 .deaf_since_ms
@@ -430,6 +444,11 @@
             } else if machine.notice_until_ms.is_some() && !machine.tasks.is_empty() {
                 drain.push(machine.id.clone());
             }
+            let share = if zone.silent && now.ms > machine.heard_ms + lease_ms / 2 {
+                CUT_CANCEL_SHARE.max(self.options.cancel_share)
+            } else {
+                self.options.cancel_share
+            };
             let overdue = machine.tasks.iter().any(|task| {
                 self.jobs.get(&task.job).is_some_and(|job| {
                     job.cancelled.is_some()
@@ -437,7 +456,7 @@
                             .assigns
                             .get(&task.index)
                             .and_then(|a| a.stop)
-                            .is_some_and(|s| now.ms as f64 > s.since_ms as f64 + cancel_ms)
+                            .is_some_and(|s| now.ms as f64 > s.since_ms as f64 + cancel_ms * share)
                 })
             });
             // Who renews a lease for us stops cancelled tasks itself.
@@ -472,7 +491,7 @@
     /// or ours, and returning them all would be the worst answer. After it
     /// they come back one by one: those that are last must not be judged by
     /// the silence that all of them kept.
-    fn silent_limits_ms(&mut self, now: Now) -> BTreeMap<Rc<str>, (u64, u64)> {
+    fn silent_limits(&mut self, now: Now) -> BTreeMap<Rc<str>, Silence> {
         let lease_ms = self.lease_ms();
         let mut zones: BTreeMap<Rc<str>, (u32, u32)> = BTreeMap::new();
         for machine in self.fleet.machines.values() {
@@ -483,23 +502,52 @@
             }
         }
         let limit_ms = self.silence_ms();
+        let cut_ms = (limit_ms as f64 * CUT_PATIENCE) as u64;
         let mut limits = BTreeMap::new();
         for (zone, (all, silent)) in zones {
-            let limit = if silent * 2 > all && silent > 2 {
+            let silence = if silent * 2 > all && silent > 2 {
                 self.zones_silent.insert(zone.clone(), now.ms);
-                // Nor does silence count while followers can't store whose
-                // leases they renew.
-                let excused_ms = self.state_failed_ms.unwrap_or(0);
-                ((limit_ms as f64 * CUT_PATIENCE) as u64, excused_ms)
+                Silence {
+                    silent: true,
+                    // A controller in there renews its workers' leases for as
+                    // long as it may, and what they run lives on.
+                    limit_ms: if self.settings.has_controller(&zone) {
+                        cut_ms.max(self.settings.longest_lease_ms())
+                    } else {
+                        cut_ms
+                    },
+                    // Nor does silence count while followers can't store whose
+                    // leases they renew.
+                    excused_ms: self.state_failed_ms.unwrap_or(0),
+                }
             } else {
-                let excused_ms = self.zones_silent.get(&zone).copied().unwrap_or(0);
-                (limit_ms, excused_ms)
+                Silence {
+                    silent: false,
+                    limit_ms,
+                    excused_ms: self.zones_silent.get(&zone).copied().unwrap_or(0),
+                }
             };
-            limits.insert(zone, limit);
+            limits.insert(zone, silence);
         }
         limits
     }
 
+    /// Whether none of the workers is heard that report to this leader itself
+    /// (`to_us`, by zone). Those that are new to it may be on their way.
+    pub fn hears_nobody(&self, now: Now, to_us: impl Fn(&str) -> bool) -> bool {
+        let patience_ms = (self.report_ms() as f64 * DEAF_LEADER_REPORTS) as u64;
+        if !self.active() || now.ms < self.elected_ms + patience_ms {
+            return false;
+        }
+        let mut ours = self
+            .fleet
+            .machines
+            .values()
+            .filter(|m| m.phase == Phase::Up && to_us(&m.offer.zone))
+            .peekable();
+        ours.peek().is_some() && ours.all(|m| now.ms > m.heard_ms + patience_ms)
+    }
+
     /// Stops what a machine runs, letting it save what it can.
     pub(super) fn drain(&mut self, now: Now, id: &MachineId) {
         let tasks = self.fleet.get(id).map(|m| m.tasks.clone());
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -185,6 +185,28 @@
         self.site.teams.iter().find(|t| t.name == name)
     }
 
+    /// Whether a controller stands in this zone.
+    pub fn has_controller(&self, zone: &str) -> bool {
+        self.zone == zone || self.peers.iter().any(|p| p.zone == zone)
+    }
+
+    /// How long leases may be renewed without word of cancellations: a lease
+    /// renewed at the end of it has to end within the time a cancellation has,
+    /// with a report interval to spare for a stop that was just being sent
+    /// when the word stopped.
+    pub fn uninformed_ms(&self) -> u64 {
+        let workers = &self.site.workers;
+        let left_s = workers.cancel_s - workers.lease_s - workers.report_s;
+        (left_s.max(0.0) * 1000.0) as u64
+    }
+
+    /// How long after a machine was last heard its tasks can live on by
+    /// leases that somebody without word of cancellations renews.
+    pub fn longest_lease_ms(&self) -> u64 {
+        let workers = &self.site.workers;
+        self.uninformed_ms() + ((workers.lease_s + workers.report_s) * 1000.0) as u64
+    }
+
     /// The class's aim on waiting, in milliseconds.
     pub fn wait_objective_ms(&self, class: &str) -> Option<u64> {
         self.site
