Bound connections to workers, and look at no pool that has nothing to do

Cause: with a connection to each of some 780 workers a controller could open more than its quarter of `max_connections`, and then none to the state service; and every turn walked the pools of all workers, twice.

Now calls to workers share what the state service, the cloud and the peers leave of that quarter: the idlest connection is closed for the next, calls beyond wait. Waiting calls are kept in the order of their patience.

--- a/src/main.rs
+++ b/src/main.rs
@@ -71,9 +71,10 @@
         cloud: settings.services.cloud,
     };
     let max_connections = settings.site.limits.max_connections;
+    let peers = settings.peers.len();
     let name = settings.node_name.clone();
     let mut node = Node::new(settings, options, fastrand::u64(1..1 << 50));
-    let reactor = match Reactor::new(endpoints, max_connections) {
+    let reactor = match Reactor::new(endpoints, max_connections, peers) {
         Ok(reactor) => reactor,
         Err(e) => {
             eprintln!("lilacfork: can't listen: {e}");
--- a/src/reactor.rs
+++ b/src/reactor.rs
@@ -7,7 +7,7 @@
 };
 use polling::{Event, Events, PollMode, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -44,6 +44,8 @@
 /// Idle outgoing connections are closed after this time.
 const POOL_IDLE_MS: u64 = 30_000;
 
+const PEER_CONNECTIONS: usize = 2;
+
 #[derive(PartialEq, Eq)]
 enum Role {
     Server(Port),
@@ -88,9 +90,17 @@
     conns: HashMap<usize, Conn>,
     deadlines: BTreeSet<(u64, usize)>,
     pools: HashMap<Target, Pool>,
+    /// Calls that wait for a connection, by when they are given up.
+    queued: BTreeMap<(u64, CallId), Target>,
     next_key: usize,
     max_server: usize,
     servers: usize,
+    /// Connections to workers: how many there may be and are, those without a
+    /// call (idlest first), and workers whose calls wait for one to be free.
+    max_workers: usize,
+    workers: usize,
+    idle_workers: BTreeSet<(u64, usize)>,
+    starved: VecDeque<Target>,
     accepting: bool,
     start: Instant,
     buffer: Vec<u8>,
@@ -103,7 +113,7 @@
         Target::StateWatch => 4,
         Target::Cloud => 4,
         Target::Worker(_) => 1,
-        Target::Peer(_) => 2,
+        Target::Peer(_) => PEER_CONNECTIONS,
     }
 }
 
@@ -117,13 +127,18 @@
 }
 
 impl Reactor {
-    pub fn new(endpoints: Endpoints, max_connections: usize) -> io::Result<Reactor> {
+    pub fn new(endpoints: Endpoints, max_connections: usize, peers: usize) -> io::Result<Reactor> {
         let poller = Poller::new()?;
         let listeners = [listen(endpoints.client)?, listen(endpoints.peer)?];
         for (key, listener) in listeners.iter().enumerate() {
             // Safety: the listeners live as long as the poller, in one struct.
             unsafe { poller.add_with_mode(listener, Event::readable(key), PollMode::Level)? };
         }
+        // A quarter is for calls. Those to state service, cloud and peers have
+        // theirs in any case; workers, of which there are many, share the rest.
+        let max_server = max_connections * 3 / 4;
+        let fixed = [Target::State, Target::StateWatch, Target::Cloud];
+        let reserved = fixed.iter().map(max_open).sum::<usize>() + peers * PEER_CONNECTIONS;
         Ok(Reactor {
             poller,
             listeners,
@@ -132,9 +147,15 @@
             deadlines: BTreeSet::new(),
             pools: HashMap::new(),
             next_key: FIRST_CONN,
-            // The rest is for calls to workers, state service, cloud and peers.
-            max_server: max_connections * 3 / 4,
+            queued: BTreeMap::new(),
+            max_server,
             servers: 0,
+            max_workers: (max_connections - max_server)
+                .saturating_sub(reserved)
+                .max(1),
+            workers: 0,
+            idle_workers: BTreeSet::new(),
+            starved: VecDeque::new(),
             accepting: true,
             start: Instant::now(),
             buffer: vec![0; 32 * 1024],
@@ -163,8 +184,8 @@
             if let Some((deadline, _)) = self.deadlines.first() {
                 next = next.min(*deadline);
             }
-            if let Some(w) = self.waiting_deadline() {
-                next = next.min(w);
+            if let Some(((deadline, _), _)) = self.queued.first_key_value() {
+                next = next.min(*deadline);
             }
             let timeout = Duration::from_millis(next.saturating_sub(self.now().ms).max(1));
             events.clear();
@@ -188,13 +209,6 @@
         }
     }
 
-    fn waiting_deadline(&self) -> Option<u64> {
-        self.pools
-            .values()
-            .flat_map(|p| p.waiting.iter().map(|w| w.deadline_ms))
-            .min()
-    }
-
     /// Carries out effects, and those that their failures cause.
     fn apply(&mut self, now: Now, effects: &mut Vec<Effect>, handler: &mut dyn Handler) {
         loop {
@@ -333,6 +347,10 @@
                 self.pause_accepting(false);
             }
             Role::Client(target) => {
+                if matches!(target, Target::Worker(_)) {
+                    self.workers -= 1;
+                    self.idle_workers.remove(&(conn.deadline_ms, key));
+                }
                 if let Some(pool) = self.pools.get_mut(&target) {
                     pool.open -= 1;
                     pool.idle.retain(|k| *k != key);
@@ -346,6 +364,7 @@
                     self.failed.push((id, error));
                 }
                 self.next_waiting(&target);
+                self.feed_starved();
             }
         }
     }
@@ -357,18 +376,24 @@
             }
             self.drop_conn(key);
         }
-        let failed = &mut self.failed;
-        for pool in self.pools.values_mut() {
-            pool.waiting.retain(|w| {
-                let late = w.deadline_ms <= now.ms;
-                if late {
-                    failed.push((w.id, CallError::NotSent));
-                }
-                !late
-            });
+        while let Some(((deadline, id), target)) = self.queued.pop_first() {
+            if deadline > now.ms {
+                self.queued.insert((deadline, id), target);
+                break;
+            }
+            if let Some(pool) = self.pools.get_mut(&target) {
+                pool.waiting.retain(|w| w.id != id);
+            }
+            self.failed.push((id, CallError::NotSent));
+            self.drop_empty(&target);
+        }
+    }
+
+    fn drop_empty(&mut self, target: &Target) {
+        let empty = |p: &Pool| p.open == 0 && p.waiting.is_empty();
+        if self.pools.get(target).is_some_and(empty) {
+            self.pools.remove(target);
         }
-        self.pools
-            .retain(|_, pool| pool.open > 0 || !pool.waiting.is_empty());
     }
 
     fn reply(&mut self, now: Now, key: usize, reply: &Reply) {
@@ -397,16 +422,52 @@
             .get_mut(target)
             .and_then(|p| p.waiting.pop_front());
         if let Some(waiting) = next {
+            self.queued.remove(&(waiting.deadline_ms, waiting.id));
             self.start_call(waiting);
+        } else {
+            self.drop_empty(target);
+        }
+    }
+
+    /// Whether one more connection may be opened; for a worker's the one that
+    /// has been idle for longest is closed if need be.
+    fn may_connect(&mut self, target: &Target) -> bool {
+        if !matches!(target, Target::Worker(_)) || self.workers < self.max_workers {
+            return true;
+        }
+        match self.idle_workers.first().copied() {
+            Some((_, key)) => {
+                self.drop_conn(key);
+                self.workers < self.max_workers
+            }
+            None => false,
+        }
+    }
+
+    /// A connection to a worker is free: calls that wait for one go on.
+    fn feed_starved(&mut self) {
+        while self.workers < self.max_workers || !self.idle_workers.is_empty() {
+            let Some(target) = self.starved.pop_front() else {
+                return;
+            };
+            self.next_waiting(&target);
         }
     }
 
     fn start_call(&mut self, waiting: Waiting) {
         let target = waiting.call.target.clone();
         let pool = self.pools.entry(target.clone()).or_default();
-        let key = match pool.idle.pop() {
+        let idle = pool.idle.pop();
+        let full = pool.open >= max_open(&target);
+        let key = match idle {
             Some(key) => key,
-            None if pool.open >= max_open(&target) => {
+            None if full || !self.may_connect(&target) => {
+                if !full {
+                    self.starved.push_back(target.clone());
+                }
+                self.queued
+                    .insert((waiting.deadline_ms, waiting.id), target.clone());
+                let pool = self.pools.entry(target).or_default();
                 pool.waiting.push_back(waiting);
                 return;
             }
@@ -414,10 +475,14 @@
                 Some(key) => key,
                 None => {
                     self.failed.push((waiting.id, CallError::NotSent));
+                    self.drop_empty(&target);
                     return;
                 }
             },
         };
+        if let Some(conn) = self.conns.get(&key) {
+            self.idle_workers.remove(&(conn.deadline_ms, key));
+        }
         self.set_deadline(key, waiting.deadline_ms);
         let Some(conn) = self.conns.get_mut(&key) else {
             self.failed.push((waiting.id, CallError::NotSent));
@@ -458,6 +523,9 @@
         let stream: TcpStream = socket.into();
         let key = self.insert(stream, Role::Client(target.clone()), deadline_ms)?;
         self.pools.entry(target.clone()).or_default().open += 1;
+        if matches!(target, Target::Worker(_)) {
+            self.workers += 1;
+        }
         Some(key)
     }
 
@@ -689,7 +757,11 @@
                     if let Some(pool) = self.pools.get_mut(&target) {
                         pool.idle.push(key);
                     }
+                    if matches!(target, Target::Worker(_)) {
+                        self.idle_workers.insert((now.ms + POOL_IDLE_MS, key));
+                    }
                     self.next_waiting(&target);
+                    self.feed_starved();
                 }
                 if let Some(id) = id {
                     handler.outcome(now, id, Ok(parsed.message), effects);
