Make rounds cost less: full ones by report interval, pauses by what they cost

Cause, from a profile of a large fleet in virtual time: half of a leader's time went into looking for what to write on every turn, into victims looked up task by task for each waiting task and machine, and into gathering, forecasts and idle machines in each of up to 50 rounds a second.

Now what scales in or looks after machines has its turn once a report interval; other rounds only place and rent. What each room would cost a waiting job is found once and renewed where something was chosen; stops, crowds and team sums are counted in one pass; jobs are walked for writes only when something changed. The pause between rounds follows the number of entries looked at, as a share of the processor's limit.

Also: arrays' start aims and finish aims are dates in the order of deadlines (the first that can still be met counts), and make no room as services' aims do, or every array would stop others and take room kept for services.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -197,11 +197,4 @@
     pub fn forget_gone(&mut self, now_ms: u64) {
         self.gone.retain(|_, until| *until > now_ms);
     }
-
-    pub fn crowd(&self, zone: &str) -> u32 {
-        self.machines
-            .values()
-            .filter(|m| &*m.offer.zone == zone)
-            .count() as u32
-    }
 }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -42,6 +42,13 @@
         self.gpus += other.gpus;
         self.memory_gb += other.memory_gb;
     }
+    pub fn scaled(&self, times: f64) -> Res {
+        Res {
+            cpus: self.cpus * times,
+            gpus: self.gpus * times,
+            memory_gb: self.memory_gb * times,
+        }
+    }
     pub fn take(&mut self, other: &Res) {
         self.cpus -= other.cpus;
         self.gpus -= other.gpus;
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -50,13 +50,20 @@
         match &self.batch {
             Some(batch) if !batch.sent => batch.due_ms.max(now.ms + 1),
             Some(_) => u64::MAX,
-            None => self.commit_due_ms.max(now.ms + self.report_ms() / 4),
+            None if self.changed => self.commit_due_ms.max(now.ms + 1),
+            None => self.commit_due_ms.max(self.leisure_due_ms).max(now.ms + 1),
         }
     }
 
     pub(super) fn commit(&mut self, now: Now, out: &mut SchedulerOut) {
-        if self.batch.is_none() && now.ms >= self.commit_due_ms {
+        // Looking for what there is to write takes a walk over all jobs: it is
+        // made when something happened, and now and then for what is stored at
+        // leisure.
+        let due = self.changed || now.ms >= self.leisure_due_ms;
+        if self.batch.is_none() && now.ms >= self.commit_due_ms && due {
             self.batch = self.build_batch(now);
+            self.changed = self.batch.is_some();
+            self.leisure_due_ms = now.ms + self.leisure_ms() / 4;
         }
         let Some(batch) = self
             .batch
@@ -313,6 +320,7 @@
 
     /// The batch was certainly not carried out; its contents are due again.
     fn take_back(&mut self, now: Now) {
+        self.changed = true;
         let Some(batch) = self.batch.take() else {
             return;
         };
--- a/src/scheduler/exchange.rs
+++ b/src/scheduler/exchange.rs
@@ -38,7 +38,7 @@
         cold: usize,
         rooms: &mut [Room],
     ) -> Option<usize> {
-        self.settings.wait_objective_ms(&spec.class)?;
+        self.settings.start_aim_ms(spec)?;
         let slack_ms = deadline.saturating_sub(now.wall) as f64;
         let fetch_ms = self.fetch_s(&rooms[cold].id, spec)? * 1000.0;
         let handover_ms = self.handover_s() * 1000.0;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -89,6 +89,12 @@
 const RETRY_MS: u64 = 200;
 /// Time between two rounds at least, so that a rush is served in gulps.
 const ROUND_GAP_MS: u64 = 20;
+/// What looking at one entry of a round (a machine, a task, a pair of them)
+/// takes of a processor, roughly; the reason to count and not to measure is
+/// that traces replay.
+const ENTRY_MS: f64 = 50e-6;
+/// The share of the processor's limit that rounds may take in a rush.
+const ROUNDS_SHARE: f64 = 0.3;
 
 pub struct Scheduler {
     settings: Rc<Settings>,
@@ -110,11 +116,24 @@
     /// The transaction in flight, if any.
     batch: Option<Batch>,
     commit_due_ms: u64,
+    /// When what is stored at leisure is looked for next.
+    leisure_due_ms: u64,
     writes: u64,
     cleanup: Vec<String>,
     cleaning: bool,
     round_wanted: bool,
     round_ms: u64,
+    round_gap_ms: u64,
+    /// The last round that did everything.
+    full_ms: u64,
+    /// Machines should be looked after before that's due again.
+    tend_wanted: bool,
+    /// Entries that the round looked at.
+    looked: u64,
+    /// Something may have to be written.
+    changed: bool,
+    /// Expected work, as of the last full round.
+    expected: Vec<rounds::Expected>,
     /// Refused capacity: until when, and the pause that led there.
     refused: HashMap<Offer, (u64, u64)>,
     rentals: u64,
@@ -134,6 +153,8 @@
     stale_due_ms: u64,
     /// When most machines of a zone were last silent.
     zones_silent: HashMap<Rc<str>, u64>,
+    /// When this process last stood still, hearing nobody.
+    stood_still_ms: u64,
     /// Jobs that ended under us, and until when slow answers may speak of
     /// them as if they hadn't.
     over: HashMap<JobId, u64>,
@@ -165,11 +186,18 @@
             watch_due_ms: 0,
             batch: None,
             commit_due_ms: 0,
+            leisure_due_ms: 0,
             writes: 0,
             cleanup: Vec::new(),
             cleaning: false,
             round_wanted: false,
             round_ms: 0,
+            round_gap_ms: ROUND_GAP_MS,
+            full_ms: 0,
+            tend_wanted: false,
+            looked: 0,
+            changed: false,
+            expected: Vec::new(),
             refused: HashMap::new(),
             rentals: 0,
             push: BTreeSet::new(),
@@ -181,6 +209,7 @@
             bound_for: HashMap::new(),
             stale_due_ms: 0,
             zones_silent: HashMap::new(),
+            stood_still_ms: 0,
             over: HashMap::new(),
             list_retry_ms: None,
             state_failed_ms: None,
@@ -246,6 +275,7 @@
         self.over.clear();
         self.bound_for.clear();
         self.zones_silent.clear();
+        self.expected.clear();
     }
 
     // ---- loading and watching ----
@@ -304,6 +334,7 @@
         }
         self.stage = Stage::Active;
         self.round_wanted = true;
+        self.changed = true;
         let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
         for id in ids {
             self.enforce_cancel(now, &id);
@@ -409,6 +440,7 @@
             }
         }
         self.round_wanted = true;
+        self.changed = true;
         if self.stage == Stage::Active {
             self.enforce_cancel(now, &id);
         }
@@ -501,6 +533,7 @@
             if let Some(job) = self.jobs.get_mut(id) {
                 job.stale = false;
             }
+            self.changed = true;
         } else if answer.status() == Some(404) && self.jobs.get(id).is_some_and(|j| j.stale) {
             out.resign = Some("a live job's record is gone");
         }
@@ -623,24 +656,42 @@
         self.watch(now, out);
         self.read_stale(now, out);
         let every = (self.report_ms() as f64 * ROUND_REPORTS) as u64;
-        if now.ms >= self.round_ms + every
-            || (self.round_wanted && now.ms >= self.round_ms + ROUND_GAP_MS)
-        {
+        // What scales in or looks after machines can wait for its turn; a
+        // rush of rounds only places what has come and rents for it.
+        let full = now.ms >= self.full_ms + every;
+        if full || (self.round_wanted && now.ms >= self.round_ms + self.round_gap_ms) {
             self.round_wanted = false;
             self.round_ms = now.ms;
-            self.ask_held(now, out);
-            self.tend_fleet(now, cloud);
-            self.place(now);
-            self.rent(now, cloud);
+            self.looked = 0;
+            if full {
+                self.full_ms = now.ms;
+                self.ask_held(now, out);
+            }
+            if full || std::mem::take(&mut self.tend_wanted) {
+                self.tend_fleet(now, cloud);
+            }
+            self.place(now, full);
+            self.rent(now, cloud, full);
+            self.round_gap_ms = self.gap_ms();
+            self.changed = true;
         }
         self.commit(now, out);
         self.push_commands(now, out);
         self.clean_up(now, out);
-        if self.round_wanted {
-            self.round_ms + ROUND_GAP_MS
+        let next = if self.round_wanted {
+            self.round_ms + self.round_gap_ms
         } else {
-            (self.round_ms + every).min(self.commit_wake_ms(now))
-        }
+            self.full_ms + every
+        };
+        next.min(self.commit_wake_ms(now))
+    }
+
+    /// The pause after a round follows what it cost, so that a rush on a large
+    /// fleet leaves time for reports, submissions and cancellations.
+    fn gap_ms(&self) -> u64 {
+        let cost_ms = self.looked as f64 * ENTRY_MS;
+        let gap = cost_ms / (self.settings.site.limits.cores * ROUNDS_SHARE);
+        (gap as u64).clamp(ROUND_GAP_MS, self.report_ms().max(ROUND_GAP_MS))
     }
 
     /// Counts for display.
@@ -795,6 +846,7 @@
             machine.unassign(task, &need, now.ms);
         }
         self.round_wanted = true;
+        self.changed = true;
     }
 
     /// All that was assigned in an earlier session is gone: with its session
--- a/src/scheduler/moves.rs
+++ b/src/scheduler/moves.rs
@@ -6,8 +6,10 @@
 use crate::fleet::{Machine, Phase};
 use crate::ids::{MachineId, TaskRef};
 use crate::msg::Now;
-use crate::placement::{may_stand, Res, ZoneUse};
+use crate::placement::{allows_offer, may_stand, Res, ZoneUse};
+use crate::settings::Settings;
 use crate::wire::JobSpec;
+use std::collections::{BTreeMap, HashMap};
 
 /// One of so many machines at a time is emptied.
 const GATHERED_OF: usize = 16;
@@ -23,66 +25,116 @@
 /// A replica moves to spread an image at most once in so many fetch times.
 const WARM_FETCHES: f64 = 10.0;
 
+/// A task that runs or may run on a machine.
+struct Stoppable<'a> {
+    job: &'a Job,
+    assign: &'a Assign,
+    index: u32,
+}
+
 impl Scheduler {
     /// Stops tasks of less important jobs where that gives room to work with
     /// a wait objective sooner than a rental would. What is stopped saves
     /// first, if it can, and waits again in the queue.
     pub(super) fn preempt(&mut self, now: Now, rest: &mut Vec<Rest>, rooms: &[Room]) {
+        let has_aim =
+            |r: &Rest, settings: &Settings| !r.forecast && settings.start_aim_ms(&r.spec).is_some();
+        if !rest.iter().any(|r| has_aim(r, &self.settings)) {
+            return;
+        }
         let mut free: Vec<Res> = rooms.iter().map(Room::soon_free).collect();
-        let mut chosen: Vec<(TaskRef, bool)> = Vec::new();
-        for waiting in rest.iter_mut().filter(|r| !r.forecast) {
-            if self
-                .settings
-                .wait_objective_ms(&waiting.spec.class)
-                .is_none()
-            {
-                continue;
-            }
-            let need = Res::of_task(&waiting.spec);
-            let slack_s = (waiting.deadline as f64 - now.wall as f64) / 1000.0;
-            while waiting.count > 0 {
-                let allowed = |room: &Room| may_stand(&waiting.spec, &waiting.zones, &room.offer);
-                let best = (0..rooms.len())
-                    .filter(|i| allowed(&rooms[*i]))
-                    .filter_map(|i| {
-                        let fetch_s = self.missed_s(&rooms[i], &waiting.spec)?;
-                        let patience_s = slack_s - fetch_s;
-                        let (cost, victims) =
-                            self.victims(now, &rooms[i].id, waiting, free[i], patience_s, &chosen)?;
-                        Some((cost + fetch_s, i, victims))
-                    })
-                    .min_by(|a, b| a.0.total_cmp(&b.0));
-                let Some((_, index, victims)) = best else {
-                    break;
+        let mut chosen: BTreeMap<TaskRef, bool> = BTreeMap::new();
+        let mut looked = 0;
+        {
+            let stoppable = self.stoppable(rooms);
+            for waiting in rest.iter_mut().filter(|r| has_aim(r, &self.settings)) {
+                let need = Res::of_task(&waiting.spec);
+                let slack_s = (waiting.deadline as f64 - now.wall as f64) / 1000.0;
+                let offer = |i: usize, free: &Res, chosen: &BTreeMap<TaskRef, bool>| {
+                    let tasks = &stoppable[i];
+                    let any = |s: &Stoppable| s.job.spec.priority > waiting.spec.priority;
+                    if !free.holds(&need) && !tasks.iter().any(any) {
+                        return None;
+                    }
+                    let fetch_s = self.missed_s(&rooms[i], &waiting.spec)?;
+                    let patience_s = slack_s - fetch_s;
+                    let (cost, victims) =
+                        self.victims(now, tasks, &waiting.spec, *free, patience_s, chosen)?;
+                    Some((cost + fetch_s, victims))
                 };
-                for (task, saves) in victims {
-                    if let Some(job) = self.jobs.get(&task.job) {
-                        free[index].add(&job.need);
+                // What each room would cost; only the one that was chosen has
+                // to be looked at again for the next task of the job.
+                let mut offers: Vec<_> = (0..rooms.len())
+                    .map(|i| {
+                        allows_offer(&waiting.spec, &rooms[i].offer)
+                            .then(|| offer(i, &free[i], &chosen))
+                            .flatten()
+                    })
+                    .collect();
+                looked += stoppable.len() as u64 * 2;
+                while waiting.count > 0 {
+                    looked += offers.len() as u64;
+                    let best = (0..rooms.len())
+                        .filter(|i| waiting.zones.allows(&waiting.spec, &rooms[*i].offer.zone))
+                        .filter_map(|i| Some((offers[i].as_ref()?.0, i)))
+                        .min_by(|a, b| a.0.total_cmp(&b.0));
+                    let Some((_, index)) = best else {
+                        break;
+                    };
+                    for (task, saves) in offers[index].take().into_iter().flat_map(|o| o.1) {
+                        if let Some(job) = self.jobs.get(&task.job) {
+                            free[index].add(&job.need);
+                        }
+                        log::info!("task {task} gives way to {} saves={saves}", waiting.spec.id);
+                        chosen.insert(task, saves);
                     }
-                    log::info!("task {task} gives way to {} saves={saves}", waiting.spec.id);
-                    chosen.push((task, saves));
+                    free[index].take(&need);
+                    offers[index] = offer(index, &free[index], &chosen);
+                    waiting.zones.add(&rooms[index].offer.zone);
+                    waiting.count -= 1;
                 }
-                free[index].take(&need);
-                waiting.zones.add(&rooms[index].offer.zone);
-                waiting.count -= 1;
             }
         }
+        self.looked += looked;
         rest.retain(|r| r.count > 0);
         for (task, saves) in chosen {
             self.stop_task(now, &task, saves);
         }
     }
 
-    pub(super) fn freeing(&self, id: &MachineId) -> Res {
-        let mut freeing = Res::default();
-        for (job, assign) in self.tasks_on(id) {
-            if assign.stop.is_some() {
-                freeing.add(&job.need);
+    /// What tasks that are being stopped will give back, by machine.
+    pub(super) fn freeing(&self) -> HashMap<MachineId, Res> {
+        let mut freeing: HashMap<MachineId, Res> = HashMap::new();
+        for job in self.jobs.values() {
+            for assign in job.assigns.values().filter(|a| a.stop.is_some()) {
+                freeing
+                    .entry(assign.machine.clone())
+                    .or_default()
+                    .add(&job.need);
             }
         }
         freeing
     }
 
+    /// The tasks of each room that aren't being stopped yet.
+    fn stoppable(&self, rooms: &[Room]) -> Vec<Vec<Stoppable<'_>>> {
+        let index: HashMap<&MachineId, usize> =
+            rooms.iter().enumerate().map(|(i, r)| (&r.id, i)).collect();
+        let mut all: Vec<Vec<Stoppable>> = rooms.iter().map(|_| Vec::new()).collect();
+        for job in self.jobs.values() {
+            for (task, assign) in job.assigns.iter().filter(|(_, a)| a.stop.is_none()) {
+                if let Some(i) = index.get(&assign.machine) {
+                    all[*i].push(Stoppable {
+                        job,
+                        assign,
+                        index: *task,
+                    });
+                }
+            }
+        }
+        all
+    }
+
     /// Keeps room that is about to be free for work with a wait objective.
     /// Without this, what was stopped for it starts again in the first gap
     /// that is too small for it, and is stopped again, over and over.
@@ -93,7 +145,7 @@
         zones: &mut ZoneUse,
         rooms: &mut [Room],
     ) -> u32 {
-        if self.settings.wait_objective_ms(&spec.class).is_none() {
+        if self.settings.start_aim_ms(spec).is_none() {
             return count;
         }
         let need = Res::of_task(spec);
@@ -110,14 +162,6 @@
         0
     }
 
-    fn tasks_on(&self, id: &MachineId) -> impl Iterator<Item = (&Job, &Assign)> {
-        let tasks = self.fleet.get(id).map(|m| &m.tasks);
-        tasks.into_iter().flatten().filter_map(|task| {
-            let job = self.jobs.get(&task.job)?;
-            Some((job, job.assigns.get(&task.index)?))
-        })
-    }
-
     /// The tasks of less important jobs whose stop costs least and makes room
     /// on this machine, with that cost in seconds, and whether each may save
     /// first. Where saving would cost the waiting work its aim and stopping at
@@ -125,24 +169,22 @@
     fn victims(
         &self,
         now: Now,
-        id: &MachineId,
-        waiting: &Rest,
+        tasks: &[Stoppable],
+        spec: &JobSpec,
         mut free: Res,
         patience_s: f64,
-        chosen: &[(TaskRef, bool)],
+        chosen: &BTreeMap<TaskRef, bool>,
     ) -> Option<(f64, Vec<(TaskRef, bool)>)> {
-        let machine = self.fleet.get(id)?;
         let settled_ms = self.settled_ms();
         let handover_s = self.handover_s();
-        let need = Res::of_task(&waiting.spec);
-        let mut candidates: Vec<(f64, &TaskRef, bool, Res)> = Vec::new();
-        for task in &machine.tasks {
-            let job = self.jobs.get(&task.job)?;
-            let assign = job.assigns.get(&task.index)?;
-            if job.spec.priority <= waiting.spec.priority
-                || assign.stop.is_some()
-                || chosen.iter().any(|(t, _)| t == task)
-            {
+        let need = Res::of_task(spec);
+        let mut candidates: Vec<(f64, TaskRef, bool, Res)> = Vec::new();
+        for Stoppable { job, assign, index } in tasks {
+            if job.spec.priority <= spec.priority {
+                continue;
+            }
+            let task = job.task(*index);
+            if chosen.contains_key(&task) {
                 continue;
             }
             let ran_ms = assign.running_since_ms.map_or(0, |at| now.ms - at);
@@ -172,7 +214,7 @@
             }
             free.add(&room);
             cost += lost;
-            victims.push((task.clone(), saves));
+            victims.push((task, saves));
         }
         free.holds(&need).then_some((cost, victims))
     }
@@ -324,7 +366,7 @@
             }
             let (Some(fetch_s), Some(objective_ms)) = (
                 self.fetch_s(&machine, &spec),
-                self.settings.wait_objective_ms(&spec.class),
+                self.settings.start_aim_ms(&spec),
             ) else {
                 continue;
             };
--- a/src/scheduler/renting.rs
+++ b/src/scheduler/renting.rs
@@ -11,6 +11,7 @@
 use crate::slackfit::{self, Rung};
 use crate::wire::{Catalog, JobSpec, Kind};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 /// A new leader listens for so many report intervals before it rents.
 const LISTEN_REPORTS: u64 = 3;
@@ -33,16 +34,32 @@
 impl Scheduler {
     /// Rents for the work that found neither free room nor room that is
     /// already coming, and returns machines that nobody needs.
-    pub(super) fn rent(&mut self, now: Now, cloud: &mut Cloud) {
+    pub(super) fn rent(&mut self, now: Now, cloud: &mut Cloud, full: bool) {
         let Some(catalog) = self.catalog.clone() else {
             return;
         };
         if now.ms < self.elected_ms + self.report_ms() * LISTEN_REPORTS || !cloud.reachable() {
             return;
         }
+        let rest = std::mem::take(&mut self.rest);
+        if !rest.is_empty() {
+            self.order(now, &rest, &catalog, cloud);
+        }
+        if full {
+            self.return_idle(now, cloud);
+        }
+    }
+
+    /// Orders what covers the work that neither free nor coming room holds.
+    fn order(&mut self, now: Now, rest: &[Rest], catalog: &Catalog, cloud: &mut Cloud) {
         let mut coming = self.coming(now, cloud);
-        for rest in std::mem::take(&mut self.rest) {
-            self.cover(now, &rest, &catalog, &mut coming);
+        let mut crowd: BTreeMap<Rc<str>, u32> = BTreeMap::new();
+        for machine in self.fleet.machines.values() {
+            *crowd.entry(machine.offer.zone.clone()).or_insert(0) += 1;
+        }
+        for rest in rest {
+            self.looked += coming.len() as u64;
+            self.cover(now, rest, catalog, &crowd, &mut coming);
         }
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
         for room in coming.iter().filter(|c| c.new) {
@@ -63,7 +80,6 @@
             );
             cloud.rent(name, offer, count.min(RENT_MAX));
         }
-        self.return_idle(now, cloud);
     }
 
     /// Room that is on its way: machines booting, ordered, or not heard yet.
@@ -104,21 +120,31 @@
         coming
     }
 
-    fn cover(&self, now: Now, rest: &Rest, catalog: &Catalog, coming: &mut Vec<Coming>) {
+    fn cover(
+        &self,
+        now: Now,
+        rest: &Rest,
+        catalog: &Catalog,
+        crowd: &BTreeMap<Rc<str>, u32>,
+        coming: &mut Vec<Coming>,
+    ) {
         let need = Res::of_task(&rest.spec);
         let mut zones = rest.zones.clone();
         let slack_ms = rest.deadline as i64 - now.wall as i64;
         let mut buckets: Option<Vec<Rung>> = None;
+        // What couldn't hold one task won't hold the next of the same job.
+        let mut from = 0;
         for _ in 0..rest.count {
-            let found = coming
-                .iter_mut()
-                .find(|c| c.free.holds(&need) && may_stand(&rest.spec, &zones, &c.offer));
-            if let Some(room) = found {
+            let found = coming[from..]
+                .iter()
+                .position(|c| c.free.holds(&need) && may_stand(&rest.spec, &zones, &c.offer));
+            from = found.map_or(coming.len(), |i| from + i);
+            if let Some(room) = coming.get_mut(from) {
                 room.free.take(&need);
                 zones.add(&room.offer.zone);
                 continue;
             }
-            let rungs = buckets.get_or_insert_with(|| self.rungs(now, &rest.spec, catalog));
+            let rungs = buckets.get_or_insert_with(|| self.rungs(now, &rest.spec, catalog, crowd));
             let mut open: Vec<Rung> = rungs
                 .iter()
                 .filter(|r| zones.allows(&rest.spec, &r.offer.zone))
@@ -164,7 +190,13 @@
 
     /// The rentals that could hold a task of the job and weren't refused
     /// lately.
-    fn rungs(&self, now: Now, spec: &JobSpec, catalog: &Catalog) -> Vec<Rung> {
+    fn rungs(
+        &self,
+        now: Now,
+        spec: &JobSpec,
+        catalog: &Catalog,
+        crowd: &BTreeMap<Rc<str>, u32>,
+    ) -> Vec<Rung> {
         let need = Res::of_task(spec);
         let run_s = spec.estimate_s * self.learning.bias(&spec.class);
         offers_for(spec, catalog)
@@ -179,7 +211,7 @@
                 Rung {
                     latency_ms: ((boot_s + run_s) * 1000.0) as u64,
                     cost: price / f64::from(whole.times(&need).clamp(1, 10_000)),
-                    crowd: self.fleet.crowd(&offer.zone),
+                    crowd: crowd.get(&offer.zone).copied().unwrap_or(0),
                     offer,
                 }
             })
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -120,6 +120,7 @@
             if notice.is_some() != machine.notice_until_ms.is_some() {
                 log::info!("machine {id} notice_s={:?}", report.notice_s);
                 self.round_wanted = true;
+                self.tend_wanted = true;
             }
             machine.notice_until_ms = notice;
             // Without our token the report may be any old one's echo.
@@ -171,7 +172,7 @@
                         let waited_ms = now.wall.saturating_sub(job.submitted);
                         assign.late = self
                             .settings
-                            .wait_objective_ms(&job.spec.class)
+                            .start_aim_ms(&job.spec)
                             .is_some_and(|most| waited_ms > most);
                         log::info!(
                             "task {task} running attempt={} on {id} waited_ms={waited_ms}",
@@ -251,6 +252,7 @@
             }
         }
         self.round_wanted = true;
+        self.changed = true;
         if cancelled {
             return;
         }
@@ -503,6 +505,7 @@
         }
         let limit_ms = self.silence_ms();
         let cut_ms = (limit_ms as f64 * CUT_PATIENCE) as u64;
+        let still_ms = self.stood_still_ms;
         let mut limits = BTreeMap::new();
         for (zone, (all, silent)) in zones {
             let silence = if silent * 2 > all && silent > 2 {
@@ -517,14 +520,17 @@
                         cut_ms
                     },
                     // Nor does silence count while followers can't store whose
-                    // leases they renew.
-                    excused_ms: self.state_failed_ms.unwrap_or(0),
+                    // leases they renew, or while this process stood still.
+                    excused_ms: self.state_failed_ms.unwrap_or(0).max(still_ms),
                 }
             } else {
                 Silence {
                     silent: false,
                     limit_ms,
-                    excused_ms: self.zones_silent.get(&zone).copied().unwrap_or(0),
+                    excused_ms: self
+                        .zones_silent
+                        .get(&zone)
+                        .map_or(still_ms, |at| still_ms.max(*at)),
                 }
             };
             limits.insert(zone, silence);
@@ -532,6 +538,11 @@
         limits
     }
 
+    /// Nobody was heard for a while, and that was our own fault.
+    pub fn excuse_silence(&mut self, now: Now) {
+        self.stood_still_ms = now.ms;
+    }
+
     /// Whether none of the workers is heard that report to this leader itself
     /// (`to_us`, by zone). Those that are new to it may be on their way.
     pub fn hears_nobody(&self, now: Now, to_us: impl Fn(&str) -> bool) -> bool {
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -37,6 +37,13 @@
     Forecast(Rc<JobSpec>, u32),
 }
 
+/// So many tasks like this may come within one boot.
+#[derive(Clone, Debug)]
+pub(super) struct Expected {
+    spec: Rc<JobSpec>,
+    count: u32,
+}
+
 /// Free room of a machine during one round.
 #[derive(Debug)]
 pub(super) struct Room {
@@ -92,12 +99,21 @@
         // it goes for the next deadline that still means something.
         let run_ms = (spec.estimate_s * self.learning.bias(&spec.class) * 1000.0) as u64;
         let at = |times: f64| submitted + (deadline_s * times * 1000.0) as u64;
-        self.settings
-            .deadline_times(&spec.class)
+        let class = &spec.class;
+        let mut dates: Vec<u64> = self
+            .settings
+            .deadline_times(class)
             .into_iter()
             .map(at)
-            .find(|deadline| now.wall + run_ms <= *deadline)
-            .unwrap_or_else(|| at(LAST_DEADLINE))
+            .collect();
+        let finish = self.settings.finish_objectives_ms(class);
+        dates.extend(finish.map(|ms| submitted + ms));
+        // Tasks that should begin by some time should end a run later.
+        let begin_ms = self.settings.wait_objective_ms(class);
+        dates.extend(begin_ms.map(|ms| submitted + ms + run_ms));
+        dates.sort_unstable();
+        let in_time = dates.into_iter().find(|date| now.wall + run_ms <= *date);
+        in_time.unwrap_or_else(|| at(LAST_DEADLINE))
     }
 
     /// Jobs that fit into their team's guarantee together with the team's
@@ -140,9 +156,7 @@
         let mut used: HashMap<Rc<str>, Res> = HashMap::new();
         for job in self.jobs.values() {
             let total = used.entry(job.spec.team.clone()).or_default();
-            for _ in &job.assigns {
-                total.add(&job.need);
-            }
+            total.add(&job.need.scaled(job.assigns.len() as f64));
         }
         used
     }
@@ -158,20 +172,13 @@
 
     /// Room for arrivals: as many standard deviations of what comes and goes
     /// during one boot as the operator wants, pooled over the classes.
-    fn forecasts(&mut self, now: Now) -> Vec<Waiting> {
-        let Some(catalog) = self.catalog.clone() else {
-            return Vec::new();
-        };
-        let slowest = catalog
-            .types
-            .iter()
-            .map(|t| self.learning.boot_s(&t.name, t.boot_s))
-            .fold(0.0, f64::max);
+    fn forecasts(&mut self, now: Now) -> Vec<Expected> {
+        let slowest = self.slowest_boot_s();
         let flows: Vec<Flow> = self
             .learning
             .flows(now.wall)
             .into_iter()
-            .filter(|f| self.settings.wait_objective_ms(&f.spec.class).is_some())
+            .filter(|f| self.settings.start_aim_ms(&f.spec).is_some())
             .collect();
         // In the scarcest amount's terms one class can stand in for another.
         let weigh = |f: &Flow| {
@@ -201,18 +208,20 @@
                 let part = upto - given;
                 given = upto;
                 if part > 0 {
-                    all.push(Waiting {
-                        priority: f.spec.priority,
-                        beyond: true,
-                        deadline: now.wall + (slowest * 1000.0) as u64,
-                        what: Work::Forecast(spec, part),
-                    });
+                    all.push(Expected { spec, count: part });
                 }
             }
         }
         all
     }
 
+    fn slowest_boot_s(&self) -> f64 {
+        let types = self.catalog.iter().flat_map(|c| &c.types);
+        types
+            .map(|t| self.learning.boot_s(&t.name, t.boot_s))
+            .fold(0.0, f64::max)
+    }
+
     /// The images of a class's unfinished jobs, how many have them, and one
     /// job that stands for them.
     fn images_of(&self, class: &str) -> BTreeMap<Rc<str>, (u32, Rc<JobSpec>)> {
@@ -247,14 +256,24 @@
                 what: Work::Job(id.clone()),
             })
             .collect();
-        queue.extend(self.forecasts(now));
+        let deadline = now.wall + (self.slowest_boot_s() * 1000.0) as u64;
+        queue.extend(self.expected.iter().map(|e| Waiting {
+            priority: e.spec.priority,
+            beyond: true,
+            deadline,
+            what: Work::Forecast(e.spec.clone(), e.count),
+        }));
         queue.sort_by_key(|w| (w.priority, w.beyond, w.deadline));
         queue
     }
 
     /// Hands out free room in deadline order; what finds none is kept for
     /// `rent`.
-    pub(super) fn place(&mut self, now: Now) {
+    pub(super) fn place(&mut self, now: Now, full: bool) {
+        if full {
+            self.expected = self.forecasts(now);
+        }
+        let freeing = self.freeing();
         let fresh_ms = self.report_ms() * FRESH_REPORTS;
         let mut rooms: Vec<Room> = self
             .fleet
@@ -265,7 +284,7 @@
                 id: m.id.clone(),
                 offer: m.offer.clone(),
                 free: m.free(),
-                freeing: self.freeing(&m.id),
+                freeing: freeing.get(&m.id).copied().unwrap_or_default(),
                 whole: m.room,
                 fetches: m.fetching.len() as u32,
                 reserved: false,
@@ -280,6 +299,7 @@
             })
         });
         let mut used = self.team_use();
+        self.looked += (self.jobs.len() + rooms.len()) as u64;
         let mut rest = Vec::new();
         let mut cold = Vec::new();
         for waiting in self.queue(now) {
@@ -303,7 +323,7 @@
             }
         }
         self.preempt(now, &mut rest, &rooms);
-        if rest.is_empty() {
+        if rest.is_empty() && full {
             self.gather(now, &mut rooms);
             self.warm(now, cold);
         }
@@ -319,49 +339,53 @@
     /// fullest machines, so that empty ones can be returned. Says how much
     /// found none.
     fn reserve(
-        &self,
+        &mut self,
         spec: &Rc<JobSpec>,
         count: u32,
         rooms: &mut [Room],
         cold: &mut Vec<Cold>,
     ) -> u32 {
         let need = Res::of_task(spec);
+        self.looked += rooms.len() as u64;
+        let mut open: Vec<(usize, bool)> = (0..rooms.len())
+            .filter(|i| {
+                let r = &rooms[*i];
+                r.free.holds(&need) && allows_offer(spec, &r.offer) && !r.offer.spot
+            })
+            .map(|i| (i, self.has_image(&rooms[i].id, &spec.image)))
+            .collect();
         for n in 0..count {
-            let best = rooms
-                .iter_mut()
-                .filter(|r| r.free.holds(&need) && allows_offer(spec, &r.offer) && !r.offer.spot)
-                .min_by(|a, b| {
-                    let rank = |r: &Room| {
-                        let has = self
-                            .fleet
-                            .get(&r.id)
-                            .is_some_and(|m| m.has_image(&spec.image));
-                        r.free.share_of(&r.whole) + if has { 0.0 } else { 1.0 }
-                    };
-                    rank(a).total_cmp(&rank(b))
+            self.looked += open.len() as u64;
+            let rank = |(i, has): &(usize, bool)| {
+                let room = &rooms[*i];
+                room.free.share_of(&room.whole) + if *has { 0.0 } else { 1.0 }
+            };
+            let best = (0..open.len()).min_by(|a, b| rank(&open[*a]).total_cmp(&rank(&open[*b])));
+            let Some(best) = best else {
+                return count - n;
+            };
+            let (index, has) = open[best];
+            let room = &mut rooms[index];
+            room.free.take(&need);
+            room.kept.add(&need);
+            room.reserved = true;
+            if !has {
+                cold.push(Cold {
+                    spec: spec.clone(),
+                    machine: room.id.clone(),
                 });
-            match best {
-                Some(room) => {
-                    room.free.take(&need);
-                    room.kept.add(&need);
-                    room.reserved = true;
-                    if !self
-                        .fleet
-                        .get(&room.id)
-                        .is_some_and(|m| m.has_image(&spec.image))
-                    {
-                        cold.push(Cold {
-                            spec: spec.clone(),
-                            machine: room.id.clone(),
-                        });
-                    }
-                }
-                None => return count - n,
+            }
+            if !room.free.holds(&need) {
+                open.remove(best);
             }
         }
         0
     }
 
+    pub(super) fn has_image(&self, id: &MachineId, image: &str) -> bool {
+        self.fleet.get(id).is_some_and(|m| m.has_image(image))
+    }
+
     fn place_job(
         &mut self,
         now: Now,
@@ -426,10 +450,8 @@
                 rooms[index].free.take(&need);
             } else if best.is_none() {
                 best = self.best_room(&spec, &need, &zones, rooms, id);
-                let cold = best.filter(|i| {
-                    let machine = self.fleet.get(&rooms[*i].id);
-                    machine.is_some_and(|m| !m.has_image(&spec.image))
-                });
+                self.looked += rooms.len() as u64;
+                let cold = best.filter(|i| !self.has_image(&rooms[*i].id, &spec.image));
                 held =
                     cold.and_then(|cold| self.exchange(now, &spec, deadline, &zones, cold, rooms));
             }
@@ -441,7 +463,7 @@
                 promised += 1;
                 continue;
             }
-            if best.is_none() && self.settings.wait_objective_ms(&spec.class).is_some() {
+            if best.is_none() && self.settings.start_aim_ms(&spec).is_some() {
                 // What waits now goes before what is only expected.
                 best = release_kept(&spec, &need, &zones, rooms);
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
 //! The platform's settings file (TOML). Unknown fields are ignored, since new
 //! ones may come; the known ones are checked.
 
+use crate::wire::JobSpec;
 use serde::Deserialize;
 use std::net::SocketAddrV4;
 use std::path::Path;
@@ -219,6 +220,28 @@
             .min()
     }
 
+    /// The aim on waiting that makes room for work: that of services, which
+    /// have nothing else. Arrays with a deadline wait in its order, and their
+    /// start aim is one more date in it.
+    pub fn start_aim_ms(&self, spec: &JobSpec) -> Option<u64> {
+        match spec.deadline_s {
+            Some(_) => None,
+            None => self.wait_objective_ms(&spec.class),
+        }
+    }
+
+    /// The times after its submission, in milliseconds, by which a job of the
+    /// class should be done whatever its own deadline.
+    pub fn finish_objectives_ms<'a>(&'a self, class: &'a str) -> impl Iterator<Item = u64> + 'a {
+        self.site
+            .objectives
+            .iter()
+            .filter(move |o| o.kind == "finished" && o.class.as_deref() == Some(class))
+            .filter_map(|o| o.within_s)
+            .filter(|s| s.is_finite() && *s >= 0.0)
+            .map(|s| (s * 1000.0) as u64)
+    }
+
     /// The multiples of its deadline by which the class's jobs should be
     /// done, in order; the deadline itself is always one.
     pub fn deadline_times(&self, class: &str) -> Vec<f64> {
