Doubt a lead after standing still, and store all machines that are held

Cause, from reading: a leader that wakes up after its lease may still answer queued reports with 200 until its renewal tells otherwise, which keeps workers from others, and give up every machine for a silence of its own.

Now a process that didn't turn for as long as its lease lasts answers no report and makes no round as leader until a renewal asked for after that is granted, and the silence is excused. Held machines go into as many records as they need. Two traces, both of which fail on the sources before.

--- a/src/election.rs
+++ b/src/election.rs
@@ -75,6 +75,9 @@
     read_ms: u64,
     /// Spreads candidates, so that they don't all claim in one moment.
     stagger_ms: u64,
+    /// The process stood still for longer than its lease lasts, and no renewal
+    /// has gone out and come back since. `true`: one from before is under way.
+    doubt: Option<bool>,
     /// It stepped aside: others may claim first until then.
     aside_until_ms: u64,
 }
@@ -97,6 +100,7 @@
             due_ms: 0,
             read_ms: 0,
             stagger_ms,
+            doubt: None,
             aside_until_ms: 0,
         }
     }
@@ -105,6 +109,17 @@
         matches!(self.role, Role::Leader { .. })
     }
 
+    /// Whether this process may have lost the lead without having been told.
+    pub fn in_doubt(&self) -> bool {
+        self.is_leader() && self.doubt.is_some()
+    }
+
+    /// The process stood still: its lease may have ended meanwhile.
+    pub fn stood_still(&mut self, now: Now) {
+        self.doubt = Some(self.waiting == Some(ElectionCall::Renew));
+        self.due_ms = now.ms;
+    }
+
     /// The other controller that leads, as far as this one knows.
     pub fn other_leader(&self) -> Option<&str> {
         match &self.role {
@@ -301,6 +316,7 @@
 
     fn won(&mut self, now: Now, term: Term, key_version: Revision) -> Change {
         self.role = Role::Leader { term, key_version };
+        self.doubt = None;
         self.term.term = term;
         self.due_ms = now.ms + self.ttl_ms / 4;
         Change::Elected { term, key_version }
@@ -350,7 +366,14 @@
 
     fn on_renew(&mut self, now: Now, answer: &Answer) -> Option<Change> {
         match answer.status() {
+            // It may have been given before the process stood still.
+            Some(200) if self.doubt == Some(true) => {
+                self.doubt = Some(false);
+                self.due_ms = now.ms;
+                None
+            }
             Some(200) => {
+                self.doubt = None;
                 self.due_ms = now.ms + self.ttl_ms / 4;
                 None
             }
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -20,6 +20,11 @@
 /// Half of what a peer takes: one more report of any size still fits.
 const RELAY_BYTES: usize = MAX_PEER_BODY / 2;
 
+/// What a record of held machines takes beside its rows, and a row beside the
+/// machine's name, generously.
+const HELD_HEAD_BYTES: usize = 128;
+const HELD_ROW_BYTES: usize = 28;
+
 /// A list of cancelled jobs that is being read.
 #[derive(Debug)]
 pub(super) struct CancelList {
@@ -247,37 +252,55 @@
     pub(super) fn tend_held(&mut self, now: Now) {
         let quiet = self.quiet_ms();
         self.held.retain(|_, (at, _)| now.ms < *at + quiet);
-        if now.ms < self.held_due_ms || (self.held.is_empty() && !self.held_stored) {
+        if now.ms < self.held_due_ms || (self.held.is_empty() && self.held_stored == 0) {
             return;
         }
         self.held_due_ms = now.ms + quiet;
-        let key = format!("{HELD_PREFIX}{}", self.settings.node_name);
-        let txn = if self.held.is_empty() {
-            Txn::default().delete(key)
-        } else {
-            let mut machines: Vec<(String, Session)> = self
-                .held
-                .iter()
-                .map(|(name, (_, session))| (name.clone(), *session))
-                .collect();
-            machines.sort();
-            let most = (self.settings.site.state.value_kb * 1024.0 / 64.0) as usize;
-            machines.truncate(most);
+        let mut machines: Vec<(String, Session)> = self
+            .held
+            .iter()
+            .map(|(name, (_, session))| (name.clone(), *session))
+            .collect();
+        machines.sort();
+        // As many records as a record's size asks for; a truncated list would
+        // have the leader give up machines that are well looked after.
+        let whole = (self.settings.site.state.value_kb * 1024.0) as usize;
+        let most = whole.saturating_sub(HELD_HEAD_BYTES);
+        let mut records: Vec<Vec<(String, Session)>> = Vec::new();
+        let mut bytes = most;
+        for (name, session) in machines {
+            bytes += name.len() + HELD_ROW_BYTES;
+            if bytes > most {
+                records.push(Vec::new());
+                bytes = name.len() + HELD_ROW_BYTES;
+            }
+            if let Some(record) = records.last_mut() {
+                record.push((name, session));
+            }
+        }
+        let stored = std::mem::replace(&mut self.held_stored, records.len());
+        let node = self.settings.node_name.clone();
+        let key = |n: usize| format!("{HELD_PREFIX}{node}/{n}");
+        let mut txns: Vec<Txn> = Vec::new();
+        for (n, machines) in records.into_iter().enumerate() {
             let record = HeldRecord {
                 at: now.wall,
                 machines,
             };
-            Txn::default().put(key, serde_json::to_value(record).unwrap_or_default())
-        };
-        self.held_stored = !self.held.is_empty();
-        let (call, writes) = store::txn(&txn, 1000);
-        self.store.submit(StateCall {
-            urgency: Urgency::Leadership,
-            call,
-            writes,
-            give_up_ms: now.ms + quiet,
-            tag: StateTag::WriteHeld,
-        });
+            let value = serde_json::to_value(record).unwrap_or_default();
+            txns.push(Txn::default().put(key(n), value));
+        }
+        txns.extend((self.held_stored..stored).map(|n| Txn::default().delete(key(n))));
+        for txn in txns {
+            let (call, writes) = store::txn(&txn, 1000);
+            self.store.submit(StateCall {
+                urgency: Urgency::Leadership,
+                call,
+                writes,
+                give_up_ms: now.ms + quiet,
+                tag: StateTag::WriteHeld,
+            });
+        }
     }
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -82,6 +82,8 @@
     nudges: Vec<JobId>,
     cancelled_here: Vec<JobId>,
     leader_share: f64,
+    /// When it last did anything.
+    turned_ms: u64,
     /// It stepped aside as leader, and no worker has reached it since.
     unreached: bool,
     /// Workers whose leases this node renews in the leader's stead, and when
@@ -91,7 +93,8 @@
     relay: Vec<Vec<u8>>,
     relay_due_ms: u64,
     held_due_ms: u64,
-    held_stored: bool,
+    /// How many records of them are stored.
+    held_stored: usize,
     /// When it last answered a worker in the leader's stead.
     stood_in_ms: Option<u64>,
     /// When this node last knew that no cancellation escapes it: the state
@@ -164,12 +167,13 @@
             nudges: Vec::new(),
             cancelled_here: Vec::new(),
             leader_share,
+            turned_ms: 0,
             unreached: false,
             held: HashMap::new(),
             relay: Vec::new(),
             relay_due_ms: 0,
             held_due_ms: 0,
-            held_stored: false,
+            held_stored: 0,
             stood_in_ms: None,
             informed_ms: 0,
             led_ms: 0,
@@ -303,8 +307,9 @@
         let informed = now.ms <= self.informed_ms + self.settings.uninformed_ms();
         if self.scheduler.leading() {
             // Perhaps deposed: jobs may have been cancelled that it doesn't
-            // know of, and their tasks must not live on its answers.
-            if !informed {
+            // know of, and their tasks must not live on its answers; nor may
+            // a worker be kept by answers that it has to drop.
+            if !informed || self.election.in_doubt() {
                 out.push(Effect::Reply(conn, Reply::later(503, "cut off", 1)));
                 return;
             }
@@ -643,14 +648,30 @@
         }
     }
 
+    /// A process that stood still wakes up with its sockets full of what is
+    /// long over. If it led, others may lead by now; and that nobody was heard
+    /// is no fault of theirs.
+    fn notice_time(&mut self, now: Now) {
+        // Peers say hello, and a leader renews, four times in this period.
+        let still = now.ms > self.turned_ms + self.hello_every_ms * 4;
+        self.turned_ms = now.ms;
+        if still && self.election.is_leader() && !self.peers.is_empty() {
+            log::info!("stood still, may have lost the lead");
+            self.election.stood_still(now);
+            self.scheduler.excuse_silence(now);
+        }
+    }
+
     /// Lets every actor act, and sends what they want sent.
     fn pump(&mut self, now: Now, out: &mut Vec<Effect>) -> u64 {
         let mut calls = Vec::new();
         let mut wake = self.election.tick(now, &mut calls);
         self.take_election(calls);
-        let mut scheduler = SchedulerOut::default();
-        wake = wake.min(self.scheduler.tick(now, &mut self.cloud, &mut scheduler));
-        self.take_scheduler(now, scheduler, out);
+        if !self.election.in_doubt() {
+            let mut scheduler = SchedulerOut::default();
+            wake = wake.min(self.scheduler.tick(now, &mut self.cloud, &mut scheduler));
+            self.take_scheduler(now, scheduler, out);
+        }
         self.tend_catalog(now);
         self.tend_informed(now);
         self.tend_held(now);
@@ -717,10 +738,12 @@
         request: Request,
         out: &mut Vec<Effect>,
     ) {
+        self.notice_time(now);
         self.route(now, conn, port, request, out);
     }
 
     fn outcome(&mut self, now: Now, call: CallId, outcome: Outcome, out: &mut Vec<Effect>) {
+        self.notice_time(now);
         match self.calls.remove(&call) {
             Some(CallTag::State(id)) => {
                 if let Some((tag, answer)) = self.store.answered(now, id, outcome) {
@@ -763,6 +786,7 @@
     }
 
     fn tick(&mut self, now: Now, out: &mut Vec<Effect>) -> u64 {
+        self.notice_time(now);
         self.pump(now, out)
     }
 }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -543,6 +543,56 @@
     }
 }
 
+/// A leader that wakes after its lease has ended must not pass for one: its
+/// clocks ran on, its sockets are full of old reports, and nobody was heard by
+/// it for so long that it would give every machine up.
+#[test]
+fn a_leader_that_stood_still_answers_no_report_and_returns_no_machine() {
+    let (mut w, names) = full_zone(3);
+    let old = w.leader().unwrap();
+    let woken = w.now + 14_000;
+    w.frozen.insert(old, woken);
+    w.run_for(13_900);
+    w.report_answers.clear();
+    w.run_for(12_000);
+    let answered = w.report_answers.iter().filter(|(_, n, _)| *n == old);
+    let statuses: Vec<u16> = answered.map(|(_, _, status)| *status).collect();
+    assert!(
+        !statuses.is_empty() && !statuses.contains(&200),
+        "{statuses:?}"
+    );
+    assert_eq!(w.on_machines("run-1"), 56);
+    assert_eq!(w.trace.len(), 56, "{:?}", w.trace);
+    assert!(gone(&w, &names).is_empty(), "none is given up");
+}
+
+/// Followers once stored at most so many of the machines that they look after
+/// as one record holds, and the leader gave the others up.
+#[test]
+fn all_machines_that_a_follower_looks_after_are_stored() {
+    let mut w = World::new(3);
+    w.capacity = 0;
+    let zone_b = 1400;
+    for n in 0..zone_b {
+        w.add_machine(&format!("vm-{n:04}"), "b", false, true);
+    }
+    w.run_until(5000);
+    w.cuts = cut_zones();
+    w.hook = Box::new(move |_, node, call| match &call.target {
+        Target::Peer(addr) if crosses(node, addr) => Fate::LoseRequest,
+        _ => Fate::Pass,
+    });
+    w.run_for(9000);
+    let held = w.state.items.iter().filter(|(k, _)| k.starts_with("h/"));
+    let counts: Vec<usize> = held
+        .map(|(_, i)| i.0["m"].as_array().unwrap().len())
+        .collect();
+    assert!(
+        counts.len() > 1 && counts.iter().sum::<usize>() == zone_b,
+        "{counts:?}"
+    );
+}
+
 /// A leader that alone was parted from the workers once led on: others sent
 /// the workers back to it, their leases ended, and in the end it gave up every
 /// machine.
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -159,6 +159,8 @@
     pub seq: u64,
     pub token: u64,
     pub answered_ms: u64,
+    /// When the report was sent that waits for its answer.
+    asked_ms: Option<u64>,
     pub node: usize,
     pub tasks: BTreeMap<String, Running>,
     pub sick: bool,
@@ -205,6 +207,10 @@
     /// Starts carried out, as people read them: time, machine, task, attempt.
     pub trace: Vec<String>,
     pub run_ms: u64,
+    /// Nodes that stand still, and until when.
+    pub frozen: BTreeMap<usize, u64>,
+    /// Answers to reports: when, by whom, status.
+    pub report_answers: Vec<(u64, usize, u16)>,
     /// Nodes and zones whose machines can't hear each other.
     pub cuts: Vec<(usize, String)>,
     slow: HashMap<(usize, u64, CallId), u64>,
@@ -235,6 +241,8 @@
             cancelled: HashMap::new(),
             trace: Vec::new(),
             run_ms: 3000,
+            frozen: BTreeMap::new(),
+            report_answers: Vec::new(),
             cuts: Vec::new(),
             slow: HashMap::new(),
         };
@@ -356,7 +364,10 @@
             Some(Origin::User(user)) => {
                 self.answers.insert(user, reply);
             }
-            Some(Origin::Worker(name, sent)) => self.report_answered(&name, sent, reply),
+            Some(Origin::Worker(name, sent)) => {
+                self.report_answers.push((self.now, n, reply.status));
+                self.report_answered(&name, sent, reply);
+            }
             Some(Origin::Peer { node, epoch, id }) => {
                 let outcome = Ok((reply.status, reply.body));
                 self.at(
@@ -394,6 +405,24 @@
     }
 
     fn act(&mut self, action: Action) {
+        let node = match &action {
+            Action::Tick(node) => Some(node),
+            Action::Request { node, .. } | Action::Return { node, .. } => Some(node),
+            _ => None,
+        };
+        let until = node.and_then(|n| self.frozen.get(n)).copied();
+        if let Some(until) = until.filter(|until| self.now < *until) {
+            // Which socket it looks at first is anybody's guess: reports are.
+            let report = matches!(
+                &action,
+                Action::Request {
+                    port: Port::Client,
+                    ..
+                }
+            );
+            self.at(until + u64::from(!report), action);
+            return;
+        }
         match action {
             Action::Tick(n) => {
                 if self.ticks[n] <= self.now {
@@ -826,6 +855,7 @@
             seq: 0,
             token: 0,
             answered_ms: self.now,
+            asked_ms: None,
             node: 0,
             tasks: BTreeMap::new(),
             sick: false,
@@ -940,8 +970,17 @@
         if self.workers[name].silent {
             return;
         }
+        if let Some(asked_ms) = self.workers[name].asked_ms {
+            if now < asked_ms + 4000 {
+                return;
+            }
+            self.next_node(name);
+        }
         let body = self.worker_report(name).to_string().into_bytes();
         let node = self.workers[name].node;
+        if let Some(w) = self.workers.get_mut(name) {
+            w.asked_ms = Some(now);
+        }
         if self.nodes[node].is_none() || self.is_cut(node, name) {
             self.next_node(name);
             return;
@@ -971,15 +1010,21 @@
     fn next_node(&mut self, name: &str) {
         let nodes = self.nodes.len();
         if let Some(w) = self.workers.get_mut(name) {
+            w.asked_ms = None;
             w.node = (w.node + 1) % nodes;
         }
     }
 
     fn report_answered(&mut self, name: &str, sent: u64, reply: Reply) {
         let body: Value = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
+        let now = self.now;
         let Some(w) = self.workers.get_mut(name) else {
             return;
         };
+        if w.asked_ms != Some(sent) || now > sent + 4000 {
+            return;
+        }
+        w.asked_ms = None;
         if reply.status == 200 {
             let token = body["jeton"].as_u64().unwrap_or(0);
             if token < w.token || w.gone || w.silent {
