--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -29,9 +29,9 @@
 const CUT_CANCEL_SHARE: f64 = 0.9;
 
 /// How silence is judged in a zone.
-pub(super) struct Silence {
+struct Silence {
     /// Most of its machines are silent.
-    pub(super) silent: bool,
+    silent: bool,
     limit_ms: u64,
     excused_ms: u64,
 }
@@ -493,7 +493,7 @@
     /// or ours, and returning them all would be the worst answer. After it
     /// they come back one by one: those that are last must not be judged by
     /// the silence that all of them kept.
-    pub(super) fn silent_limits(&mut self, now: Now) -> BTreeMap<Rc<str>, Silence> {
+    fn silent_limits(&mut self, now: Now) -> BTreeMap<Rc<str>, Silence> {
         let lease_ms = self.lease_ms();
         let mut zones: BTreeMap<Rc<str>, (u32, u32)> = BTreeMap::new();
         for machine in self.fleet.machines.values() {
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -3,7 +3,6 @@
 use super::learn::Flow;
 use super::{Assign, Scheduler};
 use crate::cloud::Offer;
-use crate::fleet::Phase;
 use crate::ids::{JobId, MachineId, TaskRef};
 use crate::msg::Now;
 use crate::placement::{allows_offer, may_stand, Fit, Res, ZoneUse};
@@ -236,42 +235,6 @@
         images
     }
 
-    /// Replicas on machines that are silent, or asked to be returned, will
-    /// soon need another place, though they may not have it before it is
-    /// proven that they are gone. Room is kept or rented for them meanwhile:
-    /// when many machines fail together, a boot is what takes longest. A
-    /// zone's common silence is more likely a cut, and waited out.
-    fn endangered(&mut self, now: Now) -> Vec<Waiting> {
-        let fresh_ms = self.report_ms() * FRESH_REPORTS;
-        let zones = self.silent_limits(now);
-        let cut = |zone: &str| zones.get(zone).is_some_and(|z| z.silent);
-        let mut counts: BTreeMap<&JobId, u32> = BTreeMap::new();
-        for machine in self.fleet.machines.values() {
-            let silent = machine.phase == Phase::Up
-                && now.ms >= machine.heard_ms.max(machine.held_ms) + fresh_ms
-                && !cut(&machine.offer.zone);
-            if silent || machine.phase == Phase::Releasing {
-                for task in &machine.tasks {
-                    *counts.entry(&task.job).or_insert(0) += 1;
-                }
-            }
-        }
-        let mut all = Vec::new();
-        for (id, count) in counts {
-            let job = self.jobs.get(id).filter(|j| j.cancelled.is_none());
-            let Some(job) = job.filter(|j| self.settings.start_aim_ms(&j.spec).is_some()) else {
-                continue;
-            };
-            all.push(Waiting {
-                priority: job.spec.priority,
-                beyond: true,
-                deadline: now.wall,
-                what: Work::Forecast(job.spec.clone(), count),
-            });
-        }
-        all
-    }
-
     fn queue(&mut self, now: Now) -> Vec<Waiting> {
         let within = self.within_guarantee();
         // A task on the move has its place already; nothing expected may
@@ -293,7 +256,6 @@
                 what: Work::Job(id.clone()),
             })
             .collect();
-        queue.extend(self.endangered(now));
         let deadline = now.wall + (self.slowest_boot_s() * 1000.0) as u64;
         queue.extend(self.expected.iter().map(|e| Waiting {
             priority: e.spec.priority,
