Rent at once under the first leader ever, and where a machine has left

And a refusal's pause outlived the return of machines that gave the capacity back. Now the first term listens until the list has come and all that it shows as running are heard; later ones as before. A list that comes before all records are read is kept for later, not dropped.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -54,8 +54,8 @@
     /// Jobs that failed here, without one that succeeded since.
     pub blamed_by: Vec<JobId>,
     pub idle_since_ms: Option<u64>,
-    /// The list called it failed.
-    pub listed_failed: bool,
+    /// The list called it running.
+    pub listed_up: bool,
     /// Commands on their way by the direct path.
     pub calling: bool,
 }
@@ -94,7 +94,7 @@
             fetching: BTreeMap::new(),
             blamed_by: Vec::new(),
             idle_since_ms: Some(now_ms),
-            listed_failed: false,
+            listed_up: false,
             calling: false,
         }
     }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -137,6 +137,10 @@
     /// Refused capacity: until when, and the pause that led there.
     refused: HashMap<Offer, (u64, u64)>,
     rentals: u64,
+    /// The cloud's list has come since the election.
+    listed: bool,
+    /// It came before all records were read.
+    early_list: Option<Vec<ListedMachine>>,
     /// Machines whose commands should go out by the direct path.
     push: BTreeSet<MachineId>,
     /// Work of the last round that found no room.
@@ -200,6 +204,8 @@
             expected: Vec::new(),
             refused: HashMap::new(),
             rentals: 0,
+            listed: false,
+            early_list: None,
             push: BTreeSet::new(),
             rest: Vec::new(),
             reserved: BTreeSet::new(),
@@ -268,6 +274,8 @@
         self.cleanup.clear();
         self.cleaning = false;
         self.rentals = 0;
+        self.listed = false;
+        self.early_list = None;
         self.refused.clear();
         self.push.clear();
         self.asking_held = false;
@@ -653,6 +661,9 @@
         if self.stage != Stage::Active {
             return self.list_retry_ms.unwrap_or(now.ms + 1000);
         }
+        if let Some(list) = self.early_list.take() {
+            self.on_listed(now, list, cloud);
+        }
         self.watch(now, out);
         self.read_stale(now, out);
         let every = (self.report_ms() as f64 * ROUND_REPORTS) as u64;
@@ -705,6 +716,9 @@
 
     pub fn cloud_event(&mut self, now: Now, event: CloudEvent, cloud: &mut Cloud) {
         if self.stage != Stage::Active {
+            if let (Stage::Loading, CloudEvent::Listed(list)) = (self.stage, event) {
+                self.early_list = Some(list);
+            }
             return;
         }
         self.round_wanted = true;
@@ -782,6 +796,7 @@
     }
 
     fn on_listed(&mut self, now: Now, list: Vec<ListedMachine>, cloud: &mut Cloud) {
+        self.listed = true;
         for listed in list {
             let id = MachineId::new(&listed.id);
             if self.fleet.is_gone(&id) {
@@ -793,6 +808,7 @@
                 spot: listed.spot,
             };
             let machine = self.add_machine(now, id.clone(), offer, listed.age_s);
+            machine.listed_up |= listed.state == ListedState::Running;
             if machine.address.is_none() && !listed.address.is_empty() {
                 machine.address = Some(listed.address);
                 // A new leader's token should reach it before others' words.
@@ -803,7 +819,6 @@
             if listed.state == ListedState::Failed {
                 if let Some(machine) = self.fleet.get_mut(&id) {
                     // A hint, and a lagging one: returning it is the proof.
-                    machine.listed_failed = true;
                     machine.phase = Phase::Releasing;
                     cloud.release(id);
                 }
@@ -817,6 +832,8 @@
         let Some(machine) = self.fleet.remove(id, forget_ms) else {
             return;
         };
+        // Its place is free again, whatever was refused before.
+        self.refused.remove(&machine.offer);
         log::info!("machine {id} gone, tasks={}", machine.tasks.len());
         for task in machine.tasks {
             self.drop_assign(now, &task, "machine gone");
--- a/src/scheduler/renting.rs
+++ b/src/scheduler/renting.rs
@@ -4,8 +4,8 @@
 use super::rounds::{Rest, FRESH_REPORTS};
 use super::Scheduler;
 use crate::cloud::{Cloud, Offer, RENT_MAX};
-use crate::fleet::Phase;
-use crate::ids::MachineId;
+use crate::fleet::{Machine, Phase};
+use crate::ids::{MachineId, Term};
 use crate::msg::Now;
 use crate::placement::{may_stand, offers_for, Res};
 use crate::slackfit::{self, Rung};
@@ -38,7 +38,7 @@
         let Some(catalog) = self.catalog.clone() else {
             return;
         };
-        if now.ms < self.elected_ms + self.report_ms() * LISTEN_REPORTS || !cloud.reachable() {
+        if self.listens(now) || !cloud.reachable() {
             return;
         }
         let rest = std::mem::take(&mut self.rest);
@@ -50,6 +50,17 @@
         }
     }
 
+    /// A new leader listens before it rents: machines may be there, or on
+    /// their way, that it doesn't know of. Before the first leader ever nobody
+    /// rented; once all that the list shows as running are heard, that is all.
+    fn listens(&self, now: Now) -> bool {
+        if now.ms >= self.elected_ms + self.report_ms() * LISTEN_REPORTS {
+            return false;
+        }
+        let unheard = |m: &Machine| m.listed_up && !m.evidence;
+        self.term > Term(1) || !self.listed || self.fleet.machines.values().any(unheard)
+    }
+
     /// Orders what covers the work that neither free nor coming room holds.
     fn order(&mut self, now: Now, rest: &[Rest], catalog: &Catalog, cloud: &mut Cloud) {
         let mut coming = self.coming(now, cloud);
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -1080,6 +1080,26 @@
     assert_eq!(there(&w), 0, "and leave in the end");
 }
 
+/// The first leader ever once listened for three report intervals for what
+/// nobody could have rented, and all work of the beginning waited with it.
+#[test]
+fn the_first_leader_rents_at_once_unless_machines_are_there() {
+    let mut w = World::new(1);
+    w.run_until(1000);
+    assert_eq!(w.submit(0, &patient("run-1")), 201);
+    w.run_for(500);
+    assert_eq!(w.workers.len(), 3, "twenty replicas, eight to a machine");
+    // What is there already is heard first.
+    let mut w = World::new(1);
+    for n in 0..3 {
+        w.add_machine(&format!("vm-e{n}"), "a", false, true);
+    }
+    w.run_until(100);
+    assert_eq!(w.submit(0, &patient("run-1")), 201);
+    w.run_until(5000);
+    assert_eq!((w.workers.len(), w.on_machines("run-1")), (3, 20));
+}
+
 /// Jobs once waited for machines that took several times the usual time to
 /// boot: they counted as room to come until twice that time.
 #[test]
