--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -191,6 +191,11 @@
         self.election.is_leader()
     }
 
+    /// What its rounds have cost so far, in entries looked at.
+    pub fn looked(&self) -> u64 {
+        self.scheduler.looked()
+    }
+
     /// Everybody's rates together stay near what the services take; a 429
     /// mends what is over.
     fn set_share(&mut self, now: Now, leading: bool) {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -170,8 +170,6 @@
     pub left: f64,
     /// Tasks of the same job there already: replicas fall together.
     pub siblings: u32,
-    /// Tasks of the same job in that zone already.
-    pub zone_siblings: u32,
 }
 
 impl Fit {
@@ -186,10 +184,11 @@
             1.0 + 0.5 * f64::from(self.fetches)
         };
         let dear = if self.spot { 0.0 } else { 0.3 };
-        fetch * 2.0
-            + dear
-            + self.left
-            + 0.15 * f64::from(self.siblings.min(4))
-            + 0.05 * f64::from(self.zone_siblings.min(4))
+        fetch * 2.0 + dear + self.left + 0.15 * f64::from(self.siblings.min(4))
+    }
+
+    /// What is added for tasks of the same job in the zone already.
+    pub fn crowded(zone_siblings: u32) -> f64 {
+        0.05 * f64::from(zone_siblings.min(4))
     }
 }
--- a/src/reactor.rs
+++ b/src/reactor.rs
@@ -117,11 +117,13 @@
     }
 }
 
-fn listen(addr: SocketAddrV4) -> io::Result<TcpListener> {
+/// After a change of leader everybody may come at once: all that may be open
+/// may wait to be accepted.
+fn listen(addr: SocketAddrV4, backlog: usize) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.bind(&SocketAddr::V4(addr).into())?;
-    socket.listen(256)?;
+    socket.listen(i32::try_from(backlog).unwrap_or(i32::MAX))?;
     socket.set_nonblocking(true)?;
     Ok(socket.into())
 }
@@ -129,7 +131,10 @@
 impl Reactor {
     pub fn new(endpoints: Endpoints, max_connections: usize, peers: usize) -> io::Result<Reactor> {
         let poller = Poller::new()?;
-        let listeners = [listen(endpoints.client)?, listen(endpoints.peer)?];
+        let listeners = [
+            listen(endpoints.client, max_connections)?,
+            listen(endpoints.peer, max_connections)?,
+        ];
         for (key, listener) in listeners.iter().enumerate() {
             // Safety: the listeners live as long as the poller, in one struct.
             unsafe { poller.add_with_mode(listener, Event::readable(key), PollMode::Level)? };
--- a/src/scheduler/exchange.rs
+++ b/src/scheduler/exchange.rs
@@ -46,6 +46,7 @@
             return None;
         }
         let need = Res::of_task(spec);
+        self.looked += rooms.len() as u64 * 2;
         let (index, moves) = (0..rooms.len())
             .filter(|i| may_stand(spec, zones, &rooms[*i].offer))
             .filter_map(|i| {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -128,7 +128,7 @@
     full_ms: u64,
     /// Machines should be looked after before that's due again.
     tend_wanted: bool,
-    /// Entries that the round looked at.
+    /// Entries that rounds have looked at, all together.
     looked: u64,
     /// Something may have to be written.
     changed: bool,
@@ -673,7 +673,7 @@
         if full || (self.round_wanted && now.ms >= self.round_ms + self.round_gap_ms) {
             self.round_wanted = false;
             self.round_ms = now.ms;
-            self.looked = 0;
+            let before = self.looked;
             if full {
                 self.full_ms = now.ms;
                 self.ask_held(now, out);
@@ -683,7 +683,7 @@
             }
             self.place(now, full);
             self.rent(now, cloud, full);
-            self.round_gap_ms = self.gap_ms();
+            self.round_gap_ms = self.gap_ms(self.looked - before);
             self.changed = true;
         }
         self.commit(now, out);
@@ -699,12 +699,17 @@
 
     /// The pause after a round follows what it cost, so that a rush on a large
     /// fleet leaves time for reports, submissions and cancellations.
-    fn gap_ms(&self) -> u64 {
-        let cost_ms = self.looked as f64 * ENTRY_MS;
+    fn gap_ms(&self, looked: u64) -> u64 {
+        let cost_ms = looked as f64 * ENTRY_MS;
         let gap = cost_ms / (self.settings.site.limits.cores * ROUNDS_SHARE);
         (gap as u64).clamp(ROUND_GAP_MS, self.report_ms().max(ROUND_GAP_MS))
     }
 
+    /// Entries that rounds have looked at since the process began.
+    pub fn looked(&self) -> u64 {
+        self.looked
+    }
+
     /// Counts for display.
     pub fn counts(&self) -> impl Iterator<Item = (&JobId, u32, u32)> {
         self.jobs
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -1,7 +1,7 @@
 //! A round: waiting and expected work in deadline order takes free room.
 
 use super::learn::Flow;
-use super::{Assign, Scheduler};
+use super::{Assign, Job, Scheduler};
 use crate::cloud::Offer;
 use crate::ids::{JobId, MachineId, TaskRef};
 use crate::msg::Now;
@@ -74,6 +74,14 @@
     pub(super) machine: MachineId,
 }
 
+/// What a room is worth to a job, as long as nothing changes there.
+struct Ranked {
+    index: usize,
+    free: Res,
+    fetches: u32,
+    rank: f64,
+}
+
 /// Tasks that found no room.
 #[derive(Debug)]
 pub(super) struct Rest {
@@ -413,6 +421,7 @@
                 forecast: false,
             });
         }
+        let mut ranked = None;
         let mut placed = 0;
         let mut promised = 0;
         let mut blocked = 0;
@@ -449,8 +458,7 @@
             if let Some(index) = held {
                 rooms[index].free.take(&need);
             } else if best.is_none() {
-                best = self.best_room(&spec, &need, &zones, rooms, id);
-                self.looked += rooms.len() as u64;
+                best = self.best_room(&need, &zones, rooms, id, &mut ranked);
                 let cold = best.filter(|i| !self.has_image(&rooms[*i].id, &spec.image));
                 held =
                     cold.and_then(|cold| self.exchange(now, &spec, deadline, &zones, cold, rooms));
@@ -560,47 +568,83 @@
         })
     }
 
+    /// The best room for one more task of a job. What rooms are worth to it is
+    /// kept in `ranked` from task to task, and found anew where one changed.
     fn best_room(
-        &self,
-        spec: &JobSpec,
+        &mut self,
         need: &Res,
         zones: &ZoneUse,
         rooms: &[Room],
         id: &JobId,
+        ranked: &mut Option<Vec<Ranked>>,
     ) -> Option<usize> {
         let job = self.jobs.get(id)?;
+        let spec = &job.spec;
+        let first = ranked.is_none();
+        let ranked = ranked.get_or_insert_with(|| {
+            let open = |(_, r): &(usize, &Room)| allows_offer(spec, &r.offer);
+            let all = rooms.iter().enumerate().filter(open);
+            all.filter_map(|(i, r)| self.rank(job, need, i, r))
+                .collect()
+        });
+        // Replicas are kept apart; tasks that end soon fill machines up.
+        let apart = f64::from(u32::from(spec.kind == Kind::Service));
         let mut best: Option<(f64, usize)> = None;
-        for (index, room) in rooms.iter().enumerate() {
-            if !room.free.holds(need) || !may_stand(spec, zones, &room.offer) {
-                continue;
+        for entry in ranked.iter_mut() {
+            let room = &rooms[entry.index];
+            if entry.free != room.free || entry.fetches != room.fetches {
+                match self.rank(job, need, entry.index, room) {
+                    Some(anew) => *entry = anew,
+                    None => continue,
+                }
             }
-            let Some(machine) = self.fleet.get(&room.id) else {
+            if !zones.allows(spec, &room.offer.zone) {
                 continue;
-            };
-            let mut left = room.free;
-            left.take(need);
-            // Replicas are kept apart; tasks that end soon fill machines up.
-            let apart = u32::from(spec.kind == Kind::Service);
-            let siblings = machine.tasks.iter().filter(|t| t.job == *id).count() as u32;
-            let fit = Fit {
-                cached: machine.has_image(&spec.image),
-                coming: machine.fetching.contains_key(&spec.image),
-                fetches: room.fetches,
-                spot: room.offer.spot,
-                left: left.share_of(&room.whole),
-                siblings: siblings * apart,
-                zone_siblings: zones.count(&room.offer.zone) * apart,
-            };
-            let mut rank = fit.rank();
-            if job.failed_on.contains(&room.id) {
-                rank += 10.0;
             }
+            let rank = entry.rank + apart * Fit::crowded(zones.count(&room.offer.zone));
             if best.is_none_or(|(r, _)| rank < r) {
-                best = Some((rank, index));
+                best = Some((rank, entry.index));
             }
         }
+        let looked = if first { rooms.len() } else { ranked.len() };
+        self.looked += looked as u64;
         best.map(|(_, index)| index)
     }
+
+    /// What a room is worth to a task of the job, its zone aside; `None`: it
+    /// doesn't hold one.
+    fn rank(&self, job: &Job, need: &Res, index: usize, room: &Room) -> Option<Ranked> {
+        if !room.free.holds(need) {
+            return None;
+        }
+        let spec = &job.spec;
+        let machine = self.fleet.get(&room.id)?;
+        let mut left = room.free;
+        left.take(need);
+        let siblings = match spec.kind {
+            Kind::Service => machine.tasks.iter().filter(|t| t.job == spec.id).count() as u32,
+            _ => 0,
+        };
+        let fit = Fit {
+            cached: machine.has_image(&spec.image),
+            coming: machine.fetching.contains_key(&spec.image),
+            fetches: room.fetches,
+            spot: room.offer.spot,
+            left: left.share_of(&room.whole),
+            siblings,
+        };
+        let avoided = if job.failed_on.contains(&room.id) {
+            10.0
+        } else {
+            0.0
+        };
+        Some(Ranked {
+            index,
+            free: room.free,
+            fetches: room.fetches,
+            rank: fit.rank() + avoided,
+        })
+    }
 }
 
 /// Gives up room that was set aside, where that makes room for this task.
