--- a/tests/reactor.rs
+++ b/tests/reactor.rs
@@ -45,7 +45,7 @@
         self.answered += 1;
         if self.answered == WORKERS * ROUNDS {
             let _ = self.done.send(self.answered);
-        } else if self.answered % WORKERS == 0 {
+        } else if self.answered.is_multiple_of(WORKERS) {
             self.ask_all(out);
         }
     }
