Step aside only for workers of our own, and date what is known by its question

Cause, from reading the change once more: a leader whose own zone's machines all fail at once took the other zone's reports, passed on as ever, for proof that workers reach others only. It stepped aside, the next one likewise, and each began to wait anew for machines that none would give up. And an answer of the state service that lay in a socket while the process stood still counted as word of now.

Now the passed-on report must be of a worker that should report to the leader itself; what is known is dated by when the answered call was sent; peers' words don't count as news right after standing still; and a lease renewed without word leaves a twentieth of cancel_s at least.

--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -187,13 +187,14 @@
             .peers
             .iter()
             .all(|p| recent(p.heard_ms) && !recent(p.state_seen_ms));
-        // Its last answer counts, not that none has failed since: a process
-        // that stood still, or asks for nothing, learns of no failure.
-        let answered_ms = self.store.last_ok_ms().unwrap_or(0);
+        // What was answered counts, not that nothing has failed since: a
+        // process that stood still, or asks for nothing, learns of no failure.
+        let answered_ms = self.store.known_ms();
         self.informed_ms = self.informed_ms.max(answered_ms);
         let led_ms = self.peers.iter().filter_map(|p| p.leads_ms).max();
         self.led_ms = self.led_ms.max(led_ms.unwrap_or(0).min(answered_ms));
-        if nobody {
+        // Nor do words that came while it stood still tell of now.
+        if nobody && (self.peers.is_empty() || now.ms > self.woke_ms + quiet) {
             self.informed_ms = now.ms;
             self.led_ms = now.ms;
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -82,8 +82,10 @@
     nudges: Vec<JobId>,
     cancelled_here: Vec<JobId>,
     leader_share: f64,
-    /// When it last did anything.
+    /// When it last did anything, and when it last did again after standing
+    /// still.
     turned_ms: u64,
+    woke_ms: u64,
     /// It stepped aside as leader, and no worker has reached it since.
     unreached: bool,
     /// Workers whose leases this node renews in the leader's stead, and when
@@ -168,6 +170,7 @@
             cancelled_here: Vec::new(),
             leader_share,
             turned_ms: 0,
+            woke_ms: 0,
             unreached: false,
             held: HashMap::new(),
             relay: Vec::new(),
@@ -386,17 +389,6 @@
                     .insert(JobId::new(&count.job), (count.done, count.running));
             }
         }
-        if !hello.reports.is_empty() && self.election.is_leader() && self.deaf(now) {
-            // Workers reach another and not us, and so do commands.
-            log::error!("leader steps aside: workers reach {} only", hello.node);
-            let mut calls = Vec::new();
-            self.unreached = true;
-            let change = self.election.step_aside(now, &mut calls);
-            self.take_election(calls);
-            if let Some(change) = change {
-                self.on_change(now, change, out);
-            }
-        }
         let mut scheduler = SchedulerOut::default();
         for job in hello.nudges.iter().filter(|id| wire::valid_job_id(id)) {
             self.scheduler.nudge(now, &JobId::new(job), &mut scheduler);
@@ -406,8 +398,12 @@
                 .cancelled(now, &JobId::new(job), &mut scheduler);
         }
         let mut answer = HelloAnswer::default();
+        let deaf = !hello.reports.is_empty() && self.deaf(now);
+        let mut aside = false;
         for body in &hello.reports {
             if let Ok(report) = serde_json::from_slice::<Report>(body) {
+                // Machines that merely fail together reach nobody.
+                aside |= deaf && self.relay_for(now, &report.zone).is_none();
                 self.scheduler.relayed(now, &report, &mut scheduler);
                 let id = MachineId::new(&report.machine);
                 let stops = self.scheduler.cancelled_on(&id);
@@ -419,6 +415,17 @@
             }
         }
         self.take_scheduler(now, scheduler, out);
+        if aside && self.election.is_leader() {
+            // Workers of ours reach another and not us, nor do commands.
+            log::error!("leader steps aside: workers reach {} only", hello.node);
+            let mut calls = Vec::new();
+            self.unreached = true;
+            let change = self.election.step_aside(now, &mut calls);
+            self.take_election(calls);
+            if let Some(change) = change {
+                self.on_change(now, change, out);
+            }
+        }
         Reply {
             status: 200,
             body: peer::encode_answer(&answer),
@@ -660,6 +667,9 @@
         // Peers say hello, and a leader renews, four times in this period.
         let still = now.ms > self.turned_ms + self.hello_every_ms * 4;
         self.turned_ms = now.ms;
+        if still {
+            self.woke_ms = now.ms;
+        }
         if still && self.election.is_leader() && !self.peers.is_empty() {
             log::info!("stood still, may have lost the lead");
             self.election.stood_still(now);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -193,11 +193,12 @@
 
     /// How long leases may be renewed without word of cancellations: a lease
     /// renewed at the end of it has to end within the time a cancellation has,
-    /// with a report interval to spare for a stop that was just being sent
-    /// when the word stopped.
+    /// with a report interval, or a twentieth of that time, to spare for a
+    /// stop that was just being sent when the word stopped.
     pub fn uninformed_ms(&self) -> u64 {
         let workers = &self.site.workers;
-        let left_s = workers.cancel_s - workers.lease_s - workers.report_s;
+        let spare_s = workers.report_s.max(workers.cancel_s / 20.0);
+        let left_s = workers.cancel_s - workers.lease_s - spare_s;
         (left_s.max(0.0) * 1000.0) as u64
     }
 
--- a/src/store.rs
+++ b/src/store.rs
@@ -117,7 +117,8 @@
 /// answer.
 pub struct Store<T> {
     queues: [VecDeque<StateCall<T>>; URGENCIES],
-    in_flight: HashMap<u64, StateCall<T>>,
+    /// With the time at which each was sent.
+    in_flight: HashMap<u64, (u64, StateCall<T>)>,
     requests: TokenBucket,
     writes: TokenBucket,
     rps: f64,
@@ -125,6 +126,7 @@
     /// When the service last answered, and last failed to.
     last_ok_ms: Option<u64>,
     last_fail_ms: Option<u64>,
+    known_ms: u64,
     next: u64,
 }
 
@@ -139,6 +141,7 @@
             write_rps,
             last_ok_ms: None,
             last_fail_ms: None,
+            known_ms: 0,
             next: 0,
         }
     }
@@ -162,6 +165,13 @@
         self.last_ok_ms
     }
 
+    /// When the latest call was sent that has been answered: by then, at
+    /// least, this node wasn't cut off. An answer may have lain in a socket
+    /// while the process stood still, so its own time says little.
+    pub fn known_ms(&self) -> u64 {
+        self.known_ms
+    }
+
     pub fn waiting(&self) -> bool {
         self.queues.iter().any(|q| !q.is_empty())
     }
@@ -194,14 +204,17 @@
                 let Some(call) = queue.pop_front() else { break };
                 self.next += 1;
                 send(self.next, call.call.clone());
-                self.in_flight.insert(self.next, call);
+                self.in_flight.insert(self.next, (now.ms, call));
             }
         }
     }
 
     /// The answer to call `id`. A 429 goes back to the queue.
     pub fn answered(&mut self, now: Now, id: u64, outcome: Outcome) -> Option<(T, Answer)> {
-        let call = self.in_flight.remove(&id)?;
+        let (sent_ms, call) = self.in_flight.remove(&id)?;
+        if matches!(outcome, Ok((status, _)) if status != 503) {
+            self.known_ms = self.known_ms.max(sent_ms);
+        }
         let answer = match outcome {
             Ok((429, _)) => {
                 self.last_ok_ms = Some(now.ms);
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -543,6 +543,23 @@
     }
 }
 
+/// Machines that fail together are no reason to step aside: every new leader
+/// would begin to wait for them anew, and none would ever give them up.
+#[test]
+fn a_leader_whose_own_machines_all_fail_leads_on_and_gives_them_up() {
+    let (mut w, names) = full_zone(3);
+    let leader = w.leader().unwrap();
+    // The other zone's reports are passed on all the while.
+    let own: Vec<String> = match leader {
+        1 => names,
+        _ => vec!["vm-a".into()],
+    };
+    set_silent(&mut w, &own, true);
+    w.run_for(30_000);
+    assert_eq!(w.leader(), Some(leader));
+    assert_eq!(gone(&w, &own).len(), own.len(), "{:?}", gone(&w, &own));
+}
+
 /// A leader that wakes after its lease has ended must not pass for one: its
 /// clocks ran on, its sockets are full of old reports, and nobody was heard by
 /// it for so long that it would give every machine up.
