Let a fresh controller renew no lease before it knows what is cancelled

Cause, from reading: for a process that has just started, "known at time 0" passed for word of its start. Beyond a cut it renewed leases for up to a fifth of the time that a node without word may, before it asked which jobs had been cancelled while it was away.

Now it asks at its start, and renews nothing before it knows; what couldn't be read is asked again after a pause. A trace: a controller that returns beyond a cut stops what was cancelled meanwhile at once.

--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -17,6 +17,9 @@
 /// Reports are passed on to the leader in gulps.
 const RELAY_MS: u64 = 50;
 
+/// What the state service couldn't answer is asked again after this pause.
+const RETRY_MS: u64 = 200;
+
 /// Half of what a peer takes: one more report of any size still fits.
 const RELAY_BYTES: usize = MAX_PEER_BODY / 2;
 
@@ -155,7 +158,9 @@
             // In an outage that all share, what the worker knows is enough.
             _ => report.token.term(),
         };
-        if now.ms > self.cancels_read_ms.max(self.led_ms) + self.settings.uninformed_ms() {
+        let known_ms = self.cancels_read_ms.max(self.led_ms);
+        // A fresh process knows nothing at all.
+        if known_ms == 0 || now.ms > known_ms + self.settings.uninformed_ms() {
             // What was cancelled meanwhile must end in time: no more leases.
             self.wants_cancels = true;
             return None;
@@ -202,12 +207,12 @@
 
     /// Reads which jobs are cancelled, while leases are renewed here.
     pub(super) fn tend_cancels(&mut self, now: Now) {
-        let due = self.cancels_read_ms + self.settings.uninformed_ms() / 5;
         let wanted = self.wants_cancels || !self.held.is_empty();
-        if !wanted || self.cancels.is_some() || now.ms < due {
+        if !wanted || self.cancels.is_some() || now.ms < self.cancels_due_ms {
             return;
         }
         self.wants_cancels = false;
+        self.cancels_due_ms = now.ms + RETRY_MS;
         self.cancels = Some(CancelList {
             asked_ms: now.ms,
             found: HashSet::new(),
@@ -245,6 +250,7 @@
             self.list_cancelled(now, last.as_deref());
         } else {
             self.cancels_read_ms = list.asked_ms;
+            self.cancels_due_ms = list.asked_ms + self.settings.uninformed_ms() / 5;
             self.cancelled = list.found;
         }
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -108,6 +108,8 @@
     /// Cancelled jobs as last listed, and when that was asked for.
     cancelled: HashSet<JobId>,
     cancels_read_ms: u64,
+    /// When they are asked for next, if need be.
+    cancels_due_ms: u64,
     cancels: Option<CancelList>,
     /// Leases could be renewed here if it were known what is cancelled.
     wants_cancels: bool,
@@ -182,8 +184,11 @@
             led_ms: 0,
             cancelled: HashSet::new(),
             cancels_read_ms: 0,
+            cancels_due_ms: 0,
             cancels: None,
-            wants_cancels: false,
+            // Asked at the start: a process that returns beyond a cut is needed at
+            // once, and must not renew a lease before it knows.
+            wants_cancels: true,
             stops: HashMap::new(),
         };
         node.set_share(Now::default(), false);
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -543,6 +543,41 @@
     }
 }
 
+/// A controller that comes back beyond a cut once renewed leases for seconds
+/// before it asked which jobs had been cancelled while it was away.
+#[test]
+fn a_controller_that_returns_beyond_a_cut_knows_what_was_cancelled() {
+    let mut w = up(3);
+    while w.leader() == Some(1) {
+        w.kill(1);
+        w.run_for(5000);
+        w.start(1);
+        w.run_for(3000);
+    }
+    assert_eq!(w.submit(0, &service("run-1", 8)), 201);
+    assert_eq!(w.submit(0, &service("run-2", 8)), 201);
+    w.run_for(3000);
+    w.cuts = cut_zones();
+    w.hook = Box::new(move |_, node, call| match &call.target {
+        Target::Peer(addr) if crosses(node, addr) => Fate::LoseRequest,
+        _ => Fate::Pass,
+    });
+    w.run_for(3000);
+    w.kill(1);
+    w.run_for(1000);
+    assert_eq!(w.cancel(0, "run-1").1, "cancelled");
+    assert_eq!(w.cancel(0, "run-2").1, "cancelled");
+    w.run_for(1000);
+    assert_eq!(w.on_machines("run-"), 8, "those beyond the cut");
+    w.start(1);
+    w.run_for(3500);
+    assert_eq!(
+        w.on_machines("run-"),
+        0,
+        "are stopped before their lease ends"
+    );
+}
+
 /// Machines that fail together are no reason to step aside: every new leader
 /// would begin to wait for them anew, and none would ever give them up.
 #[test]
