Begin the steady clock a year on, so that a young process can tell ages

The list said that they were five minutes old; the clock of a process that had just started began at nothing, so they passed for just rented.

Now the clock begins at a year. Ruled out: the list itself, whose lag is what the protocol says.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -670,7 +670,7 @@
     /// is no fault of theirs.
     fn notice_time(&mut self, now: Now) {
         // Peers say hello, and a leader renews, four times in this period.
-        let still = now.ms > self.turned_ms + self.hello_every_ms * 4;
+        let still = self.turned_ms > 0 && now.ms > self.turned_ms + self.hello_every_ms * 4;
         self.turned_ms = now.ms;
         if still {
             self.woke_ms = now.ms;
--- a/src/reactor.rs
+++ b/src/reactor.rs
@@ -45,6 +45,11 @@
 const POOL_IDLE_MS: u64 = 30_000;
 
 const PEER_CONNECTIONS: usize = 2;
+/// What the steady clock shows at the start: a year, so that what is older than
+/// the process has a time of its own, too. With a clock that began at nothing,
+/// machines that the cloud lists as minutes old passed for just rented when the
+/// process was young, and work waited for ones that had died.
+const FIRST_MS: u64 = 365 * 24 * 3600 * 1000;
 
 #[derive(PartialEq, Eq)]
 enum Role {
@@ -175,7 +180,7 @@
 
     fn now(&self) -> Now {
         Now {
-            ms: self.start.elapsed().as_millis() as u64 + 1,
+            ms: self.start.elapsed().as_millis() as u64 + FIRST_MS,
             wall: SystemTime::now()
                 .duration_since(UNIX_EPOCH)
                 .map_or(0, |d| d.as_millis() as u64),
--- a/tests/reactor.rs
+++ b/tests/reactor.rs
@@ -51,6 +51,8 @@
     }
 
     fn tick(&mut self, now: Now, out: &mut Vec<Effect>) -> u64 {
+        // What is older than the process has a time of its own, too.
+        assert!(now.ms > 24 * 3600 * 1000, "{now:?}");
         if !std::mem::replace(&mut self.asked, true) {
             self.ask_all(out);
         }
