--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -58,6 +58,8 @@
     pub listed_up: bool,
     /// Commands on their way by the direct path.
     pub calling: bool,
+    /// When it was last called that way after it had been heard.
+    pub called_ms: u64,
 }
 
 impl Machine {
@@ -96,6 +98,7 @@
             idle_since_ms: Some(now_ms),
             listed_up: false,
             calling: false,
+            called_ms: 0,
         }
     }
 
@@ -116,6 +119,12 @@
             && now_ms < self.heard_ms + fresh_ms
     }
 
+    /// Whether a call that was made since it was last heard has gone without
+    /// an answer for so long.
+    pub fn ignores_calls(&self, now_ms: u64, patience_ms: u64) -> bool {
+        self.called_ms > self.heard_ms && now_ms > self.called_ms + patience_ms
+    }
+
     pub fn assign(&mut self, task: TaskRef, need: &Res) {
         if self.tasks.insert(task) {
             self.used.add(need);
