--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -58,8 +58,6 @@
     pub listed_up: bool,
     /// Commands on their way by the direct path.
     pub calling: bool,
-    /// When it was last called that way after it had been heard.
-    pub called_ms: u64,
 }
 
 impl Machine {
@@ -98,7 +96,6 @@
             idle_since_ms: Some(now_ms),
             listed_up: false,
             calling: false,
-            called_ms: 0,
         }
     }
 
@@ -119,12 +116,6 @@
             && now_ms < self.heard_ms + fresh_ms
     }
 
-    /// Whether a call that was made since it was last heard has gone without
-    /// an answer for so long.
-    pub fn ignores_calls(&self, now_ms: u64, patience_ms: u64) -> bool {
-        self.called_ms > self.heard_ms && now_ms > self.called_ms + patience_ms
-    }
-
     pub fn assign(&mut self, task: TaskRef, need: &Res) {
         if self.tasks.insert(task) {
             self.used.add(need);
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -85,8 +85,6 @@
 
 /// Periods of the leader's own, in worker report intervals.
 const ROUND_REPORTS: f64 = 1.0;
-/// So many times in such a period machines are looked after.
-const TENDS: u64 = 4;
 /// What the state service couldn't answer is asked again after this pause.
 const RETRY_MS: u64 = 200;
 /// Time between two rounds at least, so that a rush is served in gulps.
@@ -128,9 +126,7 @@
     round_gap_ms: u64,
     /// The last round that did everything.
     full_ms: u64,
-    /// When machines were last looked after, and whether they should be
-    /// before that's due again.
-    tended_ms: u64,
+    /// Machines should be looked after before that's due again.
     tend_wanted: bool,
     /// Entries that rounds have looked at, all together.
     looked: u64,
@@ -147,8 +143,6 @@
     early_list: Option<Vec<ListedMachine>>,
     /// Machines whose commands should go out by the direct path.
     push: BTreeSet<MachineId>,
-    /// Silent machines to be called, to see whether they live.
-    probe: BTreeSet<MachineId>,
     /// Work of the last round that found no room.
     rest: Vec<rounds::Rest>,
     /// Machines that hold room for expected work.
@@ -204,7 +198,6 @@
             round_ms: 0,
             round_gap_ms: ROUND_GAP_MS,
             full_ms: 0,
-            tended_ms: 0,
             tend_wanted: false,
             looked: 0,
             changed: false,
@@ -214,7 +207,6 @@
             listed: false,
             early_list: None,
             push: BTreeSet::new(),
-            probe: BTreeSet::new(),
             rest: Vec::new(),
             reserved: BTreeSet::new(),
             held_due_ms: 0,
@@ -286,7 +278,6 @@
         self.early_list = None;
         self.refused.clear();
         self.push.clear();
-        self.probe.clear();
         self.asking_held = false;
         self.list_retry_ms = None;
         self.over.clear();
@@ -679,11 +670,6 @@
         // What scales in or looks after machines can wait for its turn; a
         // rush of rounds only places what has come and rents for it.
         let full = now.ms >= self.full_ms + every;
-        let tend_ms = self.tended_ms + every / TENDS;
-        if now.ms >= tend_ms || std::mem::take(&mut self.tend_wanted) {
-            self.tended_ms = now.ms;
-            self.tend_fleet(now, cloud);
-        }
         if full || (self.round_wanted && now.ms >= self.round_ms + self.round_gap_ms) {
             self.round_wanted = false;
             self.round_ms = now.ms;
@@ -692,6 +678,9 @@
                 self.full_ms = now.ms;
                 self.ask_held(now, out);
             }
+            if full || std::mem::take(&mut self.tend_wanted) {
+                self.tend_fleet(now, cloud);
+            }
             self.place(now, full);
             self.rent(now, cloud, full);
             self.round_gap_ms = self.gap_ms(self.looked - before);
@@ -705,8 +694,7 @@
         } else {
             self.full_ms + every
         };
-        let tend_ms = self.tended_ms + every / TENDS;
-        next.min(self.commit_wake_ms(now)).min(tend_ms)
+        next.min(self.commit_wake_ms(now))
     }
 
     /// The pause after a round follows what it cost, so that a rush on a large
@@ -905,7 +893,6 @@
 
     /// Sends commands straight to the workers that have something to do.
     fn push_commands(&mut self, now: Now, out: &mut SchedulerOut) {
-        self.push.append(&mut self.probe.clone());
         for id in std::mem::take(&mut self.push) {
             let Some(machine) = self.fleet.get(&id) else {
                 continue;
@@ -918,14 +905,12 @@
                 continue;
             }
             let commands = self.commands_for(now, &id, None, out);
-            self.send_commands(now, id, address, &commands, out);
+            self.send_commands(id, address, &commands, out);
         }
-        self.probe.clear();
     }
 
     fn send_commands(
         &mut self,
-        now: Now,
         id: MachineId,
         address: String,
         commands: &[Command],
@@ -937,14 +922,10 @@
         };
         // Without commands the token alone is news to a worker that hasn't
         // seen it.
-        if commands.is_empty() && machine.evidence && !self.probe.contains(&id) {
+        if commands.is_empty() && machine.evidence {
             return;
         }
         machine.calling = true;
-        // The first call that has no answer counts.
-        if machine.called_ms <= machine.heard_ms {
-            machine.called_ms = now.ms;
-        }
         let body = DirectCommands {
             token: machine.token,
             session: machine.session,
@@ -978,7 +959,7 @@
             .and_then(|m| m.address.clone());
         if let Some(address) = address {
             let commands = self.commands_for(now, &id, Some(report), out);
-            self.send_commands(now, id, address, &commands, out);
+            self.send_commands(id, address, &commands, out);
         }
     }
 
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -20,14 +20,6 @@
 /// When most machines of a zone are silent, they are waited for this many
 /// times as long.
 const CUT_PATIENCE: f64 = 2.5;
-/// A machine that misses so many reports and a half is called.
-const PROBE_REPORTS: f64 = 1.5;
-/// Of the time that silence is given, what a machine gets that doesn't answer
-/// a call either: it is dead, hangs or is cut off, and no report is merely late.
-const PROBED_SHARE: f64 = 0.625;
-/// A machine that misses so many reports counts when a zone's silence is
-/// judged: well before any is given up.
-const ZONE_REPORTS: u64 = 2;
 /// A leader that hears none of its workers for so many report intervals is
 /// deaf.
 const DEAF_LEADER_REPORTS: f64 = 2.5;
@@ -430,7 +422,7 @@
             .collect();
         let mut give_up: Vec<(MachineId, &'static str)> =
             late.into_iter().map(|id| (id, "never came up")).collect();
-        let (mut drain, mut probe) = (Vec::new(), Vec::new());
+        let mut drain = Vec::new();
         for machine in self.fleet.machines.values() {
             if machine.phase != Phase::Up {
                 continue;
@@ -444,17 +436,7 @@
             let blind = self
                 .state_failed_ms
                 .is_some_and(|at| now.ms < at + lease_ms / 2);
-            let probe_ms = (self.report_ms() as f64 * PROBE_REPORTS) as u64;
-            if !zone.silent && now.ms > heard_ms + probe_ms {
-                probe.push(machine.id.clone());
-            }
-            let dead = !zone.silent && machine.ignores_calls(now.ms, self.report_ms());
-            let limit_ms = if dead {
-                (zone.limit_ms as f64 * PROBED_SHARE) as u64
-            } else {
-                zone.limit_ms
-            };
-            if !blind && now.ms > heard_ms + limit_ms {
+            if !blind && now.ms > heard_ms + zone.limit_ms {
                 give_up.push((machine.id.clone(), "silent"));
             } else if machine
                 .deaf_since_ms
@@ -485,7 +467,6 @@
                 give_up.push((machine.id.clone(), "doesn't stop a cancelled task"));
             }
         }
-        self.probe.extend(probe);
         for (id, why) in give_up {
             if let Some(machine) = self.fleet.get_mut(&id) {
                 log::info!("machine {id} given up: {why}");
@@ -513,13 +494,13 @@
     /// they come back one by one: those that are last must not be judged by
     /// the silence that all of them kept.
     fn silent_limits(&mut self, now: Now) -> BTreeMap<Rc<str>, Silence> {
-        let quiet_ms = (self.report_ms() * ZONE_REPORTS).min(self.lease_ms() / 2);
+        let lease_ms = self.lease_ms();
         let mut zones: BTreeMap<Rc<str>, (u32, u32)> = BTreeMap::new();
         for machine in self.fleet.machines.values() {
             if machine.phase == Phase::Up {
                 let (all, silent) = zones.entry(machine.offer.zone.clone()).or_default();
                 *all += 1;
-                *silent += u32::from(now.ms > machine.heard_ms + quiet_ms);
+                *silent += u32::from(now.ms > machine.heard_ms + lease_ms / 2);
             }
         }
         let limit_ms = self.silence_ms();
