Look after machines four times per report interval

Since rounds were parted, machines had their turn only with the full ones: one that is dead was given up a report interval later than it might. The walk is cheap beside a round.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -85,6 +85,8 @@
 
 /// Periods of the leader's own, in worker report intervals.
 const ROUND_REPORTS: f64 = 1.0;
+/// So many times in such a period machines are looked after.
+const TENDS: u64 = 4;
 /// What the state service couldn't answer is asked again after this pause.
 const RETRY_MS: u64 = 200;
 /// Time between two rounds at least, so that a rush is served in gulps.
@@ -126,7 +128,9 @@
     round_gap_ms: u64,
     /// The last round that did everything.
     full_ms: u64,
-    /// Machines should be looked after before that's due again.
+    /// When machines were last looked after, and whether they should be
+    /// before that's due again.
+    tended_ms: u64,
     tend_wanted: bool,
     /// Entries that rounds have looked at, all together.
     looked: u64,
@@ -198,6 +202,7 @@
             round_ms: 0,
             round_gap_ms: ROUND_GAP_MS,
             full_ms: 0,
+            tended_ms: 0,
             tend_wanted: false,
             looked: 0,
             changed: false,
@@ -670,6 +675,11 @@
         // What scales in or looks after machines can wait for its turn; a
         // rush of rounds only places what has come and rents for it.
         let full = now.ms >= self.full_ms + every;
+        let tend_ms = self.tended_ms + every / TENDS;
+        if now.ms >= tend_ms || std::mem::take(&mut self.tend_wanted) {
+            self.tended_ms = now.ms;
+            self.tend_fleet(now, cloud);
+        }
         if full || (self.round_wanted && now.ms >= self.round_ms + self.round_gap_ms) {
             self.round_wanted = false;
             self.round_ms = now.ms;
@@ -678,9 +688,6 @@
                 self.full_ms = now.ms;
                 self.ask_held(now, out);
             }
-            if full || std::mem::take(&mut self.tend_wanted) {
-                self.tend_fleet(now, cloud);
-            }
             self.place(now, full);
             self.rent(now, cloud, full);
             self.round_gap_ms = self.gap_ms(self.looked - before);
@@ -694,7 +701,8 @@
         } else {
             self.full_ms + every
         };
-        next.min(self.commit_wake_ms(now))
+        let tend_ms = self.tended_ms + every / TENDS;
+        next.min(self.commit_wake_ms(now)).min(tend_ms)
     }
 
     /// The pause after a round follows what it cost, so that a rush on a large
