--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -32,6 +32,21 @@
     (node == 1) != (peer == "10.0.0.2:8081")
 }
 
+/// Neither workers nor controllers hear those of the other zone.
+fn cut_between_zones(w: &mut World) {
+    w.cuts = cut_zones();
+    w.hook = Box::new(|_, node, call| match &call.target {
+        Target::Peer(addr) if crosses(node, addr) => Fate::LoseRequest,
+        _ => Fate::Pass,
+    });
+}
+
+/// Whatever was cut or lost is heard again.
+fn heal(w: &mut World) {
+    w.cuts.clear();
+    w.hook = Box::new(|_, _, _| Fate::Pass);
+}
+
 #[test]
 fn a_job_runs_and_is_done_within_three_seconds_of_its_end() {
     let mut w = up(3);
@@ -468,17 +483,12 @@
     w.run_for(3000);
     assert_eq!(w.on_machines("run-"), 16);
     let started = w.trace.len();
-    w.cuts = cut_zones();
-    w.hook = Box::new(move |_, node, call| match &call.target {
-        Target::Peer(addr) if crosses(node, addr) => Fate::LoseRequest,
-        _ => Fate::Pass,
-    });
+    cut_between_zones(&mut w);
     w.run_for(15_000);
     assert_eq!(w.on_machines("run-"), 16, "far side is {far}");
     assert_eq!(w.cancel(leader, "run-2").1, "cancelled");
     w.run_for(5000);
-    w.cuts.clear();
-    w.hook = Box::new(|_, _, _| Fate::Pass);
+    heal(&mut w);
     w.run_for(8000);
     assert_eq!(w.on_machines("run-1"), 8);
     assert_eq!(w.on_machines("run-2"), 0);
@@ -496,18 +506,13 @@
     let mut w = up(3);
     assert_eq!(w.submit(0, &service("run-1", 16)), 201);
     w.run_for(3000);
-    w.cuts = cut_zones();
-    w.hook = Box::new(move |_, node, call| match &call.target {
-        Target::Peer(addr) if crosses(node, addr) => Fate::LoseRequest,
-        _ => Fate::Pass,
-    });
+    cut_between_zones(&mut w);
     w.run_for(6000);
     w.state.away = true;
     w.run_for(12_000);
     w.state_returns();
     w.run_for(4000);
-    w.cuts.clear();
-    w.hook = Box::new(|_, _, _| Fate::Pass);
+    heal(&mut w);
     w.run_for(10_000);
     assert_eq!(w.on_machines("run-1"), 16);
     assert_eq!(w.trace.len(), 16, "{:?}", w.trace);
@@ -534,8 +539,7 @@
             _ => Fate::Pass,
         });
         w.run_for(22_000);
-        w.cuts.clear();
-        w.hook = Box::new(|_, _, _| Fate::Pass);
+        heal(&mut w);
         w.run_for(10_000);
         assert_eq!(w.on_machines("run-1"), 56);
         assert_eq!(w.trace.len(), 56, "{:?}", w.trace);
@@ -557,11 +561,7 @@
     assert_eq!(w.submit(0, &service("run-1", 8)), 201);
     assert_eq!(w.submit(0, &service("run-2", 8)), 201);
     w.run_for(3000);
-    w.cuts = cut_zones();
-    w.hook = Box::new(move |_, node, call| match &call.target {
-        Target::Peer(addr) if crosses(node, addr) => Fate::LoseRequest,
-        _ => Fate::Pass,
-    });
+    cut_between_zones(&mut w);
     w.run_for(3000);
     w.kill(1);
     w.run_for(1000);
@@ -629,11 +629,7 @@
         w.add_machine(&format!("vm-{n:04}"), "b", false, true);
     }
     w.run_until(5000);
-    w.cuts = cut_zones();
-    w.hook = Box::new(move |_, node, call| match &call.target {
-        Target::Peer(addr) if crosses(node, addr) => Fate::LoseRequest,
-        _ => Fate::Pass,
-    });
+    cut_between_zones(&mut w);
     w.run_for(9000);
     let held = w.state.items.iter().filter(|(k, _)| k.starts_with("h/"));
     let counts: Vec<usize> = held
@@ -1276,8 +1272,7 @@
     assert!(asked.calls.values().all(|n| *n <= 200), "{:?}", asked.calls);
 }
 
-/// What a round looked at on the average since `before`, and the rounds' bound
-/// for a fleet of this size.
+/// Entries that the rounds of all controllers have looked at since `before`.
 fn looked_since(w: &World, before: &[u64]) -> u64 {
     let now = looked(w);
     now.iter()
