--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -107,7 +107,7 @@
     pub calls: Vec<StateCall<GatewayCall>>,
     /// Jobs just written, for the leader's ears.
     pub nudges: Vec<JobId>,
-    /// Cancellations just written.
+    /// Jobs that a user is told here for the first time are cancelled.
     pub cancelled: Vec<JobId>,
 }
 
@@ -315,6 +315,7 @@
             }
             (_, Known::Live(record, _)) if record.cancelled.is_some() => {
                 self.remember(&task.id, Final::Cancelled, record.spec.tasks);
+                out.cancelled.push(task.id.clone());
                 final_reply(&task.id, Final::Cancelled, record.spec.tasks)
             }
             (Goal::Cancel, Known::Live(mut record, version)) => {
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -4,22 +4,17 @@
 
 use super::{CallTag, Node, StateTag};
 use crate::election::Role;
-use crate::gateway::JOB_PREFIX;
 use crate::http::MAX_PEER_BODY;
-use crate::ids::{JobId, Session, TaskRef, Term, Token};
+use crate::ids::{Session, Term, Token};
 use crate::msg::{Call, Effect, Now, Reply, Target};
 use crate::peer::{self, Hello, PEER_PATH};
 use crate::scheduler::{HeldRecord, HELD_PREFIX};
-use crate::store::{self, Answer, StateCall, Urgency};
-use crate::wire::{Command, Items, Report, ReportAnswer, ReportTo, TaskPhase, Txn};
-use std::collections::HashSet;
+use crate::store::{self, StateCall, Urgency};
+use crate::wire::{Command, Report, ReportAnswer, ReportTo, Txn};
 
 /// Reports are passed on to the leader in gulps.
 const RELAY_MS: u64 = 50;
 
-/// What the state service couldn't answer is asked again after this pause.
-const RETRY_MS: u64 = 200;
-
 /// Half of what a peer takes: one more report of any size still fits.
 const RELAY_BYTES: usize = MAX_PEER_BODY / 2;
 
@@ -28,13 +23,6 @@
 const HELD_HEAD_BYTES: usize = 128;
 const HELD_ROW_BYTES: usize = 28;
 
-/// A list of cancelled jobs that is being read.
-#[derive(Debug)]
-pub(super) struct CancelList {
-    asked_ms: u64,
-    found: HashSet<JobId>,
-}
-
 impl Node {
     /// The follower that takes this zone's reports for us: one in the zone
     /// itself, so that a cut between zones parts no worker from its node.
@@ -108,7 +96,7 @@
             body: peer::encode(&hello),
             timeout_ms: self.hello_every_ms * 2,
         };
-        self.send(CallTag::Peer(index), call, out);
+        self.send(CallTag::Peer(index, now.ms), call, out);
     }
 
     pub(super) fn redirect(&self) -> Reply {
@@ -152,109 +140,19 @@
         stands
     }
 
-    pub(super) fn hold(&mut self, now: Now, report: &Report) -> Option<Reply> {
+    /// Renews a worker's lease in the leader's stead.
+    pub(super) fn hold(&mut self, now: Now, report: &Report, stops: &[Command]) -> Option<Reply> {
         let term = match &self.election.role {
             Role::Follower(record) if self.store.reachable() => record.term,
             // In an outage that all share, what the worker knows is enough.
             _ => report.token.term(),
         };
-        let known_ms = self.cancels_read_ms.max(self.led_ms);
-        // A fresh process knows nothing at all.
-        if known_ms == 0 || now.ms > known_ms + self.settings.uninformed_ms() {
-            // What was cancelled meanwhile must end in time: no more leases.
-            self.wants_cancels = true;
-            return None;
-        }
-        let stops: Vec<Command> = report
-            .tasks
-            .iter()
-            .filter(|t| t.phase != TaskPhase::Ended)
-            .filter(|t| {
-                TaskRef::parse(&t.task).is_some_and(|task| self.cancelled.contains(&task.job))
-            })
-            .map(|t| Command::Stop {
-                task: t.task.clone(),
-                attempt: t.attempt,
-                grace_s: 0,
-            })
-            .collect();
-        let reply = answer_for_leader(report, term, &stops)?;
+        let reply = answer_for_leader(report, term, stops)?;
         self.held
             .insert(report.machine.clone(), (now.ms, report.session));
         Some(reply)
     }
 
-    pub(super) fn tend_informed(&mut self, now: Now) {
-        let quiet = self.quiet_ms();
-        let recent = |at: Option<u64>| at.is_some_and(|at| now.ms < at + quiet);
-        // Where nobody reaches the state service nothing is cancelled.
-        let nobody = self
-            .peers
-            .iter()
-            .all(|p| recent(p.heard_ms) && !recent(p.state_seen_ms));
-        // What was answered counts, not that nothing has failed since: a
-        // process that stood still, or asks for nothing, learns of no failure.
-        let answered_ms = self.store.known_ms();
-        self.informed_ms = self.informed_ms.max(answered_ms);
-        let led_ms = self.peers.iter().filter_map(|p| p.leads_ms).max();
-        self.led_ms = self.led_ms.max(led_ms.unwrap_or(0).min(answered_ms));
-        // Nor do words that came while it stood still tell of now.
-        if nobody && (self.peers.is_empty() || now.ms > self.woke_ms + quiet) {
-            self.informed_ms = now.ms;
-            self.led_ms = now.ms;
-        }
-    }
-
-    /// Reads which jobs are cancelled, while leases are renewed here.
-    pub(super) fn tend_cancels(&mut self, now: Now) {
-        let wanted = self.wants_cancels || !self.held.is_empty();
-        if !wanted || self.cancels.is_some() || now.ms < self.cancels_due_ms {
-            return;
-        }
-        self.wants_cancels = false;
-        self.cancels_due_ms = now.ms + RETRY_MS;
-        self.cancels = Some(CancelList {
-            asked_ms: now.ms,
-            found: HashSet::new(),
-        });
-        self.list_cancelled(now, None);
-    }
-
-    fn list_cancelled(&mut self, now: Now, after: Option<&str>) {
-        self.store.submit(StateCall {
-            urgency: Urgency::Cancel,
-            call: store::list(JOB_PREFIX, after, 2000),
-            writes: 0,
-            give_up_ms: now.ms + 2000,
-            tag: StateTag::ListCancelled,
-        });
-    }
-
-    pub(super) fn on_cancelled(&mut self, now: Now, answer: &Answer) {
-        let Some(mut list) = self.cancels.take() else {
-            return;
-        };
-        let Some(items) = answer.read::<Items>(200) else {
-            return;
-        };
-        let last = items.items.last().map(|i| i.key.clone());
-        for item in items.items {
-            if item.value.get("c").is_some_and(|c| !c.is_null()) {
-                if let Some(id) = item.key.strip_prefix(JOB_PREFIX) {
-                    list.found.insert(JobId::new(id));
-                }
-            }
-        }
-        if items.more {
-            self.cancels = Some(list);
-            self.list_cancelled(now, last.as_deref());
-        } else {
-            self.cancels_read_ms = list.asked_ms;
-            self.cancels_due_ms = list.asked_ms + self.settings.uninformed_ms() / 5;
-            self.cancelled = list.found;
-        }
-    }
-
     /// Tells the leader, by way of the state service, whose leases are kept.
     pub(super) fn tend_held(&mut self, now: Now) {
         let quiet = self.quiet_ms();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,20 +3,21 @@
 
 mod follower;
 
+use crate::cancellations::{self, Cancellations, CancellationsCall};
 use crate::cloud::{Cloud, CloudCall, CloudEvent};
 use crate::election::{Change, Election, ElectionCall, Role};
 use crate::gateway::{Gateway, GatewayCall, GatewayOut};
-use crate::ids::{Attempt, JobId, MachineId, Session, Term};
+use crate::ids::{JobId, Session, Term};
 use crate::msg::{Call, CallId, ConnId, Effect, Now, Outcome, Port, Reply, Request, Target};
 use crate::options::Options;
-use crate::peer::{self, Hello, HelloAnswer, JobCount, TaskStop, PEER_PATH};
+use crate::peer::{self, Hello, HelloAnswer, JobCount, PEER_PATH};
 use crate::reactor::Handler;
 use crate::scheduler::{Scheduler, SchedulerCall, SchedulerOut, WorkerCall};
 use crate::settings::Settings;
 use crate::store::{self, Answer, StateCall, Store, Urgency};
-use crate::wire::{self, Catalog, Command, Item, Report, ReportTo, Txn};
-use follower::{answer_for_leader, CancelList};
-use std::collections::{HashMap, HashSet};
+use crate::wire::{self, Catalog, Item, Report, ReportTo, Txn};
+use follower::answer_for_leader;
+use std::collections::HashMap;
 use std::rc::Rc;
 
 /// Where every controller finds the machine types, even while the cloud is
@@ -32,7 +33,7 @@
     ReadCatalog,
     WriteCatalog,
     WriteHeld,
-    ListCancelled,
+    Cancellations(CancellationsCall),
 }
 
 #[derive(Clone, Debug)]
@@ -40,7 +41,8 @@
     State(u64),
     Cloud(CloudCall),
     Worker(Term, WorkerCall),
-    Peer(usize),
+    /// Of which peer, and when it was asked.
+    Peer(usize, u64),
 }
 
 #[derive(Debug)]
@@ -65,6 +67,7 @@
 pub struct Node {
     settings: Rc<Settings>,
     election: Election,
+    cancellations: Cancellations,
     store: Store<StateTag>,
     gateway: Gateway,
     scheduler: Scheduler,
@@ -80,12 +83,11 @@
     /// What peers were last told, so that only changes go out.
     told: HashMap<JobId, (u32, u32)>,
     nudges: Vec<JobId>,
-    cancelled_here: Vec<JobId>,
+    /// The peers should hear of cancellations before the next hello is due.
+    cancelled_here: bool,
     leader_share: f64,
-    /// When it last did anything, and when it last did again after standing
-    /// still.
+    /// When it last did anything.
     turned_ms: u64,
-    woke_ms: u64,
     /// It stepped aside as leader, and no worker has reached it since.
     unreached: bool,
     /// Workers whose leases this node renews in the leader's stead, and when
@@ -99,22 +101,6 @@
     held_stored: usize,
     /// When it last answered a worker in the leader's stead.
     stood_in_ms: Option<u64>,
-    /// When this node last knew that no cancellation escapes it: the state
-    /// service answered it, or answered nobody.
-    informed_ms: u64,
-    /// When both the leader and the state service were last heard: what was
-    /// cancelled before that, the leader has seen to.
-    led_ms: u64,
-    /// Cancelled jobs as last listed, and when that was asked for.
-    cancelled: HashSet<JobId>,
-    cancels_read_ms: u64,
-    /// When they are asked for next, if need be.
-    cancels_due_ms: u64,
-    cancels: Option<CancelList>,
-    /// Leases could be renewed here if it were known what is cancelled.
-    wants_cancels: bool,
-    /// Tasks that the leader wants stopped, by machine.
-    stops: HashMap<String, Vec<Command>>,
 }
 
 impl Node {
@@ -151,12 +137,26 @@
                 follows_ms: None,
             })
             .collect();
+        let workers = &site.workers;
+        let bounds = cancellations::Bounds {
+            report_ms: (workers.report_s * 1000.0) as u64,
+            cancel_ms: (workers.cancel_s * 1000.0) as u64,
+            uninformed_ms: settings.uninformed_ms(),
+        };
+        let peers: Vec<Peer> = peers;
+        let cancellations = Cancellations::new(
+            &settings.node_name,
+            incarnation,
+            bounds,
+            peers.iter().map(|p| p.name.as_str()),
+        );
         let leader_share = options.leader_share;
         let mut node = Node {
             gateway: Gateway::new(settings.clone()),
             scheduler: Scheduler::new(settings.clone(), options),
             settings,
             election,
+            cancellations,
             store,
             cloud,
             catalog: None,
@@ -169,10 +169,9 @@
             hello_every_ms: ttl_ms / 4,
             told: HashMap::new(),
             nudges: Vec::new(),
-            cancelled_here: Vec::new(),
+            cancelled_here: false,
             leader_share,
             turned_ms: 0,
-            woke_ms: 0,
             unreached: false,
             held: HashMap::new(),
             relay: Vec::new(),
@@ -180,16 +179,6 @@
             held_due_ms: 0,
             held_stored: 0,
             stood_in_ms: None,
-            informed_ms: 0,
-            led_ms: 0,
-            cancelled: HashSet::new(),
-            cancels_read_ms: 0,
-            cancels_due_ms: 0,
-            cancels: None,
-            // Asked at the start: a process that returns beyond a cut is needed at
-            // once, and must not renew a lease before it knows.
-            wants_cancels: true,
-            stops: HashMap::new(),
         };
         node.set_share(Now::default(), false);
         node
@@ -317,11 +306,11 @@
             }
         };
         self.unreached = false;
-        let informed = now.ms <= self.informed_ms + self.settings.uninformed_ms();
+        // Who may have missed cancellations for long renews no lease, whatever
+        // its part; nor may a worker be kept by answers that it has to drop.
+        let informed = self.cancellations.may_renew(now);
+        let stops = self.cancellations.stops(&report);
         if self.scheduler.leading() {
-            // Perhaps deposed: jobs may have been cancelled that it doesn't
-            // know of, and their tasks must not live on its answers; nor may
-            // a worker be kept by answers that it has to drop.
             if !informed || self.election.in_doubt() {
                 out.push(Effect::Reply(conn, Reply::later(503, "cut off", 1)));
                 return;
@@ -332,7 +321,8 @@
                 return;
             }
             let mut scheduler = SchedulerOut::default();
-            self.scheduler.report(now, conn, &report, &mut scheduler);
+            self.scheduler
+                .report(now, conn, &report, stops, &mut scheduler);
             self.take_scheduler(now, scheduler, out);
             return;
         }
@@ -340,10 +330,9 @@
         let reply = if let Some(term) = relays {
             self.stood_in_ms = Some(now.ms);
             self.relay.push(body.to_vec());
-            let stops = self.stops.remove(&report.machine).unwrap_or_default();
             answer_for_leader(&report, term, &stops)
-        } else if self.stands_in(now) {
-            self.hold(now, &report)
+        } else if informed && self.stands_in(now) {
+            self.hold(now, &report, &stops)
         } else {
             None
         };
@@ -398,11 +387,18 @@
         for job in hello.nudges.iter().filter(|id| wire::valid_job_id(id)) {
             self.scheduler.nudge(now, &JobId::new(job), &mut scheduler);
         }
-        for job in &hello.cancelled {
-            self.scheduler
-                .cancelled(now, &JobId::new(job), &mut scheduler);
-        }
+        let index = self.peers.iter().position(|p| p.name == hello.node);
         let mut answer = HelloAnswer::default();
+        if let Some(cursor) = hello.cursor {
+            answer.confirmations = Some(self.cancellations.confirmations(&cursor));
+            if let Some(index) = index {
+                self.cancellations.acknowledged(index, cursor);
+            }
+        }
+        if let (Some(index), Some(word)) = (index, &hello.confirmations) {
+            let new = self.cancellations.heard(now, index, None, word);
+            self.learned_cancelled(now, &new, &mut scheduler);
+        }
         let deaf = !hello.reports.is_empty() && self.deaf(now);
         let mut aside = false;
         for body in &hello.reports {
@@ -410,13 +406,6 @@
                 // Machines that merely fail together reach nobody.
                 aside |= deaf && self.relay_for(now, &report.zone).is_none();
                 self.scheduler.relayed(now, &report, &mut scheduler);
-                let id = MachineId::new(&report.machine);
-                let stops = self.scheduler.cancelled_on(&id);
-                answer.stops.extend(stops.map(|(task, attempt)| TaskStop {
-                    machine: report.machine.clone(),
-                    task: task.to_string(),
-                    attempt: attempt.0,
-                }));
             }
         }
         self.take_scheduler(now, scheduler, out);
@@ -439,8 +428,9 @@
     }
 
     fn say_hello(&mut self, now: Now, out: &mut Vec<Effect>) {
-        let news = !self.nudges.is_empty() || !self.cancelled_here.is_empty();
-        let urgent = news && !self.election.is_leader();
+        // The leader hears its own word; what is cancelled, all should know.
+        let nudges = !self.nudges.is_empty() && !self.election.is_leader();
+        let urgent = nudges || self.cancelled_here;
         if now.ms < self.hello_ms && !urgent {
             return;
         }
@@ -460,13 +450,11 @@
             deaf: self.unreached || self.deaf(now),
             counts: Vec::new(),
             nudges: self.nudges.drain(..).map(|id| id.to_string()).collect(),
-            cancelled: self
-                .cancelled_here
-                .drain(..)
-                .map(|id| id.to_string())
-                .collect(),
+            cursor: None,
+            confirmations: None,
             reports: Vec::new(),
         };
+        self.cancelled_here = false;
         if self.scheduler.active() {
             let mut told = HashMap::new();
             for (id, done, running) in self.scheduler.counts() {
@@ -482,21 +470,18 @@
             }
             self.told = told;
         }
-        let body = peer::encode(&hello);
         let timeout_ms = self.hello_every_ms * 2;
-        let calls: Vec<Call> = self
-            .peers
-            .iter()
-            .map(|p| Call {
-                target: Target::Peer(p.addr.clone()),
+        for index in 0..self.peers.len() {
+            hello.cursor = self.cancellations.cursor(index);
+            hello.confirmations = self.cancellations.unacknowledged(index);
+            let call = Call {
+                target: Target::Peer(self.peers[index].addr.clone()),
                 method: "POST",
                 path: PEER_PATH.to_string(),
-                body: body.clone(),
+                body: peer::encode(&hello),
                 timeout_ms,
-            })
-            .collect();
-        for (index, call) in calls.into_iter().enumerate() {
-            self.send(CallTag::Peer(index), call, out);
+            };
+            self.send(CallTag::Peer(index, now.ms), call, out);
         }
     }
 
@@ -520,12 +505,21 @@
             self.store.submit(retag(call, StateTag::Gateway));
         }
         self.nudges.extend(gateway.nudges);
-        let mut scheduler = SchedulerOut::default();
+        // In the turn that answers the user, so before anybody can ask.
         for id in &gateway.cancelled {
-            self.scheduler.cancelled(now, id, &mut scheduler);
+            self.cancellations.confirm(now, id);
         }
+        self.cancelled_here |= !gateway.cancelled.is_empty();
+        let mut scheduler = SchedulerOut::default();
+        self.learned_cancelled(now, &gateway.cancelled, &mut scheduler);
         self.take_scheduler(now, scheduler, out);
-        self.cancelled_here.extend(gateway.cancelled);
+    }
+
+    /// These jobs are cancelled: as leader, stop their tasks at once.
+    fn learned_cancelled(&mut self, now: Now, jobs: &[JobId], scheduler: &mut SchedulerOut) {
+        for id in jobs {
+            self.scheduler.cancelled(now, id, scheduler);
+        }
     }
 
     fn take_scheduler(&mut self, now: Now, scheduler: SchedulerOut, out: &mut Vec<Effect>) {
@@ -566,6 +560,12 @@
         }
     }
 
+    fn take_cancellations(&mut self, calls: Vec<StateCall<CancellationsCall>>) {
+        for call in calls {
+            self.store.submit(retag(call, StateTag::Cancellations));
+        }
+    }
+
     fn on_change(&mut self, now: Now, change: Change, out: &mut Vec<Effect>) {
         match change {
             Change::Elected { term, key_version } => {
@@ -621,7 +621,14 @@
                 }
             }
             StateTag::WriteHeld => {}
-            StateTag::ListCancelled => self.on_cancelled(now, &answer),
+            StateTag::Cancellations(call) => {
+                let mut calls = Vec::new();
+                let new = self.cancellations.answered(now, call, &answer, &mut calls);
+                self.take_cancellations(calls);
+                let mut scheduler = SchedulerOut::default();
+                self.learned_cancelled(now, &new, &mut scheduler);
+                self.take_scheduler(now, scheduler, out);
+            }
             StateTag::WriteCatalog => self.catalog_stored = answer.status() == Some(200),
         }
     }
@@ -672,9 +679,6 @@
         // Peers say hello, and a leader renews, four times in this period.
         let still = self.turned_ms > 0 && now.ms > self.turned_ms + self.hello_every_ms * 4;
         self.turned_ms = now.ms;
-        if still {
-            self.woke_ms = now.ms;
-        }
         if still && self.election.is_leader() && !self.peers.is_empty() {
             log::info!("stood still, may have lost the lead");
             self.election.stood_still(now);
@@ -693,9 +697,10 @@
             self.take_scheduler(now, scheduler, out);
         }
         self.tend_catalog(now);
-        self.tend_informed(now);
+        let mut calls = Vec::new();
+        wake = wake.min(self.cancellations.tick(now, &mut calls));
+        self.take_cancellations(calls);
         self.tend_held(now);
-        self.tend_cancels(now);
         self.tend_relay(now, out);
         if !self.relay.is_empty() {
             wake = wake.min(self.relay_due_ms);
@@ -786,18 +791,21 @@
                     .worker_answered(now, tag, outcome, &mut scheduler);
                 self.take_scheduler(now, scheduler, out);
             }
-            Some(CallTag::Peer(index)) => {
+            Some(CallTag::Peer(index, asked_ms)) => {
                 if let (Ok((_, body)), Some(peer)) = (outcome, self.peers.get_mut(index)) {
                     peer.reached_ms = Some(now.ms);
-                    for stop in peer::decode_answer(&body).unwrap_or_default().stops {
-                        self.stops
-                            .entry(stop.machine)
-                            .or_default()
-                            .push(Command::Stop {
-                                task: stop.task,
-                                attempt: Attempt(stop.attempt),
-                                grace_s: 0,
-                            });
+                    let answer = peer::decode_answer(&body).unwrap_or_default();
+                    if let Some(word) = answer.confirmations {
+                        if self.cancellations.cursor(index).map(|c| c.incarnation)
+                            != Some(word.incarnation)
+                        {
+                            // A new process there knows no counts at all.
+                            self.told.clear();
+                        }
+                        let new = self.cancellations.heard(now, index, Some(asked_ms), &word);
+                        let mut scheduler = SchedulerOut::default();
+                        self.learned_cancelled(now, &new, &mut scheduler);
+                        self.take_scheduler(now, scheduler, out);
                     }
                 }
             }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,5 +1,5 @@
-//! What controllers tell each other: hints only, in protocol buffers. Nothing
-//! here is ever needed for safety.
+//! What controllers tell each other, in protocol buffers: hints, and what each
+//! vouches for of its own, the cancellations that it has confirmed.
 
 use prost::Message;
 
@@ -24,9 +24,12 @@
     /// A job or cancellation that the sender has just written.
     #[prost(string, repeated, tag = "6")]
     pub nudges: Vec<String>,
-    /// Cancellations that the sender has just written.
-    #[prost(string, repeated, tag = "8")]
-    pub cancelled: Vec<String>,
+    /// How far the sender knows the receiver's confirmed cancellations.
+    #[prost(message, optional, tag = "10")]
+    pub cursor: Option<Cursor>,
+    /// Cancellations that the receiver may not have heard of.
+    #[prost(message, optional, tag = "11")]
+    pub confirmations: Option<Confirmations>,
     /// Workers that should report to the sender don't reach it.
     #[prost(bool, tag = "9")]
     pub deaf: bool,
@@ -46,22 +49,38 @@
     pub running: u32,
 }
 
-/// The leader's answer to reports that were passed on: tasks of cancelled
-/// jobs, to be stopped with the next answer, should its own word not arrive.
-#[derive(Clone, PartialEq, Message)]
-pub struct HelloAnswer {
-    #[prost(message, repeated, tag = "1")]
-    pub stops: Vec<TaskStop>,
+/// A place in the numbered cancellations that one process has confirmed.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Cursor {
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    /// All up to this number are known.
+    #[prost(uint64, tag = "2")]
+    pub have: u64,
 }
 
+/// Cancellations that a process has confirmed to users, numbered from 1.
 #[derive(Clone, PartialEq, Message)]
-pub struct TaskStop {
+pub struct Confirmations {
     #[prost(string, tag = "1")]
-    pub machine: String,
-    #[prost(string, tag = "2")]
-    pub task: String,
+    pub node: String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// The number of the first one told here; the others follow.
     #[prost(uint64, tag = "3")]
-    pub attempt: u64,
+    pub first: u64,
+    #[prost(string, repeated, tag = "4")]
+    pub jobs: Vec<String>,
+    /// How many there are in all.
+    #[prost(uint64, tag = "5")]
+    pub total: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct HelloAnswer {
+    /// What the sender asked for with its cursor.
+    #[prost(message, optional, tag = "2")]
+    pub confirmations: Option<Confirmations>,
 }
 
 pub fn encode_answer(answer: &HelloAnswer) -> Vec<u8> {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -17,7 +17,7 @@
 use crate::cloud::{Cloud, CloudEvent, Offer};
 use crate::fleet::{Fleet, Machine, Phase};
 use crate::gateway::{JobRecord, JOB_PREFIX};
-use crate::ids::{Attempt, JobId, MachineId, Revision, Session, TaskRef, Term, Token};
+use crate::ids::{JobId, MachineId, Revision, Session, TaskRef, Term, Token};
 use crate::msg::{Call, ConnId, Now, Outcome, Reply, Target};
 use crate::options::Options;
 use crate::placement::Res;
@@ -995,19 +995,6 @@
         }
     }
 
-    /// Tasks of cancelled jobs that may still be on this machine.
-    pub fn cancelled_on<'a>(
-        &'a self,
-        id: &MachineId,
-    ) -> impl Iterator<Item = (&'a TaskRef, Attempt)> {
-        let tasks = self.fleet.get(id).map(|m| &m.tasks);
-        tasks.into_iter().flatten().filter_map(|task| {
-            let job = self.jobs.get(&task.job)?;
-            let assign = job.assigns.get(&task.index)?;
-            job.cancelled.map(|_| (task, assign.attempt))
-        })
-    }
-
     fn token_of(&self, id: &MachineId) -> Token {
         self.fleet
             .get(id)
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -37,8 +37,16 @@
 }
 
 impl Scheduler {
-    /// A worker's report: an answer goes out in any case.
-    pub fn report(&mut self, now: Now, conn: ConnId, report: &Report, out: &mut SchedulerOut) {
+    /// A worker's report: an answer goes out in any case, and with it the
+    /// `stops` of cancelled jobs' tasks, whether or not the job is known yet.
+    pub fn report(
+        &mut self,
+        now: Now,
+        conn: ConnId,
+        report: &Report,
+        stops: Vec<Command>,
+        out: &mut SchedulerOut,
+    ) {
         if report.token.term() > self.term {
             out.superseded = true;
             out.replies
@@ -53,6 +61,11 @@
                 commands = self.commands_for(now, &id, Some(report), out);
             }
         }
+        for stop in stops {
+            if !commands.contains(&stop) {
+                commands.push(stop);
+            }
+        }
         // A token above ours, or below the worker's, would do no good.
         let token = self.token_of(&id).max(report.token);
         let answer = ReportAnswer {
--- a/src/store.rs
+++ b/src/store.rs
@@ -117,8 +117,7 @@
 /// answer.
 pub struct Store<T> {
     queues: [VecDeque<StateCall<T>>; URGENCIES],
-    /// With the time at which each was sent.
-    in_flight: HashMap<u64, (u64, StateCall<T>)>,
+    in_flight: HashMap<u64, StateCall<T>>,
     requests: TokenBucket,
     writes: TokenBucket,
     rps: f64,
@@ -126,7 +125,6 @@
     /// When the service last answered, and last failed to.
     last_ok_ms: Option<u64>,
     last_fail_ms: Option<u64>,
-    known_ms: u64,
     next: u64,
 }
 
@@ -141,7 +139,6 @@
             write_rps,
             last_ok_ms: None,
             last_fail_ms: None,
-            known_ms: 0,
             next: 0,
         }
     }
@@ -165,13 +162,6 @@
         self.last_ok_ms
     }
 
-    /// When the latest call was sent that has been answered: by then, at
-    /// least, this node wasn't cut off. An answer may have lain in a socket
-    /// while the process stood still, so its own time says little.
-    pub fn known_ms(&self) -> u64 {
-        self.known_ms
-    }
-
     pub fn waiting(&self) -> bool {
         self.queues.iter().any(|q| !q.is_empty())
     }
@@ -204,17 +194,14 @@
                 let Some(call) = queue.pop_front() else { break };
                 self.next += 1;
                 send(self.next, call.call.clone());
-                self.in_flight.insert(self.next, (now.ms, call));
+                self.in_flight.insert(self.next, call);
             }
         }
     }
 
     /// The answer to call `id`. A 429 goes back to the queue.
     pub fn answered(&mut self, now: Now, id: u64, outcome: Outcome) -> Option<(T, Answer)> {
-        let (sent_ms, call) = self.in_flight.remove(&id)?;
-        if matches!(outcome, Ok((status, _)) if status != 503) {
-            self.known_ms = self.known_ms.max(sent_ms);
-        }
+        let call = self.in_flight.remove(&id)?;
         let answer = match outcome {
             Ok((429, _)) => {
                 self.last_ok_ms = Some(now.ms);
@@ -283,6 +270,17 @@
     }
 }
 
+/// What has changed by now: a watch that doesn't wait.
+pub fn changes(prefix: &str, after: Revision, timeout_ms: u64) -> Call {
+    Call {
+        target: Target::State,
+        method: "GET",
+        path: format!("/follow?under={prefix}&from={after}"),
+        body: Vec::new(),
+        timeout_ms,
+    }
+}
+
 pub fn txn(txn: &Txn, timeout_ms: u64) -> (Call, usize) {
     let call = Call {
         target: Target::State,
--- /dev/null
+++ b/tests/cancellations.rs
@@ -0,0 +1,438 @@
+//! Kept traces: what was cancelled ends in time, whoever knows of it. The
+//! observer checks each task against the moment of the first confirmation.
+
+mod world;
+
+use lilacfork::msg::Target;
+use serde_json::json;
+use world::scenes::{heal, up};
+use world::{service, Fate, World, CANCEL_MS};
+
+/// Two services of eight on two machines.
+fn two_services() -> World {
+    let mut w = up(3);
+    assert_eq!(w.submit(0, &service("run-1", 8)), 201);
+    assert_eq!(w.submit(0, &service("run-2", 8)), 201);
+    w.run_for(3000);
+    assert_eq!(w.on_machines("run-"), 16);
+    w
+}
+
+/// The state service refuses this node; `deaf`: nor does a peer's word reach
+/// it.
+fn refuse(w: &mut World, lone: usize, deaf: bool) {
+    let lone_addr = format!("10.0.0.{}:8081", lone + 1);
+    w.hook = Box::new(move |_, node, call| match &call.target {
+        Target::State | Target::StateWatch if node == lone => Fate::Refuse,
+        Target::Peer(addr) if deaf && (node == lone || *addr == lone_addr) => Fate::LoseRequest,
+        _ => Fate::Pass,
+    });
+}
+
+/// What befalls the confirming node and the leader besides.
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Also {
+    Nothing,
+    /// The confirming node ends at once and returns inside the outage.
+    ConfirmerRestarts,
+    /// The leader changes twice beforehand.
+    TwoChanges,
+    /// The cancellation is stored and its answer lost; another node tells.
+    AnswerLost,
+}
+
+/// The gap, which broke most schedulers that the users have seen: a leader
+/// that the state service refuses alone took a later outage that all shared
+/// for a reason to believe that it had missed nothing.
+fn gap(also: Also, refused_ms: u64) -> World {
+    let mut w = two_services();
+    w.state.mute_watches = true;
+    if also == Also::TwoChanges {
+        for _ in 0..2 {
+            let leader = w.leader().unwrap();
+            w.kill(leader);
+            w.run_for(5000);
+            w.start(leader);
+            w.run_for(3000);
+        }
+    }
+    let leader = w.leader().unwrap();
+    let other = (leader + 1) % 3;
+    refuse(&mut w, leader, true);
+    w.run_for(refused_ms);
+    if also == Also::AnswerLost {
+        let lone_addr = format!("10.0.0.{}:8081", leader + 1);
+        w.hook = Box::new(move |_, node, call| match &call.target {
+            Target::State | Target::StateWatch if node == leader => Fate::Refuse,
+            Target::Peer(addr) if node == leader || *addr == lone_addr => Fate::LoseRequest,
+            Target::State if call.path == "/txn" && node == other => Fate::LoseAnswer,
+            _ => Fate::Pass,
+        });
+        w.ask(other, "POST", "/v2/runs/run-1/abort", json!(null));
+        w.run_for(20);
+        assert_eq!(w.poll((leader + 2) % 3, "run-1").1, "cancelled");
+        // Users ask for this at many nodes, and the first word counts.
+        refuse(&mut w, leader, true);
+    } else {
+        assert_eq!(w.cancel(other, "run-1").1, "cancelled");
+    }
+    if also == Also::ConfirmerRestarts {
+        w.kill(other);
+    }
+    w.run_for(300);
+    w.state.away = true;
+    heal(&mut w);
+    if also == Also::ConfirmerRestarts {
+        w.run_for(4000);
+        w.start(other);
+    }
+    w.run_for(CANCEL_MS + 15_000);
+    assert_eq!(w.on_machines("run-1"), 0, "{also:?}");
+    w
+}
+
+/// Ends the outage: what wasn't cancelled is served, the rest stays ended.
+fn settle(mut w: World) {
+    w.state.mute_watches = false;
+    w.state_returns();
+    w.run_for(20_000);
+    assert_eq!(w.on_machines("run-1"), 0);
+    assert_eq!(w.on_machines("run-2"), 8);
+    for node in 0..3 {
+        assert_eq!(w.poll(node, "run-1").1, "cancelled");
+        assert_eq!(w.poll(node, "run-2").1, "running");
+    }
+}
+
+#[test]
+fn a_cancellation_that_a_refused_leader_missed_ends_its_tasks_in_a_later_outage() {
+    for refused_ms in [100, 1000, 2000] {
+        let w = gap(Also::Nothing, refused_ms);
+        assert_eq!(w.on_machines("run-2"), 8, "what all know lives on");
+        settle(w);
+    }
+}
+
+#[test]
+fn the_gap_with_the_confirming_node_restarted_inside_the_outage() {
+    settle(gap(Also::ConfirmerRestarts, 1000));
+}
+
+#[test]
+fn the_gap_after_two_changes_of_leader() {
+    settle(gap(Also::TwoChanges, 1000));
+}
+
+#[test]
+fn the_gap_with_the_answer_to_the_cancellation_lost() {
+    settle(gap(Also::AnswerLost, 1000));
+}
+
+/// Cut off from everybody but the workers, nobody can tell the leader: what
+/// runs on its word alone ends in time.
+#[test]
+fn a_leader_that_nobody_can_tell_lets_leases_end() {
+    for cloud_away in [false, true] {
+        let mut w = two_services();
+        w.cloud_away = cloud_away;
+        let leader = w.leader().unwrap();
+        refuse(&mut w, leader, true);
+        w.run_for(1000);
+        assert_eq!(w.cancel((leader + 1) % 3, "run-1").1, "cancelled");
+        w.run_for(300);
+        w.state.away = true;
+        w.run_for(CANCEL_MS + 15_000);
+        assert_eq!(w.on_machines("run-1"), 0);
+        heal(&mut w);
+        w.cloud_away = false;
+        w.state_returns();
+        w.run_for(30_000);
+        assert_eq!(w.on_machines("run-2"), 8, "is served again");
+    }
+}
+
+/// A machine that hangs through all of it and goes on within its lease hears
+/// of the cancellation with the first answer, or ends by itself.
+#[test]
+fn the_gap_with_a_machine_that_hangs_and_goes_on() {
+    for hang_ms in [4000, 9000, 14_000, 35_000] {
+        let mut w = two_services();
+        let leader = w.leader().unwrap();
+        refuse(&mut w, leader, true);
+        w.run_for(1000);
+        w.workers.get_mut("vm-a").unwrap().silent = true;
+        assert_eq!(w.cancel((leader + 1) % 3, "run-1").1, "cancelled");
+        w.run_for(300);
+        w.state.away = true;
+        heal(&mut w);
+        w.run_for(hang_ms);
+        w.workers.get_mut("vm-a").unwrap().silent = false;
+        w.run_for(45_000 - hang_ms);
+        assert_eq!(w.on_machines("run-1"), 0);
+        settle(w);
+    }
+}
+
+/// A leader elected just before an outage that reads the records for all of it
+/// once answered reports and stopped nothing.
+#[test]
+fn a_leader_still_loading_in_an_outage_stops_what_it_knows_is_cancelled() {
+    let mut w = two_services();
+    let leader = w.leader().unwrap();
+    let other = (leader + 1) % 3;
+    // Whoever leads next can't read the placements.
+    w.hook = Box::new(move |_, _, call| match &call.target {
+        Target::State if call.path.contains("under=p/") => Fate::Refuse,
+        Target::Worker(_) => Fate::LoseRequest,
+        _ => Fate::Pass,
+    });
+    w.kill(leader);
+    w.run_for(4000);
+    let next = w.leader().unwrap();
+    assert_eq!(w.cancel(3 - leader - next, "run-1").1, "cancelled");
+    w.run_for(300);
+    w.state.away = true;
+    w.start(leader);
+    w.run_for(CANCEL_MS + 15_000);
+    assert_eq!(w.on_machines("run-1"), 0, "{other}");
+    heal(&mut w);
+    settle(w);
+}
+
+mod knowledge {
+    //! The actor by itself: when the watermark moves, and when it must not.
+
+    use lilacfork::cancellations::{Bounds, Cancellations, CancellationsCall};
+    use lilacfork::ids::JobId;
+    use lilacfork::msg::Now;
+    use lilacfork::peer::Confirmations;
+    use lilacfork::store::Answer;
+    use serde_json::json;
+
+    fn at(ms: u64) -> Now {
+        Now { ms, wall: ms }
+    }
+
+    fn node(name: &str, incarnation: u64) -> Cancellations {
+        let bounds = Bounds {
+            report_ms: 1000,
+            cancel_ms: 30_000,
+            uninformed_ms: 18_500,
+        };
+        let peers = ["n-0", "n-1", "n-2"].into_iter().filter(|p| *p != name);
+        Cancellations::new(name, incarnation, bounds, peers)
+    }
+
+    fn ok(body: serde_json::Value) -> Answer {
+        Answer::Status(200, body.to_string().into_bytes())
+    }
+
+    /// A complete read, asked for and answered at these times.
+    fn read(n: &mut Cancellations, asked_ms: u64, answered_ms: u64) {
+        let mut out = Vec::new();
+        n.tick(at(asked_ms), &mut out);
+        let call = out.pop().expect("it asks").tag;
+        let body = match call {
+            CancellationsCall::List => json!({"rows": [], "tirage": 5}),
+            CancellationsCall::Poll => json!({"events": [], "tirage": 5}),
+        };
+        n.answered(at(answered_ms), call, &ok(body), &mut out);
+        assert!(out.is_empty());
+    }
+
+    /// `n` asks its peer `index`, which is `peer`; its new jobs.
+    fn pull(n: &mut Cancellations, index: usize, peer: &Cancellations, asked_ms: u64) -> usize {
+        let cursor = n.cursor(index).unwrap();
+        let word = peer.confirmations(&cursor);
+        n.heard(at(asked_ms + 10), index, Some(asked_ms), &word)
+            .len()
+    }
+
+    fn id(n: u32) -> JobId {
+        JobId::new(&format!("run-{n}"))
+    }
+
+    /// Three nodes; the first has read once and knows both others.
+    fn three() -> (Cancellations, Cancellations, Cancellations) {
+        let (mut n, p1, p2) = (node("n-0", 1), node("n-1", 2), node("n-2", 3));
+        pull(&mut n, 0, &p1, 0);
+        pull(&mut n, 1, &p2, 0);
+        read(&mut n, 1000, 1040);
+        (n, p1, p2)
+    }
+
+    #[test]
+    fn a_fresh_process_knows_nothing_until_it_has_read() {
+        let mut n = node("n-0", 1);
+        assert!(!n.may_renew(at(10)));
+        pull(&mut n, 0, &node("n-1", 2), 20);
+        pull(&mut n, 1, &node("n-2", 3), 20);
+        assert_eq!(n.watermark_ms(), None, "peers alone don't tell the past");
+        read(&mut n, 100, 900);
+        assert_eq!(n.watermark_ms(), Some(100), "dated by the question");
+        assert!(n.may_renew(at(18_600)) && !n.may_renew(at(18_601)));
+    }
+
+    #[test]
+    fn all_peers_together_move_the_watermark_and_one_alone_does_not() {
+        let (mut n, mut p1, p2) = three();
+        p1.confirm(at(2000), &id(1));
+        assert_eq!(pull(&mut n, 0, &p1, 3000), 1);
+        assert!(n.contains(&id(1)));
+        assert_eq!(n.watermark_ms(), Some(1000), "the other may know more");
+        pull(&mut n, 1, &p2, 4000);
+        assert_eq!(n.watermark_ms(), Some(3000));
+    }
+
+    #[test]
+    fn a_restarted_peer_stops_it_until_the_next_read() {
+        let (mut n, mut p1, p2) = three();
+        pull(&mut n, 0, &p1, 1500);
+        pull(&mut n, 1, &p2, 1500);
+        assert_eq!(n.watermark_ms(), Some(1500));
+        // Confirmed, and nobody was told before it ended.
+        p1.confirm(at(2000), &id(1));
+        let p1 = node("n-1", 22);
+        for asked_ms in [3000, 4000] {
+            pull(&mut n, 0, &p1, asked_ms);
+            pull(&mut n, 1, &p2, asked_ms);
+        }
+        assert_eq!(n.watermark_ms(), Some(1500));
+        read(&mut n, 5000, 5040);
+        pull(&mut n, 0, &p1, 6000);
+        pull(&mut n, 1, &p2, 6000);
+        assert_eq!(n.watermark_ms(), Some(6000));
+    }
+
+    #[test]
+    fn a_gap_in_the_numbers_stops_it_until_the_next_read() {
+        let (mut n, mut p1, p2) = three();
+        // More than it keeps.
+        for k in 0..5000 {
+            p1.confirm(at(2000), &id(k));
+        }
+        for asked_ms in [3000, 4000, 5000] {
+            pull(&mut n, 0, &p1, asked_ms);
+            pull(&mut n, 1, &p2, asked_ms);
+        }
+        assert_eq!(n.watermark_ms(), Some(1000));
+        read(&mut n, 6000, 6040);
+        pull(&mut n, 0, &p1, 7000);
+        pull(&mut n, 1, &p2, 7000);
+        assert_eq!(n.watermark_ms(), Some(7000));
+    }
+
+    #[test]
+    fn many_confirmations_come_in_several_messages_and_none_counts_before_the_last() {
+        let (mut n, mut p1, p2) = three();
+        for k in 0..1200 {
+            p1.confirm(at(2000), &id(k));
+        }
+        let mut new = 0;
+        for asked_ms in [3000, 3100, 3200] {
+            assert_eq!(n.watermark_ms(), Some(1000));
+            new += pull(&mut n, 0, &p1, asked_ms);
+            pull(&mut n, 1, &p2, asked_ms);
+        }
+        assert_eq!((new, n.watermark_ms()), (1200, Some(3200)));
+    }
+
+    #[test]
+    fn an_unasked_word_informs_but_dates_nothing() {
+        let (mut n, mut p1, p2) = three();
+        p1.acknowledged(0, n.cursor(0).unwrap());
+        assert!(p1.unacknowledged(0).is_none());
+        p1.confirm(at(2000), &id(1));
+        let word = p1.unacknowledged(0).expect("something to tell");
+        assert_eq!(n.heard(at(2010), 0, None, &word).len(), 1);
+        pull(&mut n, 1, &p2, 2500);
+        assert_eq!(n.watermark_ms(), Some(1000));
+        p1.acknowledged(0, n.cursor(0).unwrap());
+        assert!(p1.unacknowledged(0).is_none(), "and is told once");
+    }
+
+    #[test]
+    fn a_late_answer_of_an_earlier_process_vouches_for_its_own_time_only() {
+        let (mut n, mut p1, p2) = three();
+        let cursor = n.cursor(0).unwrap();
+        let late = p1.confirmations(&cursor);
+        p1.confirm(at(1800), &id(1));
+        let p1 = node("n-1", 22);
+        pull(&mut n, 0, &p1, 3000);
+        pull(&mut n, 1, &p2, 3000);
+        // Asked for at 1500, before the confirmation and the end.
+        n.heard(at(3100), 0, Some(1500), &late);
+        pull(&mut n, 1, &p2, 3200);
+        assert!(n.watermark_ms() <= Some(1500), "{:?}", n.watermark_ms());
+    }
+
+    #[test]
+    fn senseless_words_are_dropped() {
+        let (mut n, p1, p2) = three();
+        let sound = p1.confirmations(&n.cursor(0).unwrap());
+        let job = vec!["run-7".to_string()];
+        for word in [
+            Confirmations {
+                node: "n-2".into(),
+                ..sound.clone()
+            },
+            Confirmations {
+                incarnation: 0,
+                ..sound.clone()
+            },
+            Confirmations {
+                first: 0,
+                ..sound.clone()
+            },
+            Confirmations {
+                first: u64::MAX,
+                jobs: job.clone(),
+                ..sound.clone()
+            },
+            Confirmations {
+                first: 3,
+                total: 1,
+                jobs: job.clone(),
+                ..sound.clone()
+            },
+            Confirmations {
+                first: 1,
+                total: 1,
+                jobs: vec!["a/../b".into()],
+                ..sound.clone()
+            },
+        ] {
+            assert!(
+                n.heard(at(2000), 0, Some(1990), &word).is_empty(),
+                "{word:?}"
+            );
+        }
+        pull(&mut n, 1, &p2, 2000);
+        assert_eq!(n.watermark_ms(), Some(1000));
+        assert!(n.heard(at(2000), 9, Some(1990), &sound).is_empty());
+    }
+
+    #[test]
+    fn a_read_that_fails_or_falls_too_far_behind_moves_nothing() {
+        let (mut n, ..) = three();
+        let mut out = Vec::new();
+        n.tick(at(2000), &mut out);
+        let gone = Answer::Status(410, b"{}".to_vec());
+        n.answered(at(2001), CancellationsCall::Poll, &gone, &mut out);
+        out.clear();
+        n.tick(at(2002), &mut out);
+        assert_eq!(out.pop().unwrap().tag, CancellationsCall::List, "anew");
+        let page = json!({"rows": [{"k": "j/run-5", "v": {"c": 7}, "retouche": 3}],
+            "truncated": true, "tirage": 9});
+        n.answered(at(2010), CancellationsCall::List, &ok(page), &mut out);
+        assert_eq!(n.watermark_ms(), Some(1000), "half a list is none");
+        n.answered(
+            at(4000),
+            CancellationsCall::List,
+            &Answer::Unclear,
+            &mut out,
+        );
+        assert_eq!(n.watermark_ms(), Some(1000));
+        assert!(!n.contains(&id(5)));
+    }
+}
--- /dev/null
+++ b/tests/observer.rs
@@ -0,0 +1,154 @@
+//! The traces' observer, proved by a broken history for each rule: what it
+//! can't see, no trace checks.
+
+mod world;
+
+use serde_json::{json, Value};
+use world::array;
+use world::observer::{Observer, Placed, Question, Verb, Verdict};
+
+fn observer() -> Observer {
+    Observer::new(30_000, &[("blue", 2.0)])
+}
+
+fn ask(verb: Verb, job: &str, asked_ms: u64) -> Question {
+    Question {
+        verb,
+        job: job.into(),
+        asked_ms,
+    }
+}
+
+fn on<'a>(task: &'a str, machine: &'a str, zone: &'a str) -> Placed<'a> {
+    Placed {
+        task,
+        machine,
+        zone,
+        spot: false,
+    }
+}
+
+fn accepted(spec: Value) -> Observer {
+    let mut o = observer();
+    o.submitted(&spec);
+    let question = ask(Verb::Submit, spec["id"].as_str().unwrap(), 0);
+    o.answered(10, &question, 201, "pending").unwrap();
+    o
+}
+
+#[track_caller]
+fn breaks(rule: &str, verdict: Verdict) {
+    let said = verdict.expect_err(rule);
+    assert!(said.starts_with(rule), "{rule} expected: {said}");
+}
+
+fn cancelled(at_ms: u64) -> Observer {
+    let mut o = accepted(array("run-1", 2));
+    o.cancel_asked("run-1");
+    let question = ask(Verb::Cancel, "run-1", at_ms - 5);
+    o.answered(at_ms, &question, 200, "cancelled").unwrap();
+    o
+}
+
+#[test]
+fn a_task_in_two_places_is_seen() {
+    let mut o = accepted(array("run-1", 2));
+    let there = [on("run-1/0", "vm-a", "a")];
+    let start = |task| on(task, "vm-b", "b");
+    assert!(o.starts(20, start("run-1/1"), there.into_iter()).is_ok());
+    breaks(
+        "ran_twice",
+        o.starts(20, start("run-1/0"), there.into_iter()),
+    );
+}
+
+#[test]
+fn a_team_over_its_limit_is_seen() {
+    let mut spec = array("run-1", 3);
+    spec["equipe"] = json!("blue");
+    let mut o = accepted(spec);
+    let two = [on("run-1/0", "vm-a", "a"), on("run-1/1", "vm-a", "a")];
+    let third = on("run-1/2", "vm-b", "b");
+    assert!(o.starts(20, third, two.into_iter().take(1)).is_ok());
+    breaks("quota", o.starts(20, third, two.into_iter()));
+}
+
+#[test]
+fn a_wrong_place_is_seen() {
+    let mut spec = array("run-1", 4);
+    spec["secteur"] = json!("a");
+    spec["occasion"] = json!(false);
+    let mut o = accepted(spec);
+    let start = on("run-1/0", "vm-b", "b");
+    breaks("wrong_place", o.starts(20, start, [].into_iter()));
+    let spot = Placed {
+        spot: true,
+        ..on("run-1/0", "vm-a", "a")
+    };
+    breaks("wrong_place", o.starts(20, spot, [].into_iter()));
+
+    let mut spec = array("run-1", 4);
+    spec["samePlace"] = json!(true);
+    let mut o = accepted(spec);
+    let there = [on("run-1/1", "vm-a", "a")];
+    breaks("wrong_place", o.starts(20, start, there.into_iter()));
+
+    let mut spec = array("run-1", 3);
+    spec["spread"] = json!(true);
+    let mut o = accepted(spec);
+    let there = [on("run-1/1", "vm-b", "b"), on("run-1/2", "vm-c", "b")];
+    assert!(o.starts(20, start, there.into_iter().take(1)).is_ok());
+    breaks("wrong_place", o.starts(20, start, there.into_iter()));
+}
+
+#[test]
+fn a_cancelled_task_that_stays_or_starts_too_late_is_seen() {
+    let mut o = cancelled(1000);
+    let task = on("run-1/0", "vm-a", "a");
+    assert!(o.present(31_000, [task].into_iter()).is_ok());
+    breaks("ran_cancelled", o.present(31_001, [task].into_iter()));
+    assert!(o.starts(2000, task, [].into_iter()).is_ok());
+    assert_eq!(o.starts_after_cancel.len(), 1, "allowed, but counted");
+    breaks("ran_cancelled", o.starts(31_001, task, [].into_iter()));
+}
+
+#[test]
+fn a_forgotten_job_is_seen() {
+    let mut o = accepted(array("run-1", 2));
+    let show = ask(Verb::Show, "run-1", 20);
+    breaks("forgotten", o.answered(30, &show, 404, ""));
+    let again = ask(Verb::Submit, "run-1", 20);
+    breaks("forgotten", o.answered(30, &again, 422, ""));
+    let before = ask(Verb::Show, "run-1", 5);
+    assert!(o.answered(30, &before, 404, "").is_ok(), "asked before");
+}
+
+#[test]
+fn an_invented_job_is_seen() {
+    let mut o = observer();
+    let show = ask(Verb::Show, "run-9", 20);
+    assert!(o.answered(30, &show, 404, "").is_ok());
+    breaks("invented", o.answered(30, &show, 200, "pending"));
+}
+
+#[test]
+fn a_job_called_done_too_early_is_seen() {
+    let mut o = accepted(array("run-1", 2));
+    o.finished("run-1/0");
+    let show = ask(Verb::Show, "run-1", 20);
+    breaks("not_done", o.answered(30, &show, 200, "done"));
+    o.finished("run-1/1");
+    assert!(o.answered(40, &show, 200, "done").is_ok());
+}
+
+#[test]
+fn a_final_state_that_changes_is_seen() {
+    let mut o = cancelled(1000);
+    let show = ask(Verb::Show, "run-1", 1001);
+    breaks("went_back", o.answered(1010, &show, 200, "running"));
+    let early = ask(Verb::Show, "run-1", 999);
+    assert!(o.answered(1010, &early, 200, "running").is_ok());
+    let mut o = accepted(array("run-1", 2));
+    let show = ask(Verb::Show, "run-1", 20);
+    breaks("went_back", o.answered(30, &show, 200, "cancelled"));
+}
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -8,45 +8,9 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use world::scenes::{crosses, cut_between_zones, cut_zones, full_zone, gone, heal, set_silent, up};
 use world::{array, service, Fate, World};
 
-fn up(nodes: usize) -> World {
-    let mut w = World::new(nodes);
-    w.add_machine("vm-a", "a", false, true);
-    w.add_machine("vm-b", "b", false, true);
-    w.run_until(5000);
-    assert!(w.leader().is_some(), "somebody leads");
-    w
-}
-
-/// The second node's zone apart from the others'.
-fn cut_zones() -> Vec<(usize, String)> {
-    (0..3)
-        .flat_map(|n| ["a", "b"].map(|z| (n, z.to_string())))
-        .filter(|(n, z)| (*n == 1) != (z == "b"))
-        .collect()
-}
-
-/// Whether a call from this node to that peer crosses the cut.
-fn crosses(node: usize, peer: &str) -> bool {
-    (node == 1) != (peer == "10.0.0.2:8081")
-}
-
-/// Neither workers nor controllers hear those of the other zone.
-fn cut_between_zones(w: &mut World) {
-    w.cuts = cut_zones();
-    w.hook = Box::new(|_, node, call| match &call.target {
-        Target::Peer(addr) if crosses(node, addr) => Fate::LoseRequest,
-        _ => Fate::Pass,
-    });
-}
-
-/// Whatever was cut or lost is heard again.
-fn heal(w: &mut World) {
-    w.cuts.clear();
-    w.hook = Box::new(|_, _, _| Fate::Pass);
-}
-
 #[test]
 fn a_job_runs_and_is_done_within_three_seconds_of_its_end() {
     let mut w = up(3);
@@ -1003,33 +967,6 @@
     );
 }
 
-/// A zone of six full machines beside the two.
-fn full_zone(nodes: usize) -> (World, Vec<String>) {
-    let mut w = up(nodes);
-    w.run_ms = 600_000;
-    w.capacity = 0;
-    let names: Vec<String> = (1..7).map(|n| format!("vm-z{n}")).collect();
-    for name in &names {
-        w.add_machine(name, "b", false, true);
-    }
-    let mut spec = array("run-1", 56);
-    spec["secteur"] = json!("b");
-    assert_eq!(w.submit(0, &spec), 201);
-    w.run_for(5000);
-    assert_eq!(w.on_machines("run-1"), 56);
-    (w, names)
-}
-
-fn set_silent(w: &mut World, names: &[String], silent: bool) {
-    for name in names {
-        w.workers.get_mut(name).unwrap().silent = silent;
-    }
-}
-
-fn gone<'a>(w: &World, names: &'a [String]) -> Vec<&'a String> {
-    names.iter().filter(|n| w.workers[*n].gone).collect()
-}
-
 /// After a cut a zone's workers come back one by one. The last of them were
 /// once given up in the moment in which most had come back.
 #[test]
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1,11 +1,14 @@
 //! Stand-ins for state service, cloud and workers, by their published
 //! protocols, in virtual time. Every run is the same; nothing sleeps.
 //!
-//! The workers check the hard rules themselves: a task that starts while it is
-//! elsewhere, or long after its cancellation, ends the test.
+//! An [`observer::Observer`] checks the protocol's rules on every trace, at
+//! every step; a history that breaks one ends the test.
 
 #![allow(dead_code)]
 
+pub mod observer;
+pub mod scenes;
+
 use lilacfork::msg::{
     Call, CallError, CallId, ConnId, Effect, Now, Outcome, Port, Reply, Request, Target,
 };
@@ -13,6 +16,7 @@
 use lilacfork::options::Options;
 use lilacfork::reactor::Handler;
 use lilacfork::settings::Settings;
+use observer::{Observer, Placed, Question, Verb};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, HashMap};
 
@@ -93,8 +97,17 @@
     Late(u64),
     /// Is carried out at once; the answer takes so much longer.
     SlowAnswer(u64),
+    /// Is answered 503 at once and not carried out.
+    Refuse,
 }
 
+/// The workers' lease, and the time that a cancellation has.
+pub const LEASE_MS: u64 = 10_000;
+pub const CANCEL_MS: u64 = 30_000;
+
+/// How often the observer looks at what is on machines.
+const LOOK_MS: u64 = 100;
+
 #[derive(Clone, Debug)]
 enum Action {
     Tick(usize),
@@ -168,6 +181,39 @@
     pub slowness: u64,
 }
 
+impl Worker {
+    /// The lease is over: a new session without tasks.
+    fn end_session(&mut self, now: u64) {
+        self.tasks.clear();
+        self.session += 1;
+        self.seq = 0;
+        self.answered_ms = now;
+    }
+}
+
+/// Ends the test over a broken rule.
+#[track_caller]
+fn hold(verdict: observer::Verdict) {
+    if let Err(broken) = verdict {
+        panic!("{broken}");
+    }
+}
+
+/// What is on machines.
+fn on_machines(workers: &BTreeMap<String, Worker>) -> impl Iterator<Item = Placed<'_>> + Clone {
+    workers.iter().flat_map(|(machine, w)| {
+        w.tasks
+            .iter()
+            .filter(|(_, t)| t.state != "ended")
+            .map(move |(task, _)| Placed {
+                task,
+                machine,
+                zone: &w.zone,
+                spot: w.spot,
+            })
+    })
+}
+
 #[derive(Default)]
 pub struct State {
     pub items: BTreeMap<String, (Value, u64, Option<u64>)>,
@@ -181,6 +227,19 @@
     pub mute_watches: bool,
 }
 
+impl State {
+    fn events_after(&self, prefix: &str, from: u64) -> Vec<Value> {
+        self.events
+            .iter()
+            .filter(|(rev, key, _)| *rev > from && key.starts_with(prefix))
+            .map(|(rev, key, value)| match value {
+                Some(v) => json!({"set": key, "v": v, "retouche": rev}),
+                None => json!({"drop": key, "retouche": rev}),
+            })
+            .collect()
+    }
+}
+
 pub type Hook = Box<dyn FnMut(u64, usize, &Call) -> Fate>;
 
 pub struct World {
@@ -202,8 +261,9 @@
     pub hook: Hook,
     pub answers: HashMap<u64, Reply>,
     next_user: u64,
-    specs: HashMap<String, Value>,
-    cancelled: HashMap<String, u64>,
+    questions: HashMap<u64, Question>,
+    pub observer: Observer,
+    looked_ms: u64,
     /// Starts carried out, as people read them: time, machine, task, attempt.
     pub trace: Vec<String>,
     pub run_ms: u64,
@@ -237,8 +297,9 @@
             hook: Box::new(|_, _, _| Fate::Pass),
             answers: HashMap::new(),
             next_user: 0,
-            specs: HashMap::new(),
-            cancelled: HashMap::new(),
+            questions: HashMap::new(),
+            observer: Observer::new(CANCEL_MS, &[("blue", 16.0)]),
+            looked_ms: 0,
             trace: Vec::new(),
             run_ms: 3000,
             frozen: BTreeMap::new(),
@@ -338,6 +399,16 @@
                 self.at(give_up, unclear);
                 return;
             }
+            Fate::Refuse => {
+                let refused = Action::Return {
+                    node,
+                    epoch,
+                    id,
+                    outcome: Ok((503, b"{}".to_vec())),
+                };
+                self.at(self.now + 4, refused);
+                return;
+            }
             Fate::LoseAnswer => {
                 self.at(give_up, unclear);
                 (2, false)
@@ -363,6 +434,10 @@
         match self.conns.remove(&(n, self.epochs[n], conn)) {
             Some(Origin::User(user)) => {
                 self.answers.insert(user, reply);
+                if let Some(question) = self.questions.remove(&user) {
+                    let (status, state) = self.answer(user);
+                    hold(self.observer.answered(self.now, &question, status, &state));
+                }
             }
             Some(Origin::Worker(name, sent)) => {
                 self.report_answers.push((self.now, n, reply.status));
@@ -396,8 +471,25 @@
                 break;
             };
             self.act(action);
+            if self.now >= self.looked_ms + LOOK_MS {
+                self.look();
+            }
         }
         self.now = ms;
+        self.look();
+    }
+
+    /// Lets the observer look at what is on machines. A lease ends by itself,
+    /// whether or not its worker says anything.
+    fn look(&mut self) {
+        self.looked_ms = self.now;
+        let now = self.now;
+        for w in self.workers.values_mut() {
+            if now > w.answered_ms + LEASE_MS && !w.tasks.is_empty() {
+                w.end_session(now);
+            }
+        }
+        hold(self.observer.present(now, on_machines(&self.workers)));
     }
 
     pub fn run_for(&mut self, ms: u64) {
@@ -472,6 +564,9 @@
                         if t.attempt == attempt && t.state == "running" {
                             t.state = "ended";
                             t.why = Some(if worker.sick { "error" } else { "done" });
+                            if !worker.sick {
+                                self.observer.finished(&task);
+                            }
                         }
                     }
                 }
@@ -588,6 +683,7 @@
     pub fn ask_raw(&mut self, node: usize, method: &str, path: &str, body: Vec<u8>) -> u64 {
         self.next_user += 1;
         let user = self.next_user;
+        self.note_question(user, path, &body);
         let request = Request {
             method: method.into(),
             path: path.into(),
@@ -605,10 +701,34 @@
         user
     }
 
+    /// Tells the observer what a user asks.
+    fn note_question(&mut self, user: u64, path: &str, body: &[u8]) {
+        let Some(rest) = path.strip_prefix("/v2/runs") else {
+            return;
+        };
+        let (verb, job) = match rest.strip_prefix('/').map(|r| r.split_once('/')) {
+            None => {
+                let spec: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+                self.observer.submitted(&spec);
+                let id = spec["id"].as_str().unwrap_or("").to_string();
+                (Verb::Submit, id)
+            }
+            Some(Some((id, _))) => {
+                self.observer.cancel_asked(id);
+                (Verb::Cancel, id.to_string())
+            }
+            Some(None) => (Verb::Show, rest[1..].to_string()),
+        };
+        let question = Question {
+            verb,
+            job,
+            asked_ms: self.now,
+        };
+        self.questions.insert(user, question);
+    }
+
     /// Submits and waits a moment for the answer's status.
     pub fn submit(&mut self, node: usize, spec: &Value) -> u16 {
-        let id = spec["id"].as_str().unwrap_or("").to_string();
-        self.specs.insert(id, spec.clone());
         let user = self.ask(node, "POST", "/v2/runs", spec.clone());
         self.run_for(50);
         self.answers.get(&user).map_or(0, |r| r.status)
@@ -617,11 +737,7 @@
     pub fn cancel(&mut self, node: usize, id: &str) -> (u16, String) {
         let user = self.ask(node, "POST", &format!("/v2/runs/{id}/abort"), Value::Null);
         self.run_for(50);
-        let answer = self.answer(user);
-        if answer.1 == "cancelled" {
-            self.cancelled.insert(id.to_string(), self.now);
-        }
-        answer
+        self.answer(user)
     }
 
     pub fn poll(&mut self, node: usize, id: &str) -> (u16, String) {
@@ -698,16 +814,7 @@
         let mut kept = Vec::new();
         for watch in std::mem::take(&mut self.state.watches) {
             let (node, epoch, id, prefix, from, until) = &watch;
-            let events: Vec<Value> = self
-                .state
-                .events
-                .iter()
-                .filter(|(rev, key, _)| rev > from && key.starts_with(prefix.as_str()))
-                .map(|(rev, key, value)| match value {
-                    Some(v) => json!({"set": key, "v": v, "retouche": rev}),
-                    None => json!({"drop": key, "retouche": rev}),
-                })
-                .collect();
+            let events = self.state.events_after(prefix, *from);
             if events.is_empty() && self.now < *until {
                 kept.push(watch);
                 continue;
@@ -735,13 +842,20 @@
                 .unwrap_or("")
                 .to_string()
         };
-        if self.state.away && path != "/follow" {
+        if self.state.away && (path != "/follow" || param("waitMs").is_empty()) {
             return ok(503, json!({}));
         }
         let body: Value = serde_json::from_slice(&call.body).unwrap_or(Value::Null);
         if path == "/follow" {
             let until = self.now + param("waitMs").parse::<u64>().unwrap_or(0);
             let from = param("from").parse().unwrap_or(0);
+            if param("waitMs").is_empty() {
+                let events = self.state.events_after(&param("under"), from);
+                return ok(
+                    200,
+                    json!({"tirage": self.state.revision, "events": events}),
+                );
+            }
             self.state
                 .watches
                 .push((node, epoch, id, param("under"), from, until));
@@ -959,12 +1073,8 @@
         if w.gone || !w.up {
             return;
         }
-        if now > w.answered_ms + 10_000 {
-            // The lease is over: a new session without tasks.
-            w.tasks.clear();
-            w.session += 1;
-            w.seq = 0;
-            w.answered_ms = now;
+        if now > w.answered_ms + LEASE_MS {
+            w.end_session(now);
         }
         self.at(now + 1000, Action::Report(name.into()));
         if self.workers[name].silent {
@@ -1080,25 +1190,23 @@
                     if here.get(&task).is_some_and(|t| t.attempt == attempt) {
                         continue;
                     }
-                    for (other, w) in &self.workers {
-                        let there = w.tasks.get(&task).is_some_and(|t| t.state != "ended");
-                        assert!(
-                            !there,
-                            "ran_twice: {task} starts on {name} while on {other}"
-                        );
-                    }
-                    let job = task.rsplit_once('/').map_or("", |(j, _)| j).to_string();
-                    if let Some(at) = self.cancelled.get(&job) {
-                        assert!(
-                            self.now < at + 30_000,
-                            "ran_cancelled: {task} starts on {name}"
-                        );
-                    }
+                    let w = &self.workers[name];
+                    let start = Placed {
+                        task: &task,
+                        machine: name,
+                        zone: &w.zone,
+                        spot: w.spot,
+                    };
+                    hold(
+                        self.observer
+                            .starts(self.now, start, on_machines(&self.workers)),
+                    );
+                    let job = start.job();
                     self.trace
                         .push(format!("{} {name} {task} #{attempt}", self.now));
                     let service = self
-                        .specs
-                        .get(&job)
+                        .observer
+                        .spec(job)
                         .is_some_and(|s| s["genre"] == "service");
                     let sick = self.workers[name].sick;
                     let running = Running {
@@ -1126,8 +1234,8 @@
                 Some("halt") => {
                     let (job, index) = task.rsplit_once('/').unwrap_or(("", "0"));
                     let save_ms = self
-                        .specs
-                        .get(job)
+                        .observer
+                        .spec(job)
                         .filter(|s| s["jalonS"] != json!(0.0))
                         .and_then(|s| s["sauvegardeS"].as_f64())
                         .map_or(0, |s| (s * 1000.0) as u64);
