Lead only by the lease that holds the key, and ask before a worker's word deposes

Cause: a claim carried out late, after its author had made another lease, passed for the newer claim: the leader renewed a lease that held nothing and went on when its key ended (a transaction without an answer carried out late). After giving up a term whose end was lost, an old record could even pass for a new election of the same term, under which the proofs about starts don't hold. And any report with a token of a later term ended the leader's term at once: ten elections for ten absurd reports.

Now the record names its lease, and only the lease in hand counts. A later term in a report makes the leader ask whether it still leads and do nothing meanwhile. A peer's word of another leader counts only for nodes that the settings name.

--- a/src/election.rs
+++ b/src/election.rs
@@ -18,6 +18,10 @@
     /// Tells this process from an earlier one of the same name.
     pub incarnation: u64,
     pub term: Term,
+    /// The lease that holds the key: a claim carried out late may stand under
+    /// one that its author has given up.
+    #[serde(default)]
+    pub lease: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, Debug, Serialize, Deserialize)]
@@ -75,8 +79,8 @@
     read_ms: u64,
     /// Spreads candidates, so that they don't all claim in one moment.
     stagger_ms: u64,
-    /// The process stood still for longer than its lease lasts, and no renewal
-    /// has gone out and come back since. `true`: one from before is under way.
+    /// There is reason to think that somebody else leads, and no renewal has
+    /// gone out and come back since. `true`: one from before is under way.
     doubt: Option<bool>,
     /// It stepped aside: others may claim first until then.
     aside_until_ms: u64,
@@ -114,8 +118,9 @@
         self.is_leader() && self.doubt.is_some()
     }
 
-    /// The process stood still: its lease may have ended meanwhile.
-    pub fn stood_still(&mut self, now: Now) {
+    /// The process stood still, or a worker shows a later term: its lease may
+    /// have ended. Until a renewal says otherwise it does nothing as leader.
+    pub fn doubt(&mut self, now: Now) {
         self.doubt = Some(self.waiting == Some(ElectionCall::Renew));
         self.due_ms = now.ms;
     }
@@ -203,29 +208,21 @@
         self.resign(now, out)
     }
 
-    /// Word from outside the state service that a later term exists.
-    pub fn superseded(&mut self, now: Now, leader: Option<(&str, Term)>) -> Option<Change> {
-        let was = self.is_leader();
-        if let Some((node, term)) = leader {
-            if term < self.term.term || (term == self.term.term && was) || node == self.node {
-                return None;
-            }
-            if was {
-                self.role = Role::Follower(LeaderRecord {
-                    node: node.to_string(),
-                    incarnation: 0,
-                    term,
-                });
-            }
-        } else {
-            self.role = Role::Unknown;
-        }
-        if was {
-            self.lease = None;
-            self.due_ms = now.ms;
-            return Some(Change::Deposed);
+    /// A peer that the state service answers names another leader, of a later
+    /// term.
+    pub fn superseded(&mut self, now: Now, node: &str, term: Term) -> Option<Change> {
+        if !self.is_leader() || term <= self.term.term || node == self.node {
+            return None;
         }
-        None
+        self.role = Role::Follower(LeaderRecord {
+            node: node.to_string(),
+            incarnation: 0,
+            term,
+            lease: 0,
+        });
+        self.lease = None;
+        self.due_ms = now.ms;
+        Some(Change::Deposed)
     }
 
     pub fn answered(
@@ -295,7 +292,9 @@
                 self.due_ms = now.ms + self.ttl_ms / 2;
                 None
             }
-            Some(record) if record.incarnation == self.incarnation && self.lease.is_some() => {
+            Some(record)
+                if record.incarnation == self.incarnation && self.lease == Some(record.lease) =>
+            {
                 let (term, key_version) = (record.term, Revision(self.key_version));
                 Some(self.won(now, term, key_version))
             }
@@ -333,6 +332,7 @@
             node: self.node.clone(),
             incarnation: self.incarnation,
             term,
+            lease: granted.lease,
         };
         let txn = Txn::default()
             .guard(LEADER_KEY, self.key_version)
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -370,9 +370,10 @@
                 peer.follows_ms = ours.then_some(now.ms);
             }
         }
-        if hello.state_reachable && !hello.leader.is_empty() {
-            let word = Some((hello.leader.as_str(), Term(hello.term)));
-            if let Some(change) = self.election.superseded(now, word) {
+        let known = |name: &str| self.peers.iter().any(|p| p.name == name);
+        if hello.state_reachable && known(&hello.node) && known(&hello.leader) {
+            let (leader, term) = (hello.leader.as_str(), Term(hello.term));
+            if let Some(change) = self.election.superseded(now, leader, term) {
                 self.on_change(now, change, out);
             }
         }
@@ -544,8 +545,10 @@
             self.take_election(calls);
             change
         } else if scheduler.superseded {
-            log::info!("a worker has seen a later term");
-            self.election.superseded(now, None)
+            // The state service decides; one worker's word is a hint.
+            log::info!("a worker shows a later term, asking who leads");
+            self.election.doubt(now);
+            None
         } else {
             None
         };
@@ -681,7 +684,7 @@
         self.turned_ms = now.ms;
         if still && self.election.is_leader() && !self.peers.is_empty() {
             log::info!("stood still, may have lost the lead");
-            self.election.stood_still(now);
+            self.election.doubt(now);
             self.scheduler.excuse_silence(now);
         }
     }
--- /dev/null
+++ b/tests/leadership.rs
@@ -0,0 +1,106 @@
+//! Kept traces: who leads, and what a change of leader must not lose.
+
+mod world;
+
+use lilacfork::msg::Target;
+use serde_json::json;
+use std::cell::Cell;
+use std::rc::Rc;
+use world::scenes::{full_zone, heal, up};
+use world::{array, service, Fate, World};
+
+/// A claim carried out late, when its author had given it up and made another
+/// lease, once passed for the newer one: the leader renewed a lease that held
+/// nothing, and the key ended under it.
+#[test]
+fn a_claim_carried_out_late_is_no_proof_of_a_lease_made_since() {
+    let mut w = World::new(1);
+    let claims = Rc::new(Cell::new(0));
+    let seen = claims.clone();
+    w.hook = Box::new(move |_, _, call| {
+        if call.path == "/txn" && call.body.windows(10).any(|b| b == b"leader/key") {
+            seen.set(seen.get() + 1);
+            return match seen.get() {
+                1 => Fate::Late(1300),
+                2 => Fate::LoseRequest,
+                _ => Fate::Pass,
+            };
+        }
+        Fate::Pass
+    });
+    for _ in 0..120 {
+        w.run_for(100);
+        if w.leader().is_some() {
+            assert!(
+                w.state.items.contains_key("leader/key"),
+                "leads without a key at {}",
+                w.now
+            );
+        }
+    }
+    assert!(claims.get() >= 3, "the late one isn't taken for its own");
+    assert_eq!(w.leader(), Some(0));
+    assert_eq!(w.submit(0, &array("run-1", 2)), 201);
+    w.run_for(15_000);
+    assert_eq!(w.poll(0, "run-1").1, "done");
+}
+
+/// One worker's token from nowhere once cost the leader its term, again and
+/// again, and with it everybody's rounds.
+#[test]
+fn a_token_from_nowhere_costs_no_leader_its_term() {
+    let mut w = up(3);
+    assert_eq!(w.submit(0, &service("run-1", 8)), 201);
+    w.run_for(3000);
+    let term = w.state.items["leader/term"].0["term"].clone();
+    let leader = w.leader().unwrap();
+    for (n, token) in [u64::MAX, 99 << 20, 2 << 20]
+        .into_iter()
+        .cycle()
+        .take(30)
+        .enumerate()
+    {
+        let mut report = w.worker_report("vm-a");
+        report["banc"] = json!("vm-odd");
+        report["jeton"] = json!(token);
+        report["preavisS"] = json!(1e300);
+        w.deliver_report((leader + n) % 3, &report);
+        w.run_for(300);
+    }
+    assert_eq!(w.state.items["leader/term"].0["term"], term);
+    assert_eq!(w.leader(), Some(leader));
+    assert_eq!(w.on_machines("run-1"), 8);
+}
+
+/// But one from a later leadership makes a leader ask whether it still leads.
+#[test]
+fn a_leader_that_a_worker_outranks_asks_before_it_goes_on() {
+    let (mut w, _) = full_zone(3);
+    let old = w.leader().unwrap();
+    // It hears neither peers nor, by its renewals, the state service.
+    let peer = format!("10.0.0.{}:8081", old + 1);
+    w.hook = Box::new(move |_, node, call| match &call.target {
+        Target::State | Target::StateWatch if node == old => Fate::Refuse,
+        Target::Peer(addr) if node == old || *addr == peer => Fate::LoseRequest,
+        _ => Fate::Pass,
+    });
+    w.run_for(8000);
+    let new = (0..3).find(|n| *n != old && w.nodes[*n].as_ref().unwrap().is_leader());
+    assert!(new.is_some());
+    w.report_answers.clear();
+    let mut report = w.worker_report("vm-z1");
+    report["jeton"] = json!(3u64 << 20);
+    w.deliver_report(old, &report);
+    w.run_for(10);
+    let later = w.worker_report("vm-z2");
+    w.deliver_report(old, &later);
+    w.run_for(3000);
+    let ok = w
+        .report_answers
+        .iter()
+        .any(|(_, n, s)| *n == old && *s == 200);
+    assert!(!ok, "{:?}", w.report_answers);
+    heal(&mut w);
+    w.run_for(5000);
+    assert_eq!(w.on_machines("run-1"), 56);
+}
--- a/tests/storms.rs
+++ b/tests/storms.rs
@@ -313,10 +313,8 @@
         let blue = self.gpus_of(&services, "blue");
         let all = blue + self.gpus_of(&services, "red");
         let full = all >= (self.w.capacity * 8) as f64 * 0.8;
-        let fair: Vec<&String> = missing
-            .iter()
-            .filter(|m| !full && !(m.contains("blue") && blue >= 12.0))
-            .collect();
+        let excused = |m: &&String| full || (m.contains("blue") && blue >= 12.0);
+        let fair: Vec<&String> = missing.iter().filter(|m| !excused(m)).collect();
         assert!(fair.is_empty(), "left waiting: {fair:#?}");
     }
 
