Judge a machine's silence by its reports, not by answers to direct commands

Cause: a machine that reaches no controller was heard by its answers to direct commands, so a machine that went on getting commands was never given up: its lease ended every time, and it got its tasks again.

Now only reports, whose answers renew the lease, count as hearing; answers to commands still tell what runs. Ruled out: cancellations, which reach it by the direct path at once (a trace).

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -30,6 +30,7 @@
 use commit::Batch;
 use jobs::{shard_size, Assign, StopPlan};
 use learn::Learning;
+use reports::Via;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
@@ -955,7 +956,7 @@
         if self.stage != Stage::Active {
             return;
         }
-        let fresh = self.take_report(now, report, out);
+        let fresh = self.take_report(now, report, Via::Report, out);
         if !fresh || report.token.term() != self.term {
             return;
         }
@@ -988,7 +989,7 @@
         if let Ok((200 | 409, body)) = outcome {
             match serde_json::from_slice::<Report>(&body) {
                 Ok(report) => {
-                    self.take_report(now, &report, out);
+                    self.take_report(now, &report, Via::Answer, out);
                 }
                 Err(e) => log::debug!("answer of {}: {e}", call.machine),
             }
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -28,6 +28,16 @@
 /// somebody who knows of the cancellation renews it and stops the task.
 const CUT_CANCEL_SHARE: f64 = 0.9;
 
+/// How a worker's word came.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(super) enum Via {
+    /// By a report, whose answer renews its lease.
+    Report,
+    /// With the answer to a direct command: a worker that reaches no controller
+    /// gives these too, and loses its lease for all that.
+    Answer,
+}
+
 /// How silence is judged in a zone.
 struct Silence {
     /// Most of its machines are silent.
@@ -56,7 +66,7 @@
         let id = MachineId::new(&report.machine);
         let mut commands = Vec::new();
         if self.active() && !self.fleet.is_gone(&id) {
-            let fresh = self.take_report(now, report, out);
+            let fresh = self.take_report(now, report, Via::Report, out);
             if fresh && report.token.term() == self.term {
                 commands = self.commands_for(now, &id, Some(report), out);
             }
@@ -80,6 +90,7 @@
         &mut self,
         now: Now,
         report: &Report,
+        via: Via,
         out: &mut SchedulerOut,
     ) -> bool {
         if report.token.term() > self.term {
@@ -102,7 +113,9 @@
         }
         machine.session = report.session;
         machine.seq = report.seq;
-        machine.heard_ms = now.ms;
+        if via == Via::Report {
+            machine.heard_ms = now.ms;
+        }
         machine.address = Some(report.address.clone()).filter(|a| !a.is_empty());
         machine.token = machine.token.max(report.token);
         if machine.phase == Phase::Booting {
@@ -129,7 +142,7 @@
             let notice = report
                 .notice_s
                 .filter(|s| s.is_finite())
-                .map(|s| now.ms + (s.max(0.0) * 1000.0) as u64);
+                .map(|s| now.ms.saturating_add((s.max(0.0) * 1000.0) as u64));
             if notice.is_some() != machine.notice_until_ms.is_some() {
                 log::info!("machine {id} notice_s={:?}", report.notice_s);
                 self.round_wanted = true;
