--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -116,14 +116,22 @@
 const WRITE_PATIENCE_MS: u64 = 3000;
 const READ_PATIENCE_MS: u64 = 1700;
 const MAX_TRIES: u32 = 5;
-/// Final states kept in memory; any other is read again.
-const FINAL_CACHE: usize = 20_000;
+/// Jobs remembered; of any other the state service is asked as if it were new.
+const REMEMBERED: usize = 20_000;
+
+/// What can't change any more, so that memory may speak of it.
+#[derive(Clone, Copy, Debug)]
+enum Fact {
+    /// The job is stored: its submission need not be tried again.
+    Accepted,
+    Over(Final, u32),
+}
 
 pub struct Gateway {
     settings: Rc<Settings>,
     catalog: Option<Rc<Catalog>>,
-    finals: HashMap<JobId, (Final, u32)>,
-    finals_order: VecDeque<JobId>,
+    facts: HashMap<JobId, Fact>,
+    facts_order: VecDeque<JobId>,
     /// Counts for display, hints from the leader.
     pub counts: HashMap<JobId, (u32, u32)>,
     tasks: HashMap<GatewayCall, Task>,
@@ -135,8 +143,8 @@
         Gateway {
             settings,
             catalog: None,
-            finals: HashMap::new(),
-            finals_order: VecDeque::new(),
+            facts: HashMap::new(),
+            facts_order: VecDeque::new(),
             counts: HashMap::new(),
             tasks: HashMap::new(),
             next: 0,
@@ -189,10 +197,10 @@
     }
 
     fn begin(&mut self, now: Now, conn: ConnId, id: JobId, goal: Goal, out: &mut GatewayOut) {
+        let fact = self.facts.get(&id).copied();
         // What is over stays as it is, so memory may answer.
-        if let Some((state, tasks)) = self.finals.get(&id) {
-            let reply = final_reply(&id, *state, *tasks);
-            out.replies.push((conn, reply));
+        if let Some(Fact::Over(state, tasks)) = fact {
+            out.replies.push((conn, final_reply(&id, state, tasks)));
             return;
         }
         let patience = match goal {
@@ -200,7 +208,8 @@
             _ => WRITE_PATIENCE_MS,
         };
         let step = match goal {
-            Goal::Submit(_) => Step::Write,
+            // A repeat would only cost a write that fails.
+            Goal::Submit(_) if fact.is_none() => Step::Write,
             _ => Step::ReadLive,
         };
         self.next += 1;
@@ -215,7 +224,7 @@
         };
         let number = self.next;
         match &task.goal {
-            Goal::Submit(spec) => {
+            Goal::Submit(spec) if step == Step::Write => {
                 let txn = create_txn(spec, now);
                 out.calls
                     .push(write_call(number, &task, Urgency::Submission, txn, now));
@@ -287,14 +296,18 @@
         out.replies.push((task.conn, reply));
     }
 
-    fn remember(&mut self, id: &JobId, state: Final, tasks: u32) {
-        if self.finals.insert(id.clone(), (state, tasks)).is_none() {
-            self.finals_order.push_back(id.clone());
+    fn remember(&mut self, id: &JobId, fact: Fact) {
+        if matches!(fact, Fact::Over(..)) {
+            self.counts.remove(id);
+        } else if self.facts.contains_key(id) {
+            return;
         }
-        self.counts.remove(id);
-        while self.finals_order.len() > FINAL_CACHE {
-            if let Some(old) = self.finals_order.pop_front() {
-                self.finals.remove(&old);
+        if self.facts.insert(id.clone(), fact).is_none() {
+            self.facts_order.push_back(id.clone());
+        }
+        while self.facts_order.len() > REMEMBERED {
+            if let Some(old) = self.facts_order.pop_front() {
+                self.facts.remove(&old);
             }
         }
     }
@@ -310,11 +323,11 @@
     ) {
         let reply = match (&task.goal, known) {
             (_, Known::Over(record)) => {
-                self.remember(&task.id, record.state, record.tasks);
+                self.remember(&task.id, Fact::Over(record.state, record.tasks));
                 final_reply(&task.id, record.state, record.tasks)
             }
             (_, Known::Live(record, _)) if record.cancelled.is_some() => {
-                self.remember(&task.id, Final::Cancelled, record.spec.tasks);
+                self.remember(&task.id, Fact::Over(Final::Cancelled, record.spec.tasks));
                 out.cancelled.push(task.id.clone());
                 final_reply(&task.id, Final::Cancelled, record.spec.tasks)
             }
@@ -330,7 +343,11 @@
                 self.tasks.insert(number, task);
                 return;
             }
-            (_, Known::Live(_, _)) => self.live_reply(&task.id, 200),
+            // Another request may have heard of its end meanwhile.
+            (_, Known::Live(..)) => match self.facts.get(&task.id) {
+                Some(Fact::Over(state, tasks)) => final_reply(&task.id, *state, *tasks),
+                _ => self.live_reply(&task.id, 200),
+            },
             (Goal::Refuse(reply), Known::Absent) => reply.clone(),
             // Our write may still be under way: the retry will find out.
             (Goal::Submit(_), Known::Absent) => {
@@ -341,7 +358,8 @@
         out.replies.push((task.conn, reply));
     }
 
-    fn live_reply(&self, id: &JobId, status: u16) -> Reply {
+    fn live_reply(&mut self, id: &JobId, status: u16) -> Reply {
+        self.remember(id, Fact::Accepted);
         let (done, running) = self.counts.get(id).copied().unwrap_or((0, 0));
         let state = if running > 0 {
             UserState::Running
@@ -369,7 +387,7 @@
             Answer::Status(200, _) => {
                 let reply = match &task.goal {
                     Goal::Cancel => {
-                        self.remember(&task.id, Final::Cancelled, 0);
+                        self.remember(&task.id, Fact::Over(Final::Cancelled, 0));
                         log::info!("job {} cancelled by its user", task.id);
                         final_reply(&task.id, Final::Cancelled, 0)
                     }
