Start nothing while cancellations may have been missed

Cause: a start that had no effect yet is repeated with every report.

Now starts go out only within two report intervals of the moment up to which all confirmed cancellations are known; what is held back is sent with a later report. A command already held up in the network can still start something until a higher token is there, within cancel_s.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -516,8 +516,10 @@
         self.take_scheduler(now, scheduler, out);
     }
 
-    /// These jobs are cancelled: as leader, stop their tasks at once.
+    /// After anything was learned: these jobs are cancelled, and as leader their
+    /// tasks are stopped at once.
     fn learned_cancelled(&mut self, now: Now, jobs: &[JobId], scheduler: &mut SchedulerOut) {
+        self.scheduler.informed(self.cancellations.watermark_ms());
         for id in jobs {
             self.scheduler.cancelled(now, id, scheduler);
         }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -170,6 +170,8 @@
     list_retry_ms: Option<u64>,
     /// When the state service last failed us.
     state_failed_ms: Option<u64>,
+    /// Up to when every confirmed cancellation is known.
+    informed_ms: u64,
 }
 
 impl Scheduler {
@@ -225,6 +227,7 @@
             over: HashMap::new(),
             list_retry_ms: None,
             state_failed_ms: None,
+            informed_ms: 0,
         }
     }
 
@@ -233,6 +236,11 @@
         self.round_wanted = true;
     }
 
+    /// Every cancellation confirmed up to then is known.
+    pub fn informed(&mut self, watermark_ms: Option<u64>) {
+        self.informed_ms = self.informed_ms.max(watermark_ms.unwrap_or(0));
+    }
+
     pub fn leading(&self) -> bool {
         self.stage != Stage::Idle
     }
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -17,6 +17,9 @@
 /// A job that failed on so many machines is itself to blame.
 const GUILTY_AFTER: usize = 3;
 const PAUSE_MS: u64 = 500;
+/// For so many report intervals after the moment up to which all cancellations
+/// are known, tasks may be started.
+const START_REPORTS: u64 = 2;
 /// When most machines of a zone are silent, they are waited for this many
 /// times as long.
 const CUT_PATIENCE: f64 = 2.5;
@@ -346,6 +349,8 @@
     ) -> Vec<Command> {
         let mut commands = Vec::new();
         let resend_ms = (self.report_ms() as f64 * RESEND_REPORTS) as u64;
+        // Who may have missed a cancellation starts nothing.
+        let starts = now.ms <= self.informed_ms + self.report_ms() * START_REPORTS;
         let Some(machine) = self.fleet.get_mut(id) else {
             return commands;
         };
@@ -361,7 +366,7 @@
             else {
                 continue;
             };
-            if let Some(command) = wanted(now, task, assign, resend_ms) {
+            if let Some(command) = wanted(now, task, assign, resend_ms, starts) {
                 commands.push(command);
             }
         }
@@ -618,11 +623,17 @@
 
 /// The command that brings a task nearer to what is wanted, unless one was
 /// just sent.
-fn wanted(now: Now, task: &TaskRef, assign: &mut Assign, resend_ms: u64) -> Option<Command> {
+fn wanted(
+    now: Now,
+    task: &TaskRef,
+    assign: &mut Assign,
+    resend_ms: u64,
+    starts: bool,
+) -> Option<Command> {
     let just_sent = assign.sent_ms.is_some_and(|at| now.ms < at + resend_ms);
     match assign.stop {
         None => {
-            if !assign.recorded || assign.phase.is_some() || just_sent {
+            if !assign.recorded || assign.phase.is_some() || just_sent || !starts {
                 return None;
             }
             assign.first_sent_ms.get_or_insert(now.ms);
--- a/tests/cancellations.rs
+++ b/tests/cancellations.rs
@@ -199,6 +199,34 @@
     settle(w);
 }
 
+/// A start that had no effect yet is repeated; a leader that nobody can tell
+/// of cancellations once repeated it long after the job was cancelled.
+#[test]
+fn a_leader_that_nobody_can_tell_repeats_no_start() {
+    let mut w = up(3);
+    let leader = w.leader().unwrap();
+    for m in w.workers.values_mut() {
+        m.silent = true;
+    }
+    assert_eq!(w.submit(0, &service("run-1", 8)), 201);
+    w.run_for(200);
+    assert_eq!(w.on_machines("run-1"), 0, "the start is lost");
+    w.state.mute_watches = true;
+    refuse(&mut w, leader, true);
+    assert_eq!(w.cancel((leader + 1) % 3, "run-1").1, "cancelled");
+    w.state.away = true;
+    w.run_for(3000);
+    for m in w.workers.values_mut() {
+        m.silent = false;
+        m.node = leader;
+    }
+    w.run_for(15_000);
+    let heard = w.report_answers.iter().any(|(_, n, s)| (*n, *s) == (leader, 200));
+    assert!(heard, "they report to it");
+    let late = &w.observer.starts_after_cancel;
+    assert!(late.is_empty(), "{late:?}");
+}
+
 mod knowledge {
     //! The actor by itself: when the watermark moves, and when it must not.
 
