--- a/tests/cancellations.rs
+++ b/tests/cancellations.rs
@@ -221,7 +221,10 @@
         m.node = leader;
     }
     w.run_for(15_000);
-    let heard = w.report_answers.iter().any(|(_, n, s)| (*n, *s) == (leader, 200));
+    let heard = w
+        .report_answers
+        .iter()
+        .any(|(_, n, s)| (*n, *s) == (leader, 200));
     assert!(heard, "they report to it");
     let late = &w.observer.starts_after_cancel;
     assert!(late.is_empty(), "{late:?}");
