Take an answer that can't be read for no answer

Cause: a 404 without the state service's own body passed for 'there is no such job', and a 200 or 409 to a write was believed whatever it said.

Now a 404 counts with its revision, a write's 200 likewise; anything else is unclear, and reading tells. Answers to the leader's writes were taken so already: it begins anew from the records.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,7 +5,9 @@
 use crate::msg::{ConnId, Now, Reply};
 use crate::settings::Settings;
 use crate::store::{self, Answer, StateCall, Urgency};
-use crate::wire::{self, Catalog, Item, JobSpec, JobState, Kind, MachineType, Txn, UserState};
+use crate::wire::{
+    self, Catalog, Item, JobSpec, JobState, Kind, MachineType, RevisionOnly, Txn, UserState,
+};
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
@@ -384,7 +386,7 @@
         out: &mut GatewayOut,
     ) {
         match answer {
-            Answer::Status(200, _) => {
+            Answer::Status(200, _) if answer.committed().is_some() => {
                 let reply = match &task.goal {
                     Goal::Cancel => {
                         self.remember(&task.id, Fact::Over(Final::Cancelled, 0));
@@ -411,7 +413,7 @@
                 out.replies.push((task.conn, reply));
             }
             // Somebody else wrote first, or nobody knows: reading tells.
-            Answer::Status(409, _) | Answer::Unclear if task.tries < MAX_TRIES => {
+            Answer::Status(200 | 409, _) | Answer::Unclear if task.tries < MAX_TRIES => {
                 task.tries += 1;
                 task.step = Step::ReadLive;
                 out.calls.push(read_call(number, &task, now));
@@ -501,23 +503,25 @@
     }
 }
 
+/// A 404 that the state service itself gives names its revision; any other is
+/// somebody's who knows of no job.
+fn is_absent(answer: &Answer) -> bool {
+    answer.read::<RevisionOnly>(404).is_some()
+}
+
 fn read_live(answer: &Answer) -> Option<Known> {
-    match answer {
-        Answer::Status(404, _) => Some(Known::Absent),
-        _ => {
-            let item = answer.read::<Item>(200)?;
-            let record = serde_json::from_value(item.value).ok()?;
-            Some(Known::Live(Box::new(record), item.version))
-        }
+    if is_absent(answer) {
+        return Some(Known::Absent);
     }
+    let item = answer.read::<Item>(200)?;
+    let record = serde_json::from_value(item.value).ok()?;
+    Some(Known::Live(Box::new(record), item.version))
 }
 
 fn read_final(answer: &Answer) -> Option<Known> {
-    match answer {
-        Answer::Status(404, _) => Some(Known::Absent),
-        _ => {
-            let item = answer.read::<Item>(200)?;
-            Some(Known::Over(serde_json::from_value(item.value).ok()?))
-        }
+    if is_absent(answer) {
+        return Some(Known::Absent);
     }
+    let item = answer.read::<Item>(200)?;
+    Some(Known::Over(serde_json::from_value(item.value).ok()?))
 }
--- a/tests/leadership.rs
+++ b/tests/leadership.rs
@@ -104,3 +104,40 @@
     w.run_for(5000);
     assert_eq!(w.on_machines("run-1"), 56);
 }
+
+/// Answers that make no sense, from anybody, are no proof of anything.
+#[test]
+fn answers_without_sense_are_taken_for_none() {
+    for seed in 0..6 {
+        let mut w = up(3);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        w.hook = Box::new(move |_, _, call| match call.target {
+            Target::StateWatch => Fate::Pass,
+            _ if rng.u32(0..6) == 0 => Fate::Garble([200, 404, 409, 500][rng.usize(0..4)]),
+            _ => Fate::Pass,
+        });
+        for n in 0..12 {
+            let id = format!("run-{n}");
+            w.ask(n % 3, "POST", "/v2/runs", array(&id, 2));
+            w.run_for(900);
+            w.ask((n + 1) % 3, "GET", &format!("/v2/runs/{id}"), json!(null));
+            if n % 4 == 0 {
+                let path = format!("/v2/runs/{id}/abort");
+                w.ask((n + 2) % 3, "POST", &path, json!(null));
+            }
+        }
+        w.run_for(3000);
+        heal(&mut w);
+        w.run_for(3000);
+        for n in 0..12 {
+            let status = w.submit(n % 3, &array(&format!("run-{n}"), 2));
+            assert!(status == 200 || status == 201, "{seed}: run-{n} {status}");
+        }
+        w.run_for(60_000);
+        for n in 0..12 {
+            let state = w.poll(n % 3, &format!("run-{n}")).1;
+            let fine = state == "done" || (n % 4 == 0 && state == "cancelled");
+            assert!(fine, "{seed}: run-{n} is {state}");
+        }
+    }
+}
--- a/tests/storms.rs
+++ b/tests/storms.rs
@@ -23,6 +23,8 @@
     parted: Option<usize>,
     lost_peer: u32,
     late_command: u32,
+    /// Answers of anybody that make no sense.
+    garbled: u32,
 }
 
 struct Storm {
@@ -51,6 +53,9 @@
         w.hook = Box::new(move |_, node, call| {
             let now = sky.get();
             let mut chance = |percent: u32| percent > 0 && rng.u32(0..100) < percent;
+            if call.target != Target::StateWatch && chance(now.garbled) {
+                return Fate::Garble([200, 404, 409, 500][rng.usize(0..4)]);
+            }
             match &call.target {
                 Target::State | Target::StateWatch if now.refused == Some(node) => Fate::Refuse,
                 Target::State if call.path == "/txn" && chance(now.late_txn) => {
@@ -158,7 +163,7 @@
     fn trouble(&mut self) {
         let mut sky = self.weather.get();
         let node = self.node();
-        match self.rng.u32(0..22) {
+        match self.rng.u32(0..23) {
             0 if self.w.nodes[node].is_some() => self.w.kill(node),
             1 => {
                 if let Some(leader) = self.w.leader() {
@@ -194,6 +199,7 @@
                 self.w.frozen.insert(node, until);
             }
             20 => self.w.cloud_away = !self.w.cloud_away,
+            22 => sky.garbled = self.rng.u32(0..12),
             21 => self.w.state.mute_watches = !self.w.state.mute_watches,
             _ => {}
         }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -99,6 +99,8 @@
     SlowAnswer(u64),
     /// Is answered 503 at once and not carried out.
     Refuse,
+    /// Is carried out and answered with this status and nonsense.
+    Garble(u16),
 }
 
 /// The workers' lease, and the time that a cancellation has.
@@ -413,6 +415,16 @@
                 self.at(self.now + 4, refused);
                 return;
             }
+            Fate::Garble(status) => {
+                let nonsense = Action::Return {
+                    node,
+                    epoch,
+                    id,
+                    outcome: Ok((status, b"{\"tirage\":[],\"rows\":7}".to_vec())),
+                };
+                self.at(self.now + 5, nonsense);
+                (2, false)
+            }
             Fate::LoseAnswer => {
                 self.at(give_up, unclear);
                 (2, false)
