Send workers to the leader that leads by the latest word

Now a peer that says that it leads, by a later term, outranks what the state service told last. Ruled out: followers' answers while nobody leads (they renew leases), and the watermark (informed throughout).

Test: red with the old sources, with the state service slow to tell the others.

--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -99,9 +99,22 @@
         self.send(CallTag::Peer(index, now.ms), call, out);
     }
 
-    pub(super) fn redirect(&self) -> Reply {
-        match self.election.other_leader() {
-            Some(node) => Reply::json(421, &ReportTo { node: Some(node) }),
+    /// Sends a worker to whoever leads by the latest word: a peer that says so
+    /// itself is ahead of what the state service told last. A worker sent to a
+    /// leader that has just stepped aside, unreached, would lose its lease there.
+    pub(super) fn redirect(&self, now: Now) -> Reply {
+        let quiet = self.quiet_ms();
+        let elected = self
+            .election
+            .other_leader()
+            .map(|node| (self.election.known_term(), node));
+        let heard = self
+            .peers
+            .iter()
+            .filter(|p| p.leads_ms.is_some_and(|at| now.ms < at + quiet))
+            .map(|p| (p.leads_term, p.name.as_str()));
+        match elected.into_iter().chain(heard).max() {
+            Some((_, node)) => Reply::json(421, &ReportTo { node: Some(node) }),
             None => Reply::later(503, "no leader known", 1),
         }
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -338,7 +338,7 @@
         };
         out.push(Effect::Reply(
             conn,
-            reply.unwrap_or_else(|| self.redirect()),
+            reply.unwrap_or_else(|| self.redirect(now)),
         ));
     }
 
--- a/tests/leadership.rs
+++ b/tests/leadership.rs
@@ -141,3 +141,47 @@
         }
     }
 }
+
+/// A leader that no worker reached had stepped aside, and another led; for as
+/// long as a follower hadn't read that, it sent workers back to the old one,
+/// where they lost their leases (inc-4c23).
+#[test]
+fn workers_are_not_sent_back_to_a_leader_that_stepped_aside() {
+    let mut w = up(3);
+    assert_eq!(w.submit(0, &service("run-1", 16)), 201);
+    w.run_for(3000);
+    let old = w.leader().unwrap();
+    // Word of the new leader comes late to those who only ask for it.
+    let claims = Rc::new(Cell::new(None));
+    let claimed = claims.clone();
+    w.hook = Box::new(move |_, node, call| {
+        if call.path == "/txn" && call.body.windows(10).any(|b| b == b"leader/key") {
+            claimed.set(Some(node));
+        }
+        match call.target {
+            Target::State if claimed.get().is_some_and(|n| n != node) => Fate::SlowAnswer(900),
+            Target::StateWatch => Fate::SlowAnswer(900),
+            _ => Fate::Pass,
+        }
+    });
+    w.cuts = vec![(old, "a".into()), (old, "b".into())];
+    while w.leader() == Some(old) {
+        w.run_for(10);
+    }
+    while w.leader().is_none() {
+        w.run_for(1);
+    }
+    w.run_for(20);
+    w.redirects.clear();
+    // A worker turns up at each node, again and again.
+    for step in 0..20 {
+        for n in 0..3 {
+            let name = ["vm-a", "vm-b"][step % 2];
+            w.workers.get_mut(name).unwrap().node = n;
+            w.run_for(50);
+        }
+    }
+    let back = w.redirects.iter().filter(|(_, _, to)| *to == old).count();
+    assert_eq!(back, 0, "{:?}", w.redirects);
+    assert_eq!(w.on_machines("run-1"), 16);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -277,6 +277,8 @@
     pub frozen: BTreeMap<usize, u64>,
     /// Answers to reports: when, by whom, status.
     pub report_answers: Vec<(u64, usize, u16)>,
+    /// Where workers were sent: when, by whom, to whom.
+    pub redirects: Vec<(u64, usize, usize)>,
     /// Nodes and zones whose machines can't hear each other.
     pub cuts: Vec<(usize, String)>,
     slow: HashMap<(usize, u64, CallId), u64>,
@@ -310,6 +312,7 @@
             run_ms: 3000,
             frozen: BTreeMap::new(),
             report_answers: Vec::new(),
+            redirects: Vec::new(),
             cuts: Vec::new(),
             slow: HashMap::new(),
         };
@@ -457,6 +460,11 @@
             }
             Some(Origin::Worker(name, sent)) => {
                 self.report_answers.push((self.now, n, reply.status));
+                let body: Value = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
+                let to = body["rendreA"].as_str().and_then(|n| n.strip_prefix("n-"));
+                if let Some(to) = to.and_then(|n| n.parse().ok()) {
+                    self.redirects.push((self.now, n, to));
+                }
                 self.report_answered(&name, sent, reply);
             }
             Some(Origin::Peer { node, epoch, id }) => {
