Let the leader write what others leave, and remove records of ended jobs later

Now heartbeats say what each controller writes; the leader takes nine tenths of the limit less one and a half times that, and at least its share. Placement records of ended jobs go when there is nothing else to write, or 500 have gathered; only once the end is stored. Followers save up unused changes for 2.5 s.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -62,8 +62,16 @@
     deaf: bool,
     /// When it last named us as its leader.
     follows_ms: Option<u64>,
+    /// Changes that it makes to the state service.
+    writes_per_s: f64,
 }
 
+/// For so many seconds a follower saves up the changes that it doesn't use.
+const SAVED_S: f64 = 2.5;
+
+/// What the others wrote of late may grow so much before the leader knows.
+const OTHERS_GROWTH: f64 = 1.5;
+
 pub struct Node {
     settings: Rc<Settings>,
     election: Election,
@@ -137,6 +145,7 @@
                 leads_term: Term(0),
                 deaf: false,
                 follows_ms: None,
+                writes_per_s: 0.0,
             })
             .collect();
         let workers = &site.workers;
@@ -208,7 +217,25 @@
             // A little more than an even part: not all are busy at once.
             ((1.0 - self.leader_share) / others * 1.5).min(1.0)
         };
-        self.store.set_share(now, share);
+        // Submissions come in bursts, which a small share would stretch.
+        let saved_s = if leading { 1.0 } else { SAVED_S };
+        self.store.set_share(now, share, saved_s);
+    }
+
+    /// As leader, takes what the others leave of the state service's changes.
+    fn share_writes(&mut self, now: Now) {
+        if !self.election.is_leader() || self.peers.is_empty() {
+            return;
+        }
+        let quiet = self.quiet_ms();
+        let others: f64 = self
+            .peers
+            .iter()
+            .filter(|p| p.heard_ms.is_some_and(|at| now.ms < at + quiet))
+            .map(|p| p.writes_per_s)
+            .sum();
+        self.store
+            .leave_writes(now, self.leader_share, others * OTHERS_GROWTH);
     }
 
     // ---- requests ----
@@ -365,6 +392,9 @@
             }
             // A message that only carries reports says nothing of leaders.
             if hello.reports.is_empty() {
+                peer.writes_per_s = Some(hello.writes_per_s)
+                    .filter(|w| w.is_finite() && *w >= 0.0)
+                    .unwrap_or(0.0);
                 peer.leads_ms = (hello.node == hello.leader).then_some(now.ms);
                 peer.leads_term = Term(hello.term);
                 peer.deaf = hello.deaf;
@@ -440,6 +470,7 @@
         }
         if now.ms >= self.hello_ms {
             self.hello_ms = now.ms + self.hello_every_ms;
+            self.share_writes(now);
         }
         let leader = match &self.election.role {
             Role::Leader { .. } => self.settings.node_name.clone(),
@@ -454,6 +485,7 @@
             deaf: self.unreached || self.deaf(now),
             counts: Vec::new(),
             nudges: self.nudges.drain(..).map(|id| id.to_string()).collect(),
+            writes_per_s: self.store.writes_per_s(now),
             cursor: None,
             confirmations: None,
             reports: Vec::new(),
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -24,6 +24,9 @@
     /// A job or cancellation that the sender has just written.
     #[prost(string, repeated, tag = "6")]
     pub nudges: Vec<String>,
+    /// Changes that the sender makes to the state service per second.
+    #[prost(double, tag = "12")]
+    pub writes_per_s: f64,
     /// How far the sender knows the receiver's confirmed cancellations.
     #[prost(message, optional, tag = "10")]
     pub cursor: Option<Cursor>,
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -17,6 +17,8 @@
 const RETRY_MS: u64 = 200;
 /// Longer than any call's patience.
 const OVER_MS: u64 = 60_000;
+/// Records to be removed at leisure: as many as a new leader reads in one call.
+const MOST_LITTER: usize = 500;
 
 #[derive(Debug)]
 struct ShardWrite {
@@ -32,6 +34,8 @@
     txn: Txn,
     shards: Vec<ShardWrite>,
     finished: Vec<(JobId, Final)>,
+    /// Placements of jobs that are over once this is stored.
+    litter: Vec<String>,
     /// Key whose value names this write, if it was carried out.
     witness: String,
     sent: bool,
@@ -94,6 +98,7 @@
             txn: Txn::default().guard(LEADER_KEY, self.key_version),
             shards: Vec::new(),
             finished: Vec::new(),
+            litter: Vec::new(),
             witness: String::new(),
             sent: false,
             unclear: false,
@@ -143,17 +148,10 @@
                 if batch.witness.is_empty() {
                     batch.witness = final_key(&id);
                 }
-                for (n, shard) in job.shards.iter().enumerate() {
-                    if shard.version == 0 {
-                        continue;
-                    }
-                    let key = shard_key(&id, n as u32);
-                    if batch.txn.writes.len() < max_ops {
-                        batch.txn = std::mem::take(&mut batch.txn).delete(key);
-                    } else {
-                        self.cleanup.push(key);
-                    }
-                }
+                let stored = job.shards.iter().enumerate();
+                let stored = stored.filter(|(_, shard)| shard.version > 0);
+                let keys = stored.map(|(n, _)| shard_key(&id, n as u32));
+                batch.litter.extend(keys);
                 job.finishing = true;
                 batch.finished.push((id, state));
                 bytes += 200;
@@ -306,6 +304,7 @@
                 job.unstored.remove(&ended);
             }
         }
+        self.cleanup.extend(batch.litter);
         for (id, state) in batch.finished {
             self.over.insert(id.clone(), now.ms + OVER_MS);
             if let Some(job) = self.jobs.remove(&id) {
@@ -358,7 +357,9 @@
     }
 
     pub(super) fn clean_up(&mut self, now: Now, out: &mut SchedulerOut) {
-        if self.cleanup.is_empty() || self.cleaning || self.batch.is_some() {
+        // Litter waits while there is more to write than the service takes.
+        let busy = self.batch.is_some() || (self.changed && self.cleanup.len() < MOST_LITTER);
+        if self.cleanup.is_empty() || self.cleaning || busy {
             return;
         }
         let max = self.settings.site.state.txn_ops.min(self.cleanup.len());
--- a/src/store.rs
+++ b/src/store.rs
@@ -74,6 +74,13 @@
 
 const URGENCIES: usize = 5;
 
+/// Over this time the use of the service is averaged.
+const USE_MS: f64 = 2000.0;
+
+/// So much of the service's changes is given out, lest bursts run into its
+/// limit.
+const SAFE_SHARE: f64 = 0.9;
+
 #[derive(Clone, Debug)]
 pub struct StateCall<T> {
     pub urgency: Urgency,
@@ -125,6 +132,8 @@
     /// When the service last answered, and last failed to.
     last_ok_ms: Option<u64>,
     last_fail_ms: Option<u64>,
+    /// Changes sent, faded over `USE_MS`, and when that was last worked out.
+    used: (f64, u64),
     next: u64,
 }
 
@@ -139,14 +148,32 @@
             write_rps,
             last_ok_ms: None,
             last_fail_ms: None,
+            used: (0.0, 0),
             next: 0,
         }
     }
 
-    /// This controller's share of what the service takes from all of them.
-    pub fn set_share(&mut self, now: Now, share: f64) {
+    /// This controller's share of what the service takes from all of them, and
+    /// for how many seconds unused changes are saved up.
+    pub fn set_share(&mut self, now: Now, share: f64, saved_s: f64) {
         self.requests.set_rate(now, self.rps * share, 1.0);
-        self.writes.set_rate(now, self.write_rps * share, 1.0);
+        self.writes.set_rate(now, self.write_rps * share, saved_s);
+    }
+
+    /// Whoever writes most takes what the others leave of `SAFE_SHARE`, and at
+    /// least `share`.
+    pub fn leave_writes(&mut self, now: Now, share: f64, others_per_s: f64) {
+        let least = self.write_rps * share;
+        let left = self.write_rps * SAFE_SHARE - others_per_s;
+        self.writes.set_rate(now, left.max(least), 1.0);
+    }
+
+    /// Changes sent per second of late.
+    pub fn writes_per_s(&mut self, now: Now) -> f64 {
+        let (used, at_ms) = self.used;
+        let passed = now.ms.saturating_sub(at_ms) as f64;
+        self.used = (used * (-passed / USE_MS).exp(), now.ms);
+        self.used.0 * 1000.0 / USE_MS
     }
 
     /// Whether the service has answered lately, as far as this node can tell.
@@ -192,6 +219,10 @@
                 }
                 self.requests.take(now, 1.0);
                 let Some(call) = queue.pop_front() else { break };
+                if writes > 0.0 {
+                    let passed = now.ms.saturating_sub(self.used.1) as f64;
+                    self.used = (self.used.0 * (-passed / USE_MS).exp() + writes, now.ms);
+                }
                 self.next += 1;
                 send(self.next, call.call.clone());
                 self.in_flight.insert(self.next, call);
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -8,8 +8,8 @@
 use lilacfork::scheduler::{read_ranges, write_ranges};
 use lilacfork::settings::Settings;
 use lilacfork::slackfit::{buckets, cheapest, choose, Rung};
-use lilacfork::store::TokenBucket;
-use lilacfork::wire::JobSpec;
+use lilacfork::store::{self, StateCall, Store, TokenBucket, Urgency};
+use lilacfork::wire::{JobSpec, Txn};
 use std::rc::Rc;
 
 fn rung(name: &str, latency_ms: u64, cost: f64) -> Rung {
@@ -263,3 +263,48 @@
         assert_eq!(ini(text).unwrap_err().to_string(), says);
     }
 }
+
+/// Changes that go out in ten seconds, of more than are let out.
+fn changes_sent(store: &mut Store<u32>, from_ms: u64) -> usize {
+    let mut sent = 0;
+    for n in 0..1000 {
+        let now = Now {
+            ms: from_ms + n * 10,
+            wall: 0,
+        };
+        for _ in 0..2 {
+            let (call, writes) = store::txn(&Txn::default().delete("x"), 1000);
+            store.submit(StateCall {
+                urgency: Urgency::Placement,
+                call,
+                writes,
+                give_up_ms: now.ms + 1000,
+                tag: 0,
+            });
+        }
+        let mut given_up = Vec::new();
+        store.pump(now, |_, _| sent += 1, &mut given_up);
+    }
+    sent
+}
+
+/// The leader was held to its share while followers left theirs unused, and a
+/// flood of one-task jobs was stored for minutes after it was over.
+#[test]
+fn the_leader_takes_the_changes_that_others_leave() {
+    let at = |ms| Now { ms, wall: 0 };
+    let mut store: Store<u32> = Store::new(200.0, 50.0);
+    store.set_share(at(0), 0.6, 1.0);
+    let share = changes_sent(&mut store, 0);
+    assert!((300..=340).contains(&share), "{share}");
+    store.leave_writes(at(20_000), 0.6, 2.0);
+    let rest = changes_sent(&mut store, 20_000);
+    assert!((430..=480).contains(&rest), "{rest}");
+    let used = store.writes_per_s(at(30_000));
+    assert!((38.0..48.0).contains(&used), "{used}");
+    // Never less than its share, however much the others say they write.
+    store.leave_writes(at(40_000), 0.6, 1e9);
+    let least = changes_sent(&mut store, 40_000);
+    assert!((300..=340).contains(&least), "{least}");
+    assert!(store.writes_per_s(at(70_000)) < 0.1, "and it is forgotten");
+}
