--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -98,7 +98,6 @@
     leader_share: f64,
     /// When it last did anything.
     turned_ms: u64,
-    led_since_ms: Option<u64>,
     /// It stepped aside as leader, and no worker has reached it since.
     unreached: bool,
     /// Workers whose leases this node renews in the leader's stead, and when
@@ -185,7 +184,6 @@
             cancelled_here: false,
             leader_share,
             turned_ms: 0,
-            led_since_ms: None,
             unreached: false,
             held: HashMap::new(),
             relay: Vec::new(),
@@ -448,8 +446,13 @@
         if aside && self.election.is_leader() {
             // Workers of ours reach another and not us, nor do commands.
             log::error!("leader steps aside: workers reach {} only", hello.node);
+            let mut calls = Vec::new();
             self.unreached = true;
-            self.step_aside(now, out);
+            let change = self.election.step_aside(now, &mut calls);
+            self.take_election(calls);
+            if let Some(change) = change {
+                self.on_change(now, change, out);
+            }
         }
         Reply {
             status: 200,
@@ -458,55 +461,6 @@
         }
     }
 
-    fn step_aside(&mut self, now: Now, out: &mut Vec<Effect>) {
-        let mut calls = Vec::new();
-        let change = self.election.step_aside(now, &mut calls);
-        self.take_election(calls);
-        if let Some(change) = change {
-            self.on_change(now, change, out);
-        }
-    }
-
-    /// A worker that its node doesn't answer waits for 4 s and goes on to the
-    /// next one a second later; two silent nodes in a row cost it its lease.
-    /// So a leader whose successor in that order has been silent for long leaves
-    /// the lead to one with a successor that isn't.
-    fn mind_successor(&mut self, now: Now, out: &mut Vec<Effect>) {
-        let lease_ms = (self.settings.site.workers.lease_s * 1000.0) as u64;
-        let led_for_long = self
-            .led_since_ms
-            .is_some_and(|since| now.ms > since + lease_ms);
-        if !led_for_long || self.election.in_doubt() {
-            return;
-        }
-        let me = self.settings.node_name.as_str();
-        // One whose whole zone is silent is beyond a cut: a new leader would
-        // only have to find that out again.
-        let silent = |name: &str| {
-            let peer = self.peers.iter().find(|p| p.name == name);
-            peer.is_some_and(|p| {
-                p.heard_ms.is_none_or(|at| now.ms > at + lease_ms)
-                    && self.scheduler.hears_zone(now, &p.zone)
-            })
-        };
-        let successor = |name: &str| {
-            let order = &self.settings.peers;
-            let at = order.iter().position(|p| p.name == name)?;
-            Some(order[(at + 1) % order.len()].name.as_str())
-        };
-        let exposed = |name: &str| successor(name).is_none_or(silent);
-        let quiet = self.quiet_ms();
-        let recent = |at: Option<u64>| at.is_some_and(|at| now.ms < at + quiet);
-        let fit = |p: &&Peer| {
-            recent(p.heard_ms) && recent(p.reached_ms) && recent(p.state_seen_ms) && !p.deaf
-        };
-        let better = self.peers.iter().filter(fit).any(|p| !exposed(&p.name));
-        if exposed(me) && better {
-            log::info!("leader steps aside: its workers' next controller is silent");
-            self.step_aside(now, out);
-        }
-    }
-
     fn say_hello(&mut self, now: Now, out: &mut Vec<Effect>) {
         // The leader hears its own word; what is cancelled, all should know.
         let nudges = !self.nudges.is_empty() && !self.election.is_leader();
@@ -517,7 +471,6 @@
         if now.ms >= self.hello_ms {
             self.hello_ms = now.ms + self.hello_every_ms;
             self.share_writes(now);
-            self.mind_successor(now, out);
         }
         let leader = match &self.election.role {
             Role::Leader { .. } => self.settings.node_name.clone(),
@@ -673,7 +626,6 @@
     fn on_change(&mut self, now: Now, change: Change, out: &mut Vec<Effect>) {
         match change {
             Change::Elected { term, key_version } => {
-                self.led_since_ms = Some(now.ms);
                 self.set_share(now, true);
                 self.told.clear();
                 self.cloud.lead(now, true);
@@ -683,7 +635,6 @@
                 self.take_scheduler(now, scheduler, out);
             }
             Change::Deposed => {
-                self.led_since_ms = None;
                 self.set_share(now, false);
                 self.cloud.lead(now, false);
                 self.scheduler.deposed();
