Name things by their standard terms: heartbeat, lease proxy, forwarded report

hello becomes heartbeat, nudge announcement, relay forwarding, standing in and holding proxied leases, a deaf leader unreachable and a deaf machine unresponsive.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -31,7 +31,7 @@
     pub up_ms: Option<u64>,
     pub heard_ms: u64,
     /// When a follower last renewed its lease for us.
-    pub held_ms: u64,
+    pub proxied_ms: u64,
     pub session: Session,
     pub seq: u64,
     /// The token that we give this worker.
@@ -39,7 +39,7 @@
     /// A report showed a token of our own term.
     pub evidence: bool,
     /// Since when answers seem not to reach it.
-    pub deaf_since_ms: Option<u64>,
+    pub unresponsive_since_ms: Option<u64>,
     pub notice_until_ms: Option<u64>,
     /// Assigned tasks that may be on it.
     pub tasks: BTreeSet<TaskRef>,
@@ -80,12 +80,12 @@
             own_rental: false,
             up_ms: None,
             heard_ms: now_ms,
-            held_ms: 0,
+            proxied_ms: 0,
             session: Session(0),
             seq: 0,
             token: Token::new(term, 1),
             evidence: false,
-            deaf_since_ms: None,
+            unresponsive_since_ms: None,
             notice_until_ms: None,
             tasks: BTreeSet::new(),
             used: Res::default(),
@@ -110,7 +110,7 @@
         self.phase == Phase::Up
             && self.evidence
             && !self.strays
-            && self.deaf_since_ms.is_none()
+            && self.unresponsive_since_ms.is_none()
             && self.notice_until_ms.is_none()
             && self.blamed_by.len() < 2
             && now_ms < self.heard_ms + fresh_ms
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -116,7 +116,7 @@
     pub replies: Vec<(ConnId, Reply)>,
     pub calls: Vec<StateCall<GatewayCall>>,
     /// Jobs just written, for the leader's ears.
-    pub nudges: Vec<JobId>,
+    pub announced: Vec<JobId>,
     /// Jobs that a user is told here for the first time are cancelled.
     pub cancelled: Vec<JobId>,
 }
@@ -491,7 +491,7 @@
                     }
                 };
                 if !matches!(task.goal, Goal::Cancel) {
-                    out.nudges.push(task.id);
+                    out.announced.push(task.id);
                 }
                 out.replies.push((task.conn, reply));
             }
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -7,37 +7,37 @@
 use crate::http::MAX_PEER_BODY;
 use crate::ids::{Session, Term, Token};
 use crate::msg::{Call, Effect, Now, Reply, Target};
-use crate::peer::{self, Hello, PEER_PATH};
-use crate::scheduler::{HeldRecord, HELD_PREFIX};
+use crate::peer::{self, Heartbeat, PEER_PATH};
+use crate::scheduler::{ProxiedRecord, PROXIED_PREFIX};
 use crate::store::{self, StateCall, Urgency};
 use crate::wire::{Command, Report, ReportAnswer, ReportTo, Txn};
 
 /// Reports are passed on to the leader in gulps.
-const RELAY_MS: u64 = 50;
+const FORWARD_MS: u64 = 50;
 
 /// Half of what a peer takes: one more report of any size still fits.
-const RELAY_BYTES: usize = MAX_PEER_BODY / 2;
+const FORWARD_BYTES: usize = MAX_PEER_BODY / 2;
 
 /// What a record of held machines takes beside its rows, and a row beside the
 /// machine's name, generously.
-const HELD_HEAD_BYTES: usize = 128;
-const HELD_ROW_BYTES: usize = 28;
+const PROXIED_HEAD_BYTES: usize = 128;
+const PROXIED_ROW_BYTES: usize = 28;
 
 impl Node {
     /// The follower that takes this zone's reports for us: one in the zone
     /// itself, so that a cut between zones parts no worker from its node.
-    pub(super) fn relay_for(&self, now: Now, zone: &str) -> Option<&str> {
+    pub(super) fn forwarder_for(&self, now: Now, zone: &str) -> Option<&str> {
         if zone == self.settings.zone {
             return None;
         }
-        let recent = self.hello_every_ms * 2;
+        let recent = self.heartbeat_every_ms * 2;
         self.peers
             .iter()
             .find(|p| {
                 // One that reaches neither us nor the state service would
                 // send the worker back, round and round.
                 let seen = |at: Option<u64>| at.is_some_and(|at| now.ms < at + recent);
-                p.zone == zone && !p.deaf && seen(p.follows_ms) && seen(p.state_seen_ms)
+                p.zone == zone && !p.unreachable && seen(p.follows_ms) && seen(p.state_seen_ms)
             })
             .map(|p| p.name.as_str())
     }
@@ -45,24 +45,24 @@
     /// Whether this follower takes a zone's reports for the leader, and that
     /// leader's term: its own zone's for one in another zone, and anybody's
     /// for one that says that no worker reaches it.
-    pub(super) fn relays(&self, now: Now, zone: &str) -> Option<Term> {
+    pub(super) fn forwards(&self, now: Now, zone: &str) -> Option<Term> {
         let quiet = self.quiet_ms();
         self.peers
             .iter()
             .filter(|p| p.leads_ms.is_some_and(|at| now.ms < at + quiet))
             .max_by_key(|p| p.leads_term)
-            .filter(|p| p.deaf || (zone == self.settings.zone && p.zone != zone))
+            .filter(|p| p.unreachable || (zone == self.settings.zone && p.zone != zone))
             // To hear it is not enough: what it can't be told is lost on it.
             .filter(|p| p.reached_ms.is_some_and(|at| now.ms < at + quiet))
             .map(|p| p.leads_term)
     }
 
     /// Passes reports on to the leader, several at once.
-    pub(super) fn tend_relay(&mut self, now: Now, out: &mut Vec<Effect>) {
-        if self.relay.is_empty() || now.ms < self.relay_due_ms {
+    pub(super) fn forward_reports(&mut self, now: Now, out: &mut Vec<Effect>) {
+        if self.to_forward.is_empty() || now.ms < self.forward_due_ms {
             return;
         }
-        self.relay_due_ms = now.ms + RELAY_MS;
+        self.forward_due_ms = now.ms + FORWARD_MS;
         let leader = self
             .peers
             .iter()
@@ -72,29 +72,29 @@
         // What doesn't fit into one message goes with the next.
         let mut bytes = 0;
         let fits = self
-            .relay
+            .to_forward
             .iter()
             .take_while(|r| {
                 bytes += r.len();
-                bytes <= RELAY_BYTES
+                bytes <= FORWARD_BYTES
             })
             .count();
-        let reports: Vec<Vec<u8>> = self.relay.drain(..fits.max(1)).collect();
+        let reports: Vec<Vec<u8>> = self.to_forward.drain(..fits.max(1)).collect();
         let Some((index, addr)) = leader.map(|(i, p)| (i, p.addr.clone())) else {
             return;
         };
-        let hello = Hello {
+        let heartbeat = Heartbeat {
             node: self.settings.node_name.clone(),
             state_reachable: self.store.reachable(),
             reports,
-            ..Hello::default()
+            ..Heartbeat::default()
         };
         let call = Call {
             target: Target::Peer(addr),
             method: "POST",
             path: PEER_PATH.to_string(),
-            body: peer::encode(&hello),
-            timeout_ms: self.hello_every_ms * 2,
+            body: peer::encode(&heartbeat),
+            timeout_ms: self.heartbeat_every_ms * 2,
         };
         self.send(CallTag::Peer(index, now.ms), call, out);
     }
@@ -119,16 +119,16 @@
         }
     }
 
-    /// Peers say hello several times within this period.
+    /// Peers send heartbeats several times within this period.
     pub(super) fn quiet_ms(&self) -> u64 {
-        self.hello_every_ms * 3
+        self.heartbeat_every_ms * 3
     }
 
     /// Whether workers' leases are to be renewed here in the leader's stead,
     /// so that a cut between zones, or a leader's death in an outage, doesn't
     /// end all their tasks. No commands go out that way, and no lease's end
     /// is ever taken for proof, so nothing can run twice for it.
-    pub(super) fn stands_in(&mut self, now: Now) -> bool {
+    pub(super) fn proxies_leases(&mut self, now: Now) -> bool {
         let quiet = self.quiet_ms();
         let recent = |at: Option<u64>| at.is_some_and(|at| now.ms < at + quiet);
         if self.peers.iter().any(|p| recent(p.leads_ms)) {
@@ -142,40 +142,45 @@
             !self.peers.iter().any(|p| recent(p.state_seen_ms))
         } else {
             // Alone. If it answered its zone's workers before that, the zone
-            // is cut off with it and they have nobody else; `hold` bounds how
+            // is cut off with it and they have nobody else; the watermark bounds how
             // long that may last. If they had reported elsewhere, the fault
             // is here, and it would only keep workers from others.
-            recent(self.stood_in_ms)
+            recent(self.proxied_lease_ms)
         };
         if stands {
-            self.stood_in_ms = Some(now.ms);
+            self.proxied_lease_ms = Some(now.ms);
         }
         stands
     }
 
     /// Renews a worker's lease in the leader's stead.
-    pub(super) fn hold(&mut self, now: Now, report: &Report, stops: &[Command]) -> Option<Reply> {
+    pub(super) fn renew_by_proxy(
+        &mut self,
+        now: Now,
+        report: &Report,
+        stops: &[Command],
+    ) -> Option<Reply> {
         let term = match &self.election.role {
             Role::Follower(record) if self.store.reachable() => record.term,
             // In an outage that all share, what the worker knows is enough.
             _ => report.token.term(),
         };
-        let reply = answer_for_leader(report, term, stops)?;
-        self.held
+        let reply = proxy_answer(report, term, stops)?;
+        self.proxied
             .insert(report.machine.clone(), (now.ms, report.session));
         Some(reply)
     }
 
     /// Tells the leader, by way of the state service, whose leases are kept.
-    pub(super) fn tend_held(&mut self, now: Now) {
+    pub(super) fn store_proxied(&mut self, now: Now) {
         let quiet = self.quiet_ms();
-        self.held.retain(|_, (at, _)| now.ms < *at + quiet);
-        if now.ms < self.held_due_ms || (self.held.is_empty() && self.held_stored == 0) {
+        self.proxied.retain(|_, (at, _)| now.ms < *at + quiet);
+        if now.ms < self.proxied_due_ms || (self.proxied.is_empty() && self.proxied_stored == 0) {
             return;
         }
-        self.held_due_ms = now.ms + quiet;
+        self.proxied_due_ms = now.ms + quiet;
         let mut machines: Vec<(String, Session)> = self
-            .held
+            .proxied
             .iter()
             .map(|(name, (_, session))| (name.clone(), *session))
             .collect();
@@ -183,32 +188,32 @@
         // As many records as a record's size asks for; a truncated list would
         // have the leader give up machines that are well looked after.
         let whole = (self.settings.site.state.value_kb * 1024.0) as usize;
-        let most = whole.saturating_sub(HELD_HEAD_BYTES);
+        let most = whole.saturating_sub(PROXIED_HEAD_BYTES);
         let mut records: Vec<Vec<(String, Session)>> = Vec::new();
         let mut bytes = most;
         for (name, session) in machines {
-            bytes += name.len() + HELD_ROW_BYTES;
+            bytes += name.len() + PROXIED_ROW_BYTES;
             if bytes > most {
                 records.push(Vec::new());
-                bytes = name.len() + HELD_ROW_BYTES;
+                bytes = name.len() + PROXIED_ROW_BYTES;
             }
             if let Some(record) = records.last_mut() {
                 record.push((name, session));
             }
         }
-        let stored = std::mem::replace(&mut self.held_stored, records.len());
+        let stored = std::mem::replace(&mut self.proxied_stored, records.len());
         let node = self.settings.node_name.clone();
-        let key = |n: usize| format!("{HELD_PREFIX}{node}/{n}");
+        let key = |n: usize| format!("{PROXIED_PREFIX}{node}/{n}");
         let mut txns: Vec<Txn> = Vec::new();
         for (n, machines) in records.into_iter().enumerate() {
-            let record = HeldRecord {
+            let record = ProxiedRecord {
                 at: now.wall,
                 machines,
             };
             let value = serde_json::to_value(record).unwrap_or_default();
             txns.push(Txn::default().put(key(n), value));
         }
-        txns.extend((self.held_stored..stored).map(|n| Txn::default().delete(key(n))));
+        txns.extend((self.proxied_stored..stored).map(|n| Txn::default().delete(key(n))));
         for txn in txns {
             let (call, writes) = store::txn(&txn, 1000);
             self.store.submit(StateCall {
@@ -216,7 +221,7 @@
                 call,
                 writes,
                 give_up_ms: now.ms + quiet,
-                tag: StateTag::WriteHeld,
+                tag: StateTag::WriteProxied,
             });
         }
     }
@@ -226,7 +231,7 @@
 /// renewed and the token kept or raised to the term's first, and no commands
 /// go out but stops of cancelled jobs' tasks, which can do no harm. `None`:
 /// the worker has seen a later term than we have.
-pub(super) fn answer_for_leader(report: &Report, term: Term, stops: &[Command]) -> Option<Reply> {
+pub(super) fn proxy_answer(report: &Report, term: Term, stops: &[Command]) -> Option<Reply> {
     if report.token.term() > term {
         return None;
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -10,13 +10,13 @@
 use crate::ids::{JobId, Session, Term};
 use crate::msg::{Call, CallId, ConnId, Effect, Now, Outcome, Port, Reply, Request, Target};
 use crate::options::Options;
-use crate::peer::{self, Hello, HelloAnswer, JobCount, PEER_PATH};
+use crate::peer::{self, Heartbeat, HeartbeatAnswer, JobCount, PEER_PATH};
 use crate::reactor::Handler;
 use crate::scheduler::{Scheduler, SchedulerCall, SchedulerOut, WorkerCall};
 use crate::settings::Settings;
 use crate::store::{self, Answer, StateCall, Store, Urgency};
 use crate::wire::{self, Catalog, Item, Report, ReportTo, Txn};
-use follower::answer_for_leader;
+use follower::proxy_answer;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -32,7 +32,7 @@
     Scheduler(Term, SchedulerCall),
     ReadCatalog,
     WriteCatalog,
-    WriteHeld,
+    WriteProxied,
     Cancellations(CancellationsCall),
 }
 
@@ -59,7 +59,7 @@
     leads_ms: Option<u64>,
     leads_term: Term,
     /// It said that workers don't reach it.
-    deaf: bool,
+    unreachable: bool,
     /// When it last named us as its leader.
     follows_ms: Option<u64>,
     /// Changes that it makes to the state service.
@@ -88,12 +88,12 @@
     peers: Vec<Peer>,
     calls: HashMap<CallId, CallTag>,
     next_call: u64,
-    hello_ms: u64,
-    hello_every_ms: u64,
+    heartbeat_due_ms: u64,
+    heartbeat_every_ms: u64,
     /// What peers were last told, so that only changes go out.
     told: HashMap<JobId, (u32, u32)>,
-    nudges: Vec<JobId>,
-    /// The peers should hear of cancellations before the next hello is due.
+    announced: Vec<JobId>,
+    /// The peers should hear of cancellations before the next heartbeat is due.
     cancelled_here: bool,
     leader_share: f64,
     /// When it last did anything.
@@ -102,15 +102,15 @@
     unreached: bool,
     /// Workers whose leases this node renews in the leader's stead, and when
     /// it last did.
-    held: HashMap<String, (u64, Session)>,
+    proxied: HashMap<String, (u64, Session)>,
     /// Reports answered here and not yet passed on to the leader.
-    relay: Vec<Vec<u8>>,
-    relay_due_ms: u64,
-    held_due_ms: u64,
+    to_forward: Vec<Vec<u8>>,
+    forward_due_ms: u64,
+    proxied_due_ms: u64,
     /// How many records of them are stored.
-    held_stored: usize,
+    proxied_stored: usize,
     /// When it last answered a worker in the leader's stead.
-    stood_in_ms: Option<u64>,
+    proxied_lease_ms: Option<u64>,
 }
 
 impl Node {
@@ -143,7 +143,7 @@
                 state_seen_ms: None,
                 leads_ms: None,
                 leads_term: Term(0),
-                deaf: false,
+                unreachable: false,
                 follows_ms: None,
                 writes_per_s: 0.0,
             })
@@ -177,20 +177,20 @@
             peers,
             calls: HashMap::new(),
             next_call: 0,
-            hello_ms: 0,
-            hello_every_ms: ttl_ms / 4,
+            heartbeat_due_ms: 0,
+            heartbeat_every_ms: ttl_ms / 4,
             told: HashMap::new(),
-            nudges: Vec::new(),
+            announced: Vec::new(),
             cancelled_here: false,
             leader_share,
             turned_ms: 0,
             unreached: false,
-            held: HashMap::new(),
-            relay: Vec::new(),
-            relay_due_ms: 0,
-            held_due_ms: 0,
-            held_stored: 0,
-            stood_in_ms: None,
+            proxied: HashMap::new(),
+            to_forward: Vec::new(),
+            forward_due_ms: 0,
+            proxied_due_ms: 0,
+            proxied_stored: 0,
+            proxied_lease_ms: None,
         };
         node.set_share(Now::default(), false);
         node
@@ -251,7 +251,7 @@
         let path = request.path.split('?').next().unwrap_or("");
         if port == Port::Peer {
             let reply = match (request.method.as_str(), path) {
-                ("POST", PEER_PATH) => self.on_hello(now, &request.body, out),
+                ("POST", PEER_PATH) => self.on_heartbeat(now, &request.body, out),
                 _ => Reply::error(404, "unknown path"),
             };
             out.push(Effect::Reply(conn, reply));
@@ -311,7 +311,7 @@
         if !self.gateway.has_catalog() {
             return Reply::later(503, "machine types unknown yet", 1);
         }
-        let patience_ms = self.hello_every_ms * 4;
+        let patience_ms = self.heartbeat_every_ms * 4;
         let cut_off = !self.store.reachable()
             && self
                 .store
@@ -345,7 +345,7 @@
                 out.push(Effect::Reply(conn, Reply::later(503, "cut off", 1)));
                 return;
             }
-            if let Some(node) = self.relay_for(now, &report.zone) {
+            if let Some(node) = self.forwarder_for(now, &report.zone) {
                 let reply = Reply::json(421, &ReportTo { node: Some(node) });
                 out.push(Effect::Reply(conn, reply));
                 return;
@@ -356,13 +356,13 @@
             self.take_scheduler(now, scheduler, out);
             return;
         }
-        let relays = self.relays(now, &report.zone).filter(|_| informed);
-        let reply = if let Some(term) = relays {
-            self.stood_in_ms = Some(now.ms);
-            self.relay.push(body.to_vec());
-            answer_for_leader(&report, term, &stops)
-        } else if informed && self.stands_in(now) {
-            self.hold(now, &report, &stops)
+        let forwards = self.forwards(now, &report.zone).filter(|_| informed);
+        let reply = if let Some(term) = forwards {
+            self.proxied_lease_ms = Some(now.ms);
+            self.to_forward.push(body.to_vec());
+            proxy_answer(&report, term, &stops)
+        } else if informed && self.proxies_leases(now) {
+            self.renew_by_proxy(now, &report, &stops)
         } else {
             None
         };
@@ -376,76 +376,81 @@
 
     /// Whether none of the workers that should report to this leader itself
     /// is heard. While it leads on, nobody else may serve them.
-    fn deaf(&self, now: Now) -> bool {
-        let to_us = |zone: &str| self.relay_for(now, zone).is_none();
+    fn unreachable(&self, now: Now) -> bool {
+        let to_us = |zone: &str| self.forwarder_for(now, zone).is_none();
         self.scheduler.hears_nobody(now, to_us)
     }
 
-    fn on_hello(&mut self, now: Now, body: &[u8], out: &mut Vec<Effect>) -> Reply {
-        let Some(hello) = peer::decode(body) else {
-            return Reply::error(400, "not a hello");
+    fn on_heartbeat(&mut self, now: Now, body: &[u8], out: &mut Vec<Effect>) -> Reply {
+        let Some(heartbeat) = peer::decode(body) else {
+            return Reply::error(400, "not a heartbeat");
         };
-        if let Some(peer) = self.peers.iter_mut().find(|p| p.name == hello.node) {
+        if let Some(peer) = self.peers.iter_mut().find(|p| p.name == heartbeat.node) {
             peer.heard_ms = Some(now.ms);
-            if hello.state_reachable {
+            if heartbeat.state_reachable {
                 peer.state_seen_ms = Some(now.ms);
             }
             // A message that only carries reports says nothing of leaders.
-            if hello.reports.is_empty() {
-                peer.writes_per_s = Some(hello.writes_per_s)
+            if heartbeat.reports.is_empty() {
+                peer.writes_per_s = Some(heartbeat.writes_per_s)
                     .filter(|w| w.is_finite() && *w >= 0.0)
                     .unwrap_or(0.0);
-                peer.leads_ms = (hello.node == hello.leader).then_some(now.ms);
-                peer.leads_term = Term(hello.term);
-                peer.deaf = hello.deaf;
-                let ours = hello.leader == self.settings.node_name
-                    && Term(hello.term) == self.election.known_term();
+                peer.leads_ms = (heartbeat.node == heartbeat.leader).then_some(now.ms);
+                peer.leads_term = Term(heartbeat.term);
+                peer.unreachable = heartbeat.unreachable;
+                let ours = heartbeat.leader == self.settings.node_name
+                    && Term(heartbeat.term) == self.election.known_term();
                 peer.follows_ms = ours.then_some(now.ms);
             }
         }
         let known = |name: &str| self.peers.iter().any(|p| p.name == name);
-        if hello.state_reachable && known(&hello.node) && known(&hello.leader) {
-            let (leader, term) = (hello.leader.as_str(), Term(hello.term));
+        if heartbeat.state_reachable && known(&heartbeat.node) && known(&heartbeat.leader) {
+            let (leader, term) = (heartbeat.leader.as_str(), Term(heartbeat.term));
             if let Some(change) = self.election.superseded(now, leader, term) {
                 self.on_change(now, change, out);
             }
         }
-        if hello.node == hello.leader {
-            for count in hello.counts {
+        if heartbeat.node == heartbeat.leader {
+            for count in heartbeat.counts {
                 self.gateway
                     .counts
                     .insert(JobId::new(&count.job), (count.done, count.running));
             }
         }
         let mut scheduler = SchedulerOut::default();
-        for job in hello.nudges.iter().filter(|id| wire::valid_job_id(id)) {
-            self.scheduler.nudge(now, &JobId::new(job), &mut scheduler);
+        for job in heartbeat
+            .announced
+            .iter()
+            .filter(|id| wire::valid_job_id(id))
+        {
+            self.scheduler
+                .announced(now, &JobId::new(job), &mut scheduler);
         }
-        let index = self.peers.iter().position(|p| p.name == hello.node);
-        let mut answer = HelloAnswer::default();
-        if let Some(cursor) = hello.cursor {
+        let index = self.peers.iter().position(|p| p.name == heartbeat.node);
+        let mut answer = HeartbeatAnswer::default();
+        if let Some(cursor) = heartbeat.cursor {
             answer.confirmations = Some(self.cancellations.confirmations(&cursor));
             if let Some(index) = index {
                 self.cancellations.acknowledged(index, cursor);
             }
         }
-        if let (Some(index), Some(word)) = (index, &hello.confirmations) {
+        if let (Some(index), Some(word)) = (index, &heartbeat.confirmations) {
             let new = self.cancellations.heard(now, index, None, word);
             self.learned_cancelled(now, &new, &mut scheduler);
         }
-        let deaf = !hello.reports.is_empty() && self.deaf(now);
+        let unreachable = !heartbeat.reports.is_empty() && self.unreachable(now);
         let mut aside = false;
-        for body in &hello.reports {
+        for body in &heartbeat.reports {
             if let Ok(report) = serde_json::from_slice::<Report>(body) {
                 // Machines that merely fail together reach nobody.
-                aside |= deaf && self.relay_for(now, &report.zone).is_none();
-                self.scheduler.relayed(now, &report, &mut scheduler);
+                aside |= unreachable && self.forwarder_for(now, &report.zone).is_none();
+                self.scheduler.forwarded(now, &report, &mut scheduler);
             }
         }
         self.take_scheduler(now, scheduler, out);
         if aside && self.election.is_leader() {
             // Workers of ours reach another and not us, nor do commands.
-            log::error!("leader steps aside: workers reach {} only", hello.node);
+            log::error!("leader steps aside: workers reach {} only", heartbeat.node);
             let mut calls = Vec::new();
             self.unreached = true;
             let change = self.election.step_aside(now, &mut calls);
@@ -461,15 +466,15 @@
         }
     }
 
-    fn say_hello(&mut self, now: Now, out: &mut Vec<Effect>) {
+    fn send_heartbeats(&mut self, now: Now, out: &mut Vec<Effect>) {
         // The leader hears its own word; what is cancelled, all should know.
-        let nudges = !self.nudges.is_empty() && !self.election.is_leader();
-        let urgent = nudges || self.cancelled_here;
-        if now.ms < self.hello_ms && !urgent {
+        let announced = !self.announced.is_empty() && !self.election.is_leader();
+        let urgent = announced || self.cancelled_here;
+        if now.ms < self.heartbeat_due_ms && !urgent {
             return;
         }
-        if now.ms >= self.hello_ms {
-            self.hello_ms = now.ms + self.hello_every_ms;
+        if now.ms >= self.heartbeat_due_ms {
+            self.heartbeat_due_ms = now.ms + self.heartbeat_every_ms;
             self.share_writes(now);
         }
         let leader = match &self.election.role {
@@ -477,14 +482,14 @@
             Role::Follower(record) => record.node.clone(),
             Role::Unknown => String::new(),
         };
-        let mut hello = Hello {
+        let mut heartbeat = Heartbeat {
             node: self.settings.node_name.clone(),
             leader,
             term: self.election.known_term().0,
             state_reachable: self.store.reachable(),
-            deaf: self.unreached || self.deaf(now),
+            unreachable: self.unreached || self.unreachable(now),
             counts: Vec::new(),
-            nudges: self.nudges.drain(..).map(|id| id.to_string()).collect(),
+            announced: self.announced.drain(..).map(|id| id.to_string()).collect(),
             writes_per_s: self.store.writes_per_s(now),
             cursor: None,
             confirmations: None,
@@ -495,7 +500,7 @@
             let mut told = HashMap::new();
             for (id, done, running) in self.scheduler.counts() {
                 if self.told.get(id) != Some(&(done, running)) {
-                    hello.counts.push(JobCount {
+                    heartbeat.counts.push(JobCount {
                         job: id.to_string(),
                         done,
                         running,
@@ -506,15 +511,15 @@
             }
             self.told = told;
         }
-        let timeout_ms = self.hello_every_ms * 2;
+        let timeout_ms = self.heartbeat_every_ms * 2;
         for index in 0..self.peers.len() {
-            hello.cursor = self.cancellations.cursor(index);
-            hello.confirmations = self.cancellations.unacknowledged(index);
+            heartbeat.cursor = self.cancellations.cursor(index);
+            heartbeat.confirmations = self.cancellations.unacknowledged(index);
             let call = Call {
                 target: Target::Peer(self.peers[index].addr.clone()),
                 method: "POST",
                 path: PEER_PATH.to_string(),
-                body: peer::encode(&hello),
+                body: peer::encode(&heartbeat),
                 timeout_ms,
             };
             self.send(CallTag::Peer(index, now.ms), call, out);
@@ -540,7 +545,7 @@
         for call in gateway.calls {
             self.store.submit(retag(call, StateTag::Gateway));
         }
-        self.nudges.extend(gateway.nudges);
+        self.announced.extend(gateway.announced);
         if gateway.poll {
             self.cancellations.wanted();
         }
@@ -641,7 +646,7 @@
             }
         }
         // The others should know where to send workers.
-        self.hello_ms = now.ms;
+        self.heartbeat_due_ms = now.ms;
     }
 
     fn on_state(&mut self, now: Now, tag: StateTag, answer: Answer, out: &mut Vec<Effect>) {
@@ -677,7 +682,7 @@
                     }
                 }
             }
-            StateTag::WriteHeld => {}
+            StateTag::WriteProxied => {}
             StateTag::Cancellations(call) => {
                 let mut calls = Vec::new();
                 let before = self.cancellations.read_ms();
@@ -738,8 +743,8 @@
     /// long over. If it led, others may lead by now; and that nobody was heard
     /// is no fault of theirs.
     fn notice_time(&mut self, now: Now) {
-        // Peers say hello, and a leader renews, four times in this period.
-        let still = self.turned_ms > 0 && now.ms > self.turned_ms + self.hello_every_ms * 4;
+        // Peers send heartbeats, and a leader renews, four times in this period.
+        let still = self.turned_ms > 0 && now.ms > self.turned_ms + self.heartbeat_every_ms * 4;
         self.turned_ms = now.ms;
         if still && self.election.is_leader() && !self.peers.is_empty() {
             log::info!("stood still, may have lost the lead");
@@ -765,10 +770,10 @@
         let mut calls = Vec::new();
         wake = wake.min(self.cancellations.tick(now, &mut calls));
         self.take_cancellations(calls);
-        self.tend_held(now);
-        self.tend_relay(now, out);
-        if !self.relay.is_empty() {
-            wake = wake.min(self.relay_due_ms);
+        self.store_proxied(now);
+        self.forward_reports(now, out);
+        if !self.to_forward.is_empty() {
+            wake = wake.min(self.forward_due_ms);
         }
         let mut cloud_calls = Vec::new();
         self.cloud
@@ -777,8 +782,8 @@
             self.send(CallTag::Cloud(tag), call, out);
         }
         wake = wake.min(self.cloud.wake_ms(now));
-        self.say_hello(now, out);
-        wake = wake.min(self.hello_ms);
+        self.send_heartbeats(now, out);
+        wake = wake.min(self.heartbeat_due_ms);
         let mut sent = Vec::new();
         let mut given_up = Vec::new();
         self.store
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -7,7 +7,7 @@
 
 /// Sent by every controller to every other a few times per lease.
 #[derive(Clone, PartialEq, Message)]
-pub struct Hello {
+pub struct Heartbeat {
     #[prost(string, tag = "1")]
     pub node: String,
     /// The leader that the sender knows from the state service, if any.
@@ -23,7 +23,7 @@
     pub counts: Vec<JobCount>,
     /// A job or cancellation that the sender has just written.
     #[prost(string, repeated, tag = "6")]
-    pub nudges: Vec<String>,
+    pub announced: Vec<String>,
     /// Changes that the sender makes to the state service per second.
     #[prost(double, tag = "12")]
     pub writes_per_s: f64,
@@ -33,9 +33,9 @@
     /// Cancellations that the receiver may not have heard of.
     #[prost(message, optional, tag = "11")]
     pub confirmations: Option<Confirmations>,
-    /// Workers that should report to the sender don't reach it.
+    /// No worker that should report to the sender reaches it.
     #[prost(bool, tag = "9")]
-    pub deaf: bool,
+    pub unreachable: bool,
     /// To the leader: workers' reports that the sender has answered, as they
     /// came.
     #[prost(bytes = "vec", repeated, tag = "7")]
@@ -80,24 +80,24 @@
 }
 
 #[derive(Clone, PartialEq, Message)]
-pub struct HelloAnswer {
+pub struct HeartbeatAnswer {
     /// What the sender asked for with its cursor.
     #[prost(message, optional, tag = "2")]
     pub confirmations: Option<Confirmations>,
 }
 
-pub fn encode_answer(answer: &HelloAnswer) -> Vec<u8> {
+pub fn encode_answer(answer: &HeartbeatAnswer) -> Vec<u8> {
     answer.encode_to_vec()
 }
 
-pub fn decode_answer(bytes: &[u8]) -> Option<HelloAnswer> {
-    HelloAnswer::decode(bytes).ok()
+pub fn decode_answer(bytes: &[u8]) -> Option<HeartbeatAnswer> {
+    HeartbeatAnswer::decode(bytes).ok()
 }
 
-pub fn encode(hello: &Hello) -> Vec<u8> {
-    hello.encode_to_vec()
+pub fn encode(heartbeat: &Heartbeat) -> Vec<u8> {
+    heartbeat.encode_to_vec()
 }
 
-pub fn decode(bytes: &[u8]) -> Option<Hello> {
-    Hello::decode(bytes).ok()
+pub fn decode(bytes: &[u8]) -> Option<Heartbeat> {
+    Heartbeat::decode(bytes).ok()
 }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -44,15 +44,15 @@
     Commit,
     CheckCommit,
     ReadJob(JobId),
-    ListHeld,
+    ListProxied,
     Cleanup(Vec<String>),
 }
 
 /// What followers say of workers whose leases they renew for the leader.
-pub const HELD_PREFIX: &str = "h/";
+pub const PROXIED_PREFIX: &str = "h/";
 
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
-pub struct HeldRecord {
+pub struct ProxiedRecord {
     /// Time of day.
     #[serde(rename = "t")]
     pub at: u64,
@@ -153,8 +153,8 @@
     /// Machines that hold room for expected work.
     reserved: BTreeSet<MachineId>,
     /// When followers' word on silent machines is asked for next.
-    held_due_ms: u64,
-    asking_held: bool,
+    proxied_due_ms: u64,
+    asking_proxied: bool,
     /// When a replica of a class may next move to spread its image.
     warm_due_ms: HashMap<Rc<str>, u64>,
     /// Where tasks that are being moved are to go.
@@ -217,8 +217,8 @@
             push: BTreeSet::new(),
             rest: Vec::new(),
             reserved: BTreeSet::new(),
-            held_due_ms: 0,
-            asking_held: false,
+            proxied_due_ms: 0,
+            asking_proxied: false,
             warm_due_ms: HashMap::new(),
             bound_for: HashMap::new(),
             stale_due_ms: 0,
@@ -292,7 +292,7 @@
         self.early_list = None;
         self.refused.clear();
         self.push.clear();
-        self.asking_held = false;
+        self.asking_proxied = false;
         self.list_retry_ms = None;
         self.over.clear();
         self.bound_for.clear();
@@ -520,7 +520,7 @@
     }
 
     /// A peer says that it wrote this job; the watch may be late.
-    pub fn nudge(&mut self, now: Now, id: &JobId, out: &mut SchedulerOut) {
+    pub fn announced(&mut self, now: Now, id: &JobId, out: &mut SchedulerOut) {
         if self.stage == Stage::Active && !self.jobs.contains_key(id) {
             self.read_job(now, id, out);
         }
@@ -581,36 +581,36 @@
     }
 
     /// Asks for followers' word when machines are silent.
-    fn ask_held(&mut self, now: Now, out: &mut SchedulerOut) {
+    fn ask_proxied(&mut self, now: Now, out: &mut SchedulerOut) {
         let quiet_ms = self.report_ms() * 3;
         let silent = self
             .fleet
             .machines
             .values()
             .any(|m| m.phase == Phase::Up && now.ms > m.heard_ms + quiet_ms);
-        if !silent || self.asking_held || now.ms < self.held_due_ms {
+        if !silent || self.asking_proxied || now.ms < self.proxied_due_ms {
             return;
         }
-        self.asking_held = true;
-        self.held_due_ms = now.ms + quiet_ms / 2;
-        let call = store::list(HELD_PREFIX, None, 1000);
+        self.asking_proxied = true;
+        self.proxied_due_ms = now.ms + quiet_ms / 2;
+        let call = store::list(PROXIED_PREFIX, None, 1000);
         self.ask(
             now,
             Urgency::Leadership,
             call,
             0,
-            SchedulerCall::ListHeld,
+            SchedulerCall::ListProxied,
             out,
         );
     }
 
-    fn on_held(&mut self, now: Now, answer: &Answer) {
-        self.asking_held = false;
+    fn on_proxied(&mut self, now: Now, answer: &Answer) {
+        self.asking_proxied = false;
         let Some(items) = answer.read::<Items>(200) else {
             return;
         };
         for item in items.items {
-            let Ok(record) = serde_json::from_value::<HeldRecord>(item.value) else {
+            let Ok(record) = serde_json::from_value::<ProxiedRecord>(item.value) else {
                 continue;
             };
             // Clocks differ a little; an old word says nothing.
@@ -623,7 +623,7 @@
                 let Some(machine) = self.fleet.get_mut(&id) else {
                     continue;
                 };
-                machine.held_ms = machine.held_ms.max(now.ms.saturating_sub(age_ms));
+                machine.proxied_ms = machine.proxied_ms.max(now.ms.saturating_sub(age_ms));
                 // A later session is proof, whoever saw the report.
                 if session > machine.session {
                     self.session_over(now, &id, session);
@@ -654,7 +654,7 @@
             (_, SchedulerCall::Commit) => self.on_commit(now, &answer, out),
             (_, SchedulerCall::CheckCommit) => self.on_check_commit(now, &answer, out),
             (_, SchedulerCall::ReadJob(id)) => self.on_read_job(now, &id, &answer, out),
-            (_, SchedulerCall::ListHeld) => self.on_held(now, &answer),
+            (_, SchedulerCall::ListProxied) => self.on_proxied(now, &answer),
             (_, SchedulerCall::Cleanup(keys)) => {
                 self.cleaning = false;
                 if answer.status() != Some(200) {
@@ -695,7 +695,7 @@
             let before = self.looked;
             if full {
                 self.full_ms = now.ms;
-                self.ask_held(now, out);
+                self.ask_proxied(now, out);
             }
             self.place(now, full);
             self.rent(now, cloud, full);
@@ -960,7 +960,7 @@
 
     /// A report that a follower has answered for us: our commands go straight
     /// to the worker.
-    pub fn relayed(&mut self, now: Now, report: &Report, out: &mut SchedulerOut) {
+    pub fn forwarded(&mut self, now: Now, report: &Report, out: &mut SchedulerOut) {
         if self.stage != Stage::Active {
             return;
         }
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -12,8 +12,8 @@
 /// A start or stop that shows no effect is sent again after this share of
 /// the report interval.
 const RESEND_REPORTS: f64 = 0.9;
-/// After this many report intervals without effect a machine counts as deaf.
-const DEAF_REPORTS: u64 = 5;
+/// After this many report intervals without effect a machine counts as unresponsive.
+const UNRESPONSIVE_REPORTS: u64 = 5;
 /// A job that failed on so many machines is itself to blame.
 const GUILTY_AFTER: usize = 3;
 const PAUSE_MS: u64 = 500;
@@ -24,8 +24,8 @@
 /// times as long.
 const CUT_PATIENCE: f64 = 2.5;
 /// A leader that hears none of its workers for so many report intervals is
-/// deaf.
-const DEAF_LEADER_REPORTS: f64 = 2.5;
+/// unreachable.
+const UNREACHABLE_REPORTS: f64 = 2.5;
 /// Share of `cancel_s` after which a machine that shares its zone's silence is
 /// returned over a cancelled task. Its lease ends before that by itself, or
 /// somebody who knows of the cancellation renews it and stops the task.
@@ -220,9 +220,9 @@
                 None => {
                     assign.phase = None;
                     if assign.stop.is_none() {
-                        unheeded |= assign
-                            .first_sent_ms
-                            .is_some_and(|at| now.ms > at + DEAF_REPORTS * self.report_ms());
+                        unheeded |= assign.first_sent_ms.is_some_and(|at| {
+                            now.ms > at + UNRESPONSIVE_REPORTS * self.report_ms()
+                        });
                         continue;
                     }
                     let proven = match (assign.first_sent_ms, assign.absent_proof) {
@@ -248,9 +248,9 @@
         if let Some(machine) = self.fleet.get_mut(id) {
             machine.strays = strays;
             if unheeded {
-                machine.deaf_since_ms.get_or_insert(now.ms);
+                machine.unresponsive_since_ms.get_or_insert(now.ms);
             } else {
-                machine.deaf_since_ms = None;
+                machine.unresponsive_since_ms = None;
             }
         }
     }
@@ -461,7 +461,10 @@
             let Some(zone) = silent_ms.get(&machine.offer.zone) else {
                 continue;
             };
-            let heard_ms = machine.heard_ms.max(machine.held_ms).max(zone.excused_ms);
+            let heard_ms = machine
+                .heard_ms
+                .max(machine.proxied_ms)
+                .max(zone.excused_ms);
             // In an outage followers can't tell whose leases they renew, and
             // nothing could be placed anew in any case.
             let blind = self
@@ -470,10 +473,10 @@
             if !blind && now.ms > heard_ms + zone.limit_ms {
                 give_up.push((machine.id.clone(), "silent"));
             } else if machine
-                .deaf_since_ms
+                .unresponsive_since_ms
                 .is_some_and(|at| now.ms > at + lease_ms)
             {
-                give_up.push((machine.id.clone(), "deaf"));
+                give_up.push((machine.id.clone(), "unresponsive"));
             } else if machine.notice_until_ms.is_some() && !machine.tasks.is_empty() {
                 drain.push(machine.id.clone());
             }
@@ -493,7 +496,7 @@
                 })
             });
             // Who renews a lease for us stops cancelled tasks itself.
-            let looked_after = now.ms < machine.held_ms + lease_ms;
+            let looked_after = now.ms < machine.proxied_ms + lease_ms;
             if overdue && !looked_after {
                 give_up.push((machine.id.clone(), "doesn't stop a cancelled task"));
             }
@@ -577,7 +580,7 @@
     /// Whether none of the workers is heard that report to this leader itself
     /// (`to_us`, by zone). Those that are new to it may be on their way.
     pub fn hears_nobody(&self, now: Now, to_us: impl Fn(&str) -> bool) -> bool {
-        let patience_ms = (self.report_ms() as f64 * DEAF_LEADER_REPORTS) as u64;
+        let patience_ms = (self.report_ms() as f64 * UNREACHABLE_REPORTS) as u64;
         if !self.active() || now.ms < self.elected_ms + patience_ms {
             return false;
         }
