Hand the lead over, once, while the workers' next controller is silent

Test: two controllers frozen one after the other: no task ends; one step, and none without a silence.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -98,6 +98,9 @@
     leader_share: f64,
     /// When it last did anything.
     turned_ms: u64,
+    led_since_ms: Option<u64>,
+    /// The silent successor for which it stepped aside.
+    minded: Option<String>,
     /// It stepped aside as leader, and no worker has reached it since.
     unreached: bool,
     /// Workers whose leases this node renews in the leader's stead, and when
@@ -184,6 +187,8 @@
             cancelled_here: false,
             leader_share,
             turned_ms: 0,
+            led_since_ms: None,
+            minded: None,
             unreached: false,
             proxied: HashMap::new(),
             to_forward: Vec::new(),
@@ -451,13 +456,8 @@
         if aside && self.election.is_leader() {
             // Workers of ours reach another and not us, nor do commands.
             log::error!("leader steps aside: workers reach {} only", heartbeat.node);
-            let mut calls = Vec::new();
             self.unreached = true;
-            let change = self.election.step_aside(now, &mut calls);
-            self.take_election(calls);
-            if let Some(change) = change {
-                self.on_change(now, change, out);
-            }
+            self.step_aside(now, out);
         }
         Reply {
             status: 200,
@@ -466,6 +466,63 @@
         }
     }
 
+    fn step_aside(&mut self, now: Now, out: &mut Vec<Effect>) {
+        let mut calls = Vec::new();
+        let change = self.election.step_aside(now, &mut calls);
+        self.take_election(calls);
+        if let Some(change) = change {
+            self.on_change(now, change, out);
+        }
+    }
+
+    /// A worker that its node doesn't answer waits for 4 s and goes on to the
+    /// next one a second later; two silent nodes in a row cost it its lease.
+    /// So a leader whose successor in that order has been silent for long leaves
+    /// the lead, once, to one with a successor that isn't.
+    fn mind_successor(&mut self, now: Now, out: &mut Vec<Effect>) {
+        let lease_ms = (self.settings.site.workers.lease_s * 1000.0) as u64;
+        let led_for_long = self
+            .led_since_ms
+            .is_some_and(|since| now.ms > since + lease_ms);
+        if !led_for_long || self.election.in_doubt() {
+            return;
+        }
+        let me = self.settings.node_name.as_str();
+        // As nodes are numbered; the peers' list may leave this one out.
+        let mut order: Vec<&str> = self.peers.iter().map(|p| p.name.as_str()).collect();
+        order.push(me);
+        order.sort_by_key(|name| (name.len(), *name));
+        let successor = |name: &str| {
+            let at = order.iter().position(|n| *n == name)?;
+            let next = order[(at + 1) % order.len()];
+            self.peers.iter().find(|p| p.name == next)
+        };
+        let quiet = self.quiet_ms();
+        let recent = |at: Option<u64>| at.is_some_and(|at| now.ms < at + quiet);
+        let silent = |p: &Peer| p.heard_ms.is_some_and(|at| now.ms > at + lease_ms);
+        let exposed = successor(me).filter(|p| silent(p));
+        let Some(next) = exposed.map(|p| (p.name.clone(), p.zone.clone())) else {
+            self.minded = None;
+            return;
+        };
+        let better = self
+            .peers
+            .iter()
+            .filter(|p| recent(p.heard_ms) && recent(p.reached_ms) && recent(p.state_seen_ms))
+            .any(|p| !p.unreachable && successor(&p.name).is_none_or(|s| !silent(s)));
+        // One whose whole zone is silent is beyond a cut: a new leader would
+        // only have to find that out again.
+        let cut = !self.scheduler.hears_zone(now, &next.1);
+        if better && !cut && self.minded.as_ref() != Some(&next.0) {
+            log::info!(
+                "leader steps aside: its workers' next node {} is silent",
+                next.0
+            );
+            self.minded = Some(next.0);
+            self.step_aside(now, out);
+        }
+    }
+
     fn send_heartbeats(&mut self, now: Now, out: &mut Vec<Effect>) {
         // The leader hears its own word; what is cancelled, all should know.
         let announced = !self.announced.is_empty() && !self.election.is_leader();
@@ -476,6 +533,7 @@
         if now.ms >= self.heartbeat_due_ms {
             self.heartbeat_due_ms = now.ms + self.heartbeat_every_ms;
             self.share_writes(now);
+            self.mind_successor(now, out);
         }
         let leader = match &self.election.role {
             Role::Leader { .. } => self.settings.node_name.clone(),
@@ -631,6 +689,7 @@
     fn on_change(&mut self, now: Now, change: Change, out: &mut Vec<Effect>) {
         match change {
             Change::Elected { term, key_version } => {
+                self.led_since_ms = Some(now.ms);
                 self.set_share(now, true);
                 self.told.clear();
                 self.cloud.lead(now, true);
@@ -640,6 +699,7 @@
                 self.take_scheduler(now, scheduler, out);
             }
             Change::Deposed => {
+                self.led_since_ms = None;
                 self.set_share(now, false);
                 self.cloud.lead(now, false);
                 self.scheduler.deposed();
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -593,6 +593,19 @@
         ours.peek().is_some() && ours.all(|m| now.ms > m.heard_ms + patience_ms)
     }
 
+    /// Whether most of a zone's machines are heard, as far as it has any.
+    pub fn hears_zone(&self, now: Now, zone: &str) -> bool {
+        let heard_since_ms = now.ms.saturating_sub(self.lease_ms() / 2);
+        let (mut all, mut heard) = (0, 0);
+        for machine in self.fleet.machines.values() {
+            if machine.phase == Phase::Up && &*machine.offer.zone == zone {
+                all += 1;
+                heard += usize::from(machine.heard_ms >= heard_since_ms);
+            }
+        }
+        heard * 2 >= all
+    }
+
     /// Stops what a machine runs, letting it save what it can.
     pub(super) fn drain(&mut self, now: Now, id: &MachineId) {
         let tasks = self.fleet.get(id).map(|m| m.tasks.clone());
--- a/tests/leadership.rs
+++ b/tests/leadership.rs
@@ -185,3 +185,28 @@
     assert_eq!(back, 0, "{:?}", w.redirects);
     assert_eq!(w.on_machines("run-1"), 16);
 }
+
+/// Two silent controllers in a row, in the order in which workers try them,
+/// cost a worker more than its lease (inc-36de, inc-98e3: 600 to 720 tasks
+/// ended). A leader whose successor is silent leaves the lead to another, once.
+#[test]
+fn a_leader_whose_successor_is_silent_hands_over_before_it_falls_silent_too() {
+    let mut w = up(3);
+    let first = w.leader().unwrap();
+    assert_eq!(w.submit(0, &service("run-1", 16)), 201);
+    w.run_for(40_000);
+    let term = |w: &World| w.state.items["leader/term"].0["term"].as_u64();
+    assert_eq!(term(&w), Some(1), "no silence, no step");
+    let started = w.trace.len();
+    let until = w.now + 60_000;
+    w.frozen.insert((first + 1) % 3, until);
+    w.run_for(20_000);
+    let leader = w.leader().unwrap();
+    assert_eq!(leader, (first + 2) % 3, "the only one with a successor");
+    w.run_for(15_000);
+    assert_eq!(term(&w), Some(2), "one step");
+    w.frozen.insert(leader, until);
+    w.run_for(20_000);
+    assert_eq!(w.on_machines("run-1"), 16);
+    assert_eq!(w.trace.len(), started, "no lease ended: {:?}", w.trace);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -82,6 +82,12 @@
             format!("[[peers]]\nnode_name = \"n-{n}\"\ndomain = \"a\"\npeer_addr = \"{port}\"\n");
         text = text.replace("[services]", &format!("{peer}[services]"));
     }
+    // The users' settings leave a node out of its own peers.
+    let own = format!("[[peers]]\nnode_name = \"{name}\"\n");
+    let at = text.find(&own).expect("its own entry");
+    let entry = text[at..].split_inclusive('\n').take(4);
+    let end = at + entry.map(str::len).sum::<usize>();
+    text.replace_range(at..end, "");
     Settings::parse(&text, "test").expect("test settings")
 }
 
