Cut one controller off in one place in the traces

Four traces lost the state service and the peers of one node by the same closure, and three places read a node's number out of its peer address. Both stand once now, beside the other scenes. No assertion, timing or fate changes; the sources are untouched.

--- a/tests/cancellations.rs
+++ b/tests/cancellations.rs
@@ -5,7 +5,7 @@
 
 use lilacfork::msg::Target;
 use serde_json::json;
-use world::scenes::{heal, up};
+use world::scenes::{cut_off, heal, node_at, up};
 use world::{service, Fate, World, CANCEL_MS};
 
 /// Two services of eight on two machines.
@@ -21,12 +21,7 @@
 /// The state service refuses this node; `deaf`: nor does a peer's word reach
 /// it.
 fn refuse(w: &mut World, lone: usize, deaf: bool) {
-    let lone_addr = format!("10.0.0.{}:8081", lone + 1);
-    w.hook = Box::new(move |_, node, call| match &call.target {
-        Target::State | Target::StateWatch if node == lone => Fate::Refuse,
-        Target::Peer(addr) if deaf && (node == lone || *addr == lone_addr) => Fate::LoseRequest,
-        _ => Fate::Pass,
-    });
+    cut_off(w, lone, Fate::Refuse, deaf);
 }
 
 /// What befalls the confirming node and the leader besides.
@@ -61,10 +56,9 @@
     refuse(&mut w, leader, true);
     w.run_for(refused_ms);
     if also == Also::AnswerLost {
-        let lone_addr = format!("10.0.0.{}:8081", leader + 1);
         w.hook = Box::new(move |_, node, call| match &call.target {
             Target::State | Target::StateWatch if node == leader => Fate::Refuse,
-            Target::Peer(addr) if node == leader || *addr == lone_addr => Fate::LoseRequest,
+            Target::Peer(addr) if node == leader || node_at(addr) == leader => Fate::LoseRequest,
             Target::State if call.path == "/txn" && node == other => Fate::LoseAnswer,
             _ => Fate::Pass,
         });
--- a/tests/leadership.rs
+++ b/tests/leadership.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use std::cell::Cell;
 use std::rc::Rc;
-use world::scenes::{full_zone, heal, up};
+use world::scenes::{cut_off, full_zone, heal, up};
 use world::{array, service, Fate, World};
 
 /// A claim carried out late, when its author had given it up and made another
@@ -78,12 +78,7 @@
     let (mut w, _) = full_zone(3);
     let old = w.leader().unwrap();
     // It hears neither peers nor, by its renewals, the state service.
-    let peer = format!("10.0.0.{}:8081", old + 1);
-    w.hook = Box::new(move |_, node, call| match &call.target {
-        Target::State | Target::StateWatch if node == old => Fate::Refuse,
-        Target::Peer(addr) if node == old || *addr == peer => Fate::LoseRequest,
-        _ => Fate::Pass,
-    });
+    cut_off(&mut w, old, Fate::Refuse, true);
     w.run_for(8000);
     let new = (0..3).find(|n| *n != old && w.nodes[*n].as_ref().unwrap().is_leader());
     assert!(new.is_some());
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -8,7 +8,7 @@
 use serde_json::{json, Value};
 use std::cell::RefCell;
 use std::rc::Rc;
-use world::scenes::{cut_between_zones, full_zone, gone, heal, set_silent, up};
+use world::scenes::{cut_between_zones, cut_off, full_zone, gone, heal, set_silent, up};
 use world::{array, service, Fate, World, CANCEL_MS, LEASE_MS};
 
 /// Ends the leader, and returns who leads next.
@@ -536,12 +536,7 @@
     }
     w.run_for(2000);
     let old = w.leader().unwrap();
-    let peer = format!("10.0.0.{}:8081", old + 1);
-    w.hook = Box::new(move |_, node, call| match &call.target {
-        Target::State | Target::StateWatch if node == old => Fate::LoseRequest,
-        Target::Peer(addr) if node == old || *addr == peer => Fate::LoseRequest,
-        _ => Fate::Pass,
-    });
+    cut_off(&mut w, old, Fate::LoseRequest, true);
     let other = (old + 1) % 3;
     for n in 0..3 {
         assert_eq!(w.cancel(other, &format!("run-{n}")).1, "cancelled");
--- a/tests/storms.rs
+++ b/tests/storms.rs
@@ -9,6 +9,7 @@
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use world::scenes::node_at;
 use world::{array, service, Fate, World};
 
 /// How likely each fate is, in percent, changed as the storm goes.
@@ -66,7 +67,7 @@
                 }
                 Target::State if chance(now.slow_state) => Fate::SlowAnswer(rng.u64(0..800)),
                 Target::Peer(addr) => {
-                    let to = usize::from(addr.as_bytes()[7] - b'1');
+                    let to = node_at(addr);
                     let parted = now.parted.is_some_and(|n| n == node || n == to);
                     if parted || chance(now.lost_peer) {
                         Fate::LoseRequest
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -653,14 +653,14 @@
                 }
             },
             Target::Peer(addr) => {
-                let to = addr.as_bytes()[7] - b'1';
+                let to = scenes::node_at(addr);
                 let origin = Origin::Peer { node, epoch, id };
                 let request = Request {
                     method: call.method.into(),
                     path: call.path,
                     body: call.body,
                 };
-                if self.nodes.get(to as usize).is_none_or(Option::is_none) {
+                if self.nodes.get(to).is_none_or(Option::is_none) {
                     let outcome = Err(CallError::NotSent);
                     self.at(
                         self.now + 1,
@@ -676,7 +676,7 @@
                 self.at(
                     self.now,
                     Action::Request {
-                        node: to as usize,
+                        node: to,
                         origin,
                         port: Port::Peer,
                         request,
--- a/tests/world/scenes.rs
+++ b/tests/world/scenes.rs
@@ -67,3 +67,18 @@
 pub fn gone<'a>(w: &World, names: &'a [String]) -> Vec<&'a String> {
     names.iter().filter(|n| w.workers[*n].gone).collect()
 }
+
+/// The node that a peer's address names.
+pub fn node_at(addr: &str) -> usize {
+    usize::from(addr.as_bytes()[7] - b'1')
+}
+
+/// This node alone loses the state service, in this way, and, if `deaf`, the
+/// other controllers.
+pub fn cut_off(w: &mut World, lone: usize, from_state: Fate, deaf: bool) {
+    w.hook = Box::new(move |_, node, call| match &call.target {
+        Target::State | Target::StateWatch if node == lone => from_state,
+        Target::Peer(addr) if deaf && (node == lone || node_at(addr) == lone) => Fate::LoseRequest,
+        _ => Fate::Pass,
+    });
+}
