Probe jobs that fail everywhere by one task, and condemn no machine by them

Now a circuit breaker per job: open after failures on three machines without a success, it lets one task at a time try, with pauses that double, after all other work, and nothing is rented, stopped, held or moved for it. It is stored with the placements. A machine is returned only by failures of two jobs, or of one that succeeds elsewhere.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,7 +1,8 @@
 //! What each machine may hold, from stored assignments and ordered reports.
 
 use crate::cloud::Offer;
-use crate::ids::{JobId, MachineId, Session, TaskRef, Term, Token};
+use crate::faults::FaultEvidence;
+use crate::ids::{MachineId, Session, TaskRef, Term, Token};
 use crate::placement::Res;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -51,8 +52,8 @@
     cached: VecDeque<(Rc<str>, f64)>,
     /// Images on their way, with the tasks that wait.
     pub fetching: BTreeMap<Rc<str>, u32>,
-    /// Jobs that failed here, without one that succeeded since.
-    pub blamed_by: Vec<JobId>,
+    /// What failed here, without a success since.
+    pub faults: FaultEvidence,
     pub idle_since_ms: Option<u64>,
     /// The list called it running.
     pub listed_up: bool,
@@ -92,7 +93,7 @@
             strays: false,
             cached: VecDeque::new(),
             fetching: BTreeMap::new(),
-            blamed_by: Vec::new(),
+            faults: FaultEvidence::default(),
             idle_since_ms: Some(now_ms),
             listed_up: false,
             calling: false,
@@ -112,7 +113,7 @@
             && !self.strays
             && self.unresponsive_since_ms.is_none()
             && self.notice_until_ms.is_none()
-            && self.blamed_by.len() < 2
+            && !self.faults.suspect()
             && now_ms < self.heard_ms + fresh_ms
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cancellations;
 pub mod cloud;
 pub mod election;
+pub mod faults;
 pub mod fleet;
 pub mod gateway;
 pub mod http;
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -307,6 +307,7 @@
         self.cleanup.extend(batch.litter);
         for (id, state) in batch.finished {
             self.over.insert(id.clone(), now.ms + OVER_MS);
+            self.forgive_unless_succeeded(&id);
             if let Some(job) = self.jobs.remove(&id) {
                 log::info!(
                     "job {id} over state={state:?} class={} after_ms={}",
--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -1,5 +1,6 @@
 //! Jobs as the leader holds them, and what of them is stored.
 
+use crate::faults::FailureHistory;
 use crate::gateway::JobRecord;
 use crate::ids::{Attempt, JobId, MachineId, Session, TaskRef, Token};
 use crate::placement::{Res, ZoneUse};
@@ -48,6 +49,13 @@
     pub done: String,
     #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
     pub assigned: Vec<Row>,
+    /// Failed probes of a job that fails everywhere, plus one; 0: it doesn't.
+    #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
+    pub failures: u32,
+}
+
+fn is_zero(count: &u32) -> bool {
+    *count == 0
 }
 
 pub fn write_ranges(tasks: impl Iterator<Item = u32>) -> String {
@@ -156,10 +164,8 @@
     pub unstored: BTreeSet<(u32, Attempt)>,
     /// The final record is being written.
     pub finishing: bool,
-    pub pause_until_ms: u64,
-    pub failures: u32,
-    pub failed_on: Vec<MachineId>,
-    pub succeeded: bool,
+    /// Whether its tasks fail wherever they run.
+    pub failures: FailureHistory,
     /// Tasks whose whole run was seen, and how long they took together.
     pub runs: (u32, u64),
     /// The record changed under us; read it before the next write.
@@ -182,10 +188,7 @@
             pending: (0..tasks).collect(),
             unstored: BTreeSet::new(),
             finishing: false,
-            pause_until_ms: 0,
-            failures: 0,
-            failed_on: Vec::new(),
-            succeeded: false,
+            failures: FailureHistory::default(),
             runs: (0, 0),
             stale: false,
             arrived_ms: now_ms,
@@ -273,6 +276,7 @@
                     (*task, a.attempt, a.machine.clone(), a.session, zone)
                 })
                 .collect(),
+            failures: self.failures.to_record(),
         }
     }
 
@@ -292,9 +296,11 @@
         let Some(done) = read_ranges(&record.done, self.spec.tasks) else {
             return false;
         };
+        self.failures.restore(record.failures);
         for task in done {
             self.pending.remove(&task);
             self.done.insert(task);
+            self.failures.succeeded();
         }
         for (task, attempt, machine, session, zone) in record.assigned {
             self.pending.remove(&task);
--- a/src/scheduler/moves.rs
+++ b/src/scheduler/moves.rs
@@ -355,7 +355,8 @@
         zones
     }
 
-    fn settled_ms(&self) -> u64 {
+    /// How long a task has to run for its start to count for its users.
+    pub(super) fn settled_ms(&self) -> u64 {
         let seen_s = self.settings.site.workers.report_s * SEEN_REPORTS;
         ((START_COUNTS_S + seen_s) * 1000.0) as u64
     }
--- a/src/scheduler/renting.rs
+++ b/src/scheduler/renting.rs
@@ -104,7 +104,7 @@
             let quiet = machine.phase == Phase::Up
                 && !machine.takes_work(now.ms, fresh_ms)
                 && machine.notice_until_ms.is_none()
-                && machine.blamed_by.len() < 2
+                && !machine.faults.suspect()
                 && now.ms < machine.heard_ms + self.lease_ms() / 2;
             if boots || quiet {
                 coming.push(Coming {
@@ -250,7 +250,7 @@
             let Some(machine) = self.fleet.get(&id) else {
                 continue;
             };
-            let faulty = machine.blamed_by.len() >= 2;
+            let faulty = machine.faults.faulty();
             let emptied = machine.phase == Phase::Draining;
             let reserved = self.reserved.contains(&id);
             if !faulty && !emptied && !reserved {
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -3,7 +3,7 @@
 use super::{Assign, Scheduler, SchedulerOut, StopPlan};
 use crate::cloud::{Cloud, Offer};
 use crate::fleet::Phase;
-use crate::ids::{Attempt, MachineId, TaskRef};
+use crate::ids::{Attempt, JobId, MachineId, TaskRef, Token};
 use crate::msg::{ConnId, Now, Reply};
 use crate::wire::{Command, EndReason, Report, ReportAnswer, ReportTo, ReportedTask, TaskPhase};
 use std::collections::{BTreeMap, HashMap};
@@ -14,8 +14,7 @@
 const RESEND_REPORTS: f64 = 0.9;
 /// After this many report intervals without effect a machine counts as unresponsive.
 const UNRESPONSIVE_REPORTS: u64 = 5;
-/// A job that failed on so many machines is itself to blame.
-const GUILTY_AFTER: usize = 3;
+/// After a start that a worker refused, its job waits for so long.
 const PAUSE_MS: u64 = 500;
 /// For so many report intervals after the moment up to which all cancellations
 /// are known, tasks may be started.
@@ -178,70 +177,16 @@
         machine.fetching.clear();
         let mut unheeded = false;
         for task in assigned {
-            let Some(job) = self.jobs.get_mut(&task.job) else {
+            let Some(attempt) = self.assigned_attempt(id, &task) else {
                 continue;
             };
-            let Some(assign) = job
-                .assigns
-                .get_mut(&task.index)
-                .filter(|a| a.machine == *id)
-            else {
-                continue;
-            };
-            match present.remove(&(task.clone(), assign.attempt)) {
+            match present.remove(&(task.clone(), attempt)) {
                 Some(seen) if seen.phase == TaskPhase::Ended => {
                     let reason = seen.reason.unwrap_or(EndReason::Other);
                     self.ended(now, id, &task, reason);
                 }
-                Some(seen) => {
-                    let image = job.spec.image.clone();
-                    let gb = job.spec.image_gb;
-                    if seen.phase != TaskPhase::Fetching && assign.running_since_ms.is_none() {
-                        assign.running_since_ms = Some(now.ms);
-                        let waited_ms = now.wall.saturating_sub(job.submitted);
-                        assign.late = self
-                            .settings
-                            .start_aim_ms(&job.spec)
-                            .is_some_and(|most| waited_ms > most);
-                        log::info!(
-                            "task {task} running attempt={} on {id} waited_ms={waited_ms}",
-                            assign.attempt,
-                        );
-                    }
-                    assign.phase = Some(seen.phase);
-                    if let Some(machine) = self.fleet.get_mut(id) {
-                        if seen.phase == TaskPhase::Fetching {
-                            *machine.fetching.entry(image).or_insert(0) += 1;
-                        } else {
-                            machine.used_image(&image, gb);
-                        }
-                    }
-                }
-                None => {
-                    assign.phase = None;
-                    if assign.stop.is_none() {
-                        unheeded |= assign.first_sent_ms.is_some_and(|at| {
-                            now.ms > at + UNRESPONSIVE_REPORTS * self.report_ms()
-                        });
-                        continue;
-                    }
-                    let proven = match (assign.first_sent_ms, assign.absent_proof) {
-                        // No start of this term was sent, and earlier terms'
-                        // are refused under this report's token.
-                        (None, _) => true,
-                        (_, Some(token)) => report.token >= token,
-                        (_, None) => {
-                            match self.fleet.get_mut(id).and_then(|m| m.raise_token()) {
-                                Some(token) => assign.absent_proof = Some(token),
-                                None => out.resign = Some("tokens used up"),
-                            }
-                            false
-                        }
-                    };
-                    if proven {
-                        self.drop_assign(now, &task, "absent under a raised token");
-                    }
-                }
+                Some(seen) => self.task_present(now, id, &task, seen.phase),
+                None => unheeded |= self.task_absent(now, id, &task, report.token, out),
             }
         }
         let strays = present.values().any(|t| t.phase != TaskPhase::Ended);
@@ -255,6 +200,97 @@
         }
     }
 
+    /// The attempt of the task that is assigned to this machine.
+    fn assigned_attempt(&self, id: &MachineId, task: &TaskRef) -> Option<Attempt> {
+        let assign = self.jobs.get(&task.job)?.assigns.get(&task.index)?;
+        (assign.machine == *id).then_some(assign.attempt)
+    }
+
+    /// The worker has the task, and it hasn't ended.
+    fn task_present(&mut self, now: Now, id: &MachineId, task: &TaskRef, phase: TaskPhase) {
+        let settled_ms = self.settled_ms();
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let is_service = job.is_service();
+        let Some(assign) = job.assigns.get_mut(&task.index) else {
+            return;
+        };
+        if phase != TaskPhase::Fetching && assign.running_since_ms.is_none() {
+            assign.running_since_ms = Some(now.ms);
+            let waited_ms = now.wall.saturating_sub(job.submitted);
+            assign.late = self
+                .settings
+                .start_aim_ms(&job.spec)
+                .is_some_and(|most| waited_ms > most);
+            log::info!(
+                "task {task} running attempt={} on {id} waited_ms={waited_ms}",
+                assign.attempt,
+            );
+        }
+        assign.phase = Some(phase);
+        // A service has no end to succeed by.
+        let settled = is_service
+            && phase == TaskPhase::Running
+            && assign
+                .running_since_ms
+                .is_some_and(|since| now.ms > since + settled_ms);
+        let (image, image_gb) = (job.spec.image.clone(), job.spec.image_gb);
+        if let Some(machine) = self.fleet.get_mut(id) {
+            if phase == TaskPhase::Fetching {
+                *machine.fetching.entry(image).or_insert(0) += 1;
+            } else {
+                machine.used_image(&image, image_gb);
+            }
+        }
+        if settled {
+            self.succeeded(&task.job);
+        }
+    }
+
+    /// The worker doesn't have the task. Tells whether its start has gone
+    /// unheeded for too long.
+    fn task_absent(
+        &mut self,
+        now: Now,
+        id: &MachineId,
+        task: &TaskRef,
+        reported: Token,
+        out: &mut SchedulerOut,
+    ) -> bool {
+        let patience_ms = UNRESPONSIVE_REPORTS * self.report_ms();
+        let assign = self
+            .jobs
+            .get_mut(&task.job)
+            .and_then(|job| job.assigns.get_mut(&task.index));
+        let Some(assign) = assign else {
+            return false;
+        };
+        assign.phase = None;
+        if assign.stop.is_none() {
+            return assign
+                .first_sent_ms
+                .is_some_and(|at| now.ms > at + patience_ms);
+        }
+        let proven = match (assign.first_sent_ms, assign.absent_proof) {
+            // No start of this term was sent, and earlier terms' are refused
+            // under this report's token.
+            (None, _) => true,
+            (_, Some(token)) => reported >= token,
+            (_, None) => {
+                match self.fleet.get_mut(id).and_then(|m| m.raise_token()) {
+                    Some(token) => assign.absent_proof = Some(token),
+                    None => out.resign = Some("tokens used up"),
+                }
+                false
+            }
+        };
+        if proven {
+            self.drop_assign(now, task, "absent under a raised token");
+        }
+        false
+    }
+
     /// The worker says that the attempt is over.
     fn ended(&mut self, now: Now, id: &MachineId, task: &TaskRef, reason: EndReason) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -275,9 +311,9 @@
             machine.unassign(task, &need, now.ms);
             if slow {
                 log::info!("machine {id} runs {task} far too slowly");
-                machine.blamed_by.push(task.job.clone());
+                machine.faults.add(&task.job, true);
             } else if reason == EndReason::Done {
-                machine.blamed_by.clear();
+                machine.faults.clear();
             }
         }
         self.round_wanted = true;
@@ -293,13 +329,13 @@
         job.unstored.insert((task.index, assign.attempt));
         if reason == EndReason::Done {
             job.done.insert(task.index);
-            job.succeeded = true;
             job.touch(task.index, now.ms, false);
             if let Some(took_ms) = took_ms {
                 let took_s = took_ms as f64 / 1000.0;
                 let (class, estimate) = (job.spec.class.clone(), job.spec.estimate_s);
                 self.learning.ran(&class, estimate, took_s);
             }
+            self.succeeded(&task.job);
             return;
         }
         job.pending.insert(task.index);
@@ -307,36 +343,72 @@
         match reason {
             EndReason::Error => self.failed(now, id, task),
             EndReason::Stopped => {}
-            _ => job.pause_until_ms = now.ms + PAUSE_MS,
+            _ => job.failures.delay_until(now.ms + PAUSE_MS),
         }
     }
 
     /// Mostly the machine is faulty; a job that fails everywhere is not
     /// allowed to condemn machine after machine.
     fn failed(&mut self, now: Now, id: &MachineId, task: &TaskRef) {
+        let report_ms = self.report_ms();
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        job.failures += 1;
-        if !job.failed_on.contains(id) {
-            job.failed_on.push(id.clone());
-        }
-        let guilty = !job.succeeded && job.failed_on.len() >= GUILTY_AFTER;
-        if guilty {
-            let pause = PAUSE_MS << (job.failures.min(16) - 1).min(7);
-            job.pause_until_ms = now.ms + pause;
-            for machine in self.fleet.machines.values_mut() {
-                machine.blamed_by.retain(|j| *j != task.job);
-            }
-        } else if let Some(machine) = self.fleet.get_mut(id) {
-            // Two tasks of one job count as well: a faulty machine fails all.
-            machine.blamed_by.push(task.job.clone());
-            if machine.blamed_by.len() >= 2 {
+        let last = job.assigns.is_empty();
+        job.failures.failed(now.ms, id, last, report_ms);
+        if job.failures.is_open() {
+            log::info!("job {} fails wherever it runs", task.job);
+            self.forgive(&task.job);
+            return;
+        }
+        let job_succeeds = job.failures.has_succeeded();
+        if let Some(machine) = self.fleet.get_mut(id) {
+            machine.faults.add(&task.job, job_succeeds);
+            if machine.faults.suspect() {
                 log::info!("machine {id} fails tasks, avoided");
             }
         }
     }
 
+    /// The job's failures say nothing about the machines on which it failed.
+    pub(super) fn forgive(&mut self, job_id: &JobId) {
+        let Some(job) = self.jobs.get(job_id) else {
+            return;
+        };
+        for id in job.failures.machines() {
+            if let Some(machine) = self.fleet.get_mut(id) {
+                machine.faults.forgive(job_id);
+            }
+        }
+    }
+
+    /// A job that ends without a success leaves nothing against machines.
+    pub(super) fn forgive_unless_succeeded(&mut self, job_id: &JobId) {
+        let succeeded = self
+            .jobs
+            .get(job_id)
+            .is_some_and(|job| job.failures.has_succeeded());
+        if !succeeded {
+            self.forgive(job_id);
+        }
+    }
+
+    /// A task of the job has succeeded: those that failed did so by the fault
+    /// of their machines.
+    fn succeeded(&mut self, job_id: &JobId) {
+        let Some(job) = self.jobs.get_mut(job_id) else {
+            return;
+        };
+        if !job.failures.succeeded() {
+            return;
+        }
+        for id in job.failures.machines() {
+            if let Some(machine) = self.fleet.get_mut(id) {
+                machine.faults.confirm(job_id);
+            }
+        }
+    }
+
     /// What this worker is to do. With a report, ended tasks that are stored
     /// are forgotten too, under a raised token: a late copy of their start is
     /// then refused.
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -252,10 +252,13 @@
             .jobs
             .iter()
             .filter(|(_, j)| j.cancelled.is_none() && !j.pending.is_empty() && !j.stale)
-            .filter(|(_, j)| now.ms >= j.pause_until_ms)
+            .filter(|(_, j)| j.failures.may_retry(now.ms))
             .map(|(id, job)| Waiting {
                 priority: if moving.contains(id) {
                     Priority::Critical
+                } else if job.failures.is_open() {
+                    // A probe goes after all that can succeed.
+                    Priority::Idle
                 } else {
                     job.spec.priority
                 },
@@ -405,15 +408,20 @@
         let job = self.jobs.get(id)?;
         let (spec, need) = (job.spec.clone(), job.need);
         let mut zones = job.zone_use();
+        let probing = job.failures.is_open();
+        if probing && !job.assigns.is_empty() {
+            return None;
+        }
         // A gang is seen whole; of a huge array a round's worth will do.
         let most = match spec.kind {
             Kind::Group => usize::MAX,
+            _ if probing => 1,
             _ => ROUND_TASKS,
         };
         let tasks: Vec<u32> = job.pending.iter().copied().take(most).collect();
         if spec.kind == Kind::Group && !self.whole_fits(&spec, &need, &zones, rooms, &tasks, used) {
             // A gang starts whole, as one round, or waits.
-            return Some(Rest {
+            return (!probing).then_some(Rest {
                 spec,
                 count: tasks.len() as u32,
                 deadline,
@@ -459,7 +467,7 @@
                 rooms[index].free.take(&need);
             } else if best.is_none() {
                 best = self.best_room(&need, &zones, rooms, id, &mut ranked);
-                let cold = best.filter(|i| !self.has_image(&rooms[*i].id, &spec.image));
+                let cold = best.filter(|i| !probing && !self.has_image(&rooms[*i].id, &spec.image));
                 held =
                     cold.and_then(|cold| self.exchange(now, &spec, deadline, &zones, cold, rooms));
             }
@@ -471,7 +479,7 @@
                 promised += 1;
                 continue;
             }
-            if best.is_none() && self.settings.start_aim_ms(&spec).is_some() {
+            if best.is_none() && !probing && self.settings.start_aim_ms(&spec).is_some() {
                 // What waits now goes before what is only expected.
                 best = release_kept(&spec, &need, &zones, rooms);
             }
@@ -523,6 +531,10 @@
             team.add(&need);
             placed += 1;
         }
+        if probing {
+            // Nothing is kept, rented or stopped for it.
+            return None;
+        }
         let count = (tasks.len() - placed - promised) as u32 - blocked;
         let count = self.hold_room(&spec, count, &mut zones, rooms);
         (count > 0).then_some(Rest {
@@ -633,7 +645,7 @@
             left: left.share_of(&room.whole),
             siblings,
         };
-        let avoided = if job.failed_on.contains(&room.id) {
+        let avoided = if job.failures.failed_on(&room.id) {
             10.0
         } else {
             0.0
--- /dev/null
+++ b/tests/faults.rs
@@ -0,0 +1,153 @@
+//! Tasks that fail: by a job's mistake, by a faulty machine, or both at once.
+
+mod world;
+
+use lilacfork::faults::{FailureHistory, FaultEvidence};
+use lilacfork::ids::{JobId, MachineId};
+use world::scenes::{gone, up};
+use world::{array, service, World};
+
+const REPORT_MS: u64 = 1000;
+
+fn machine(n: u32) -> MachineId {
+    MachineId::new(&format!("vm-{n}"))
+}
+
+#[test]
+fn a_machine_is_faulty_by_two_jobs_or_by_one_that_succeeds_elsewhere() {
+    let (one, other) = (JobId::new("run-1"), JobId::new("run-2"));
+    let mut evidence = FaultEvidence::default();
+    evidence.add(&one, false);
+    assert!(!evidence.suspect());
+    evidence.add(&one, false);
+    assert!(
+        evidence.suspect() && !evidence.faulty(),
+        "it may be the job"
+    );
+    evidence.confirm(&other);
+    assert!(!evidence.faulty(), "that job never failed here");
+    let mut by_success = evidence.clone();
+    by_success.confirm(&one);
+    assert!(by_success.faulty());
+    let mut by_two = evidence.clone();
+    by_two.add(&other, false);
+    assert!(by_two.faulty());
+    by_two.forgive(&one);
+    assert!(!by_two.suspect());
+    by_success.clear();
+    assert!(!by_success.suspect());
+}
+
+#[test]
+fn a_breaker_opens_after_three_machines_and_closes_by_a_success() {
+    let mut history = FailureHistory::default();
+    for n in [1, 1, 1, 2, 2] {
+        history.failed(0, &machine(n), true, REPORT_MS);
+    }
+    assert!(!history.is_open(), "two machines may both be faulty");
+    history.failed(0, &machine(3), false, REPORT_MS);
+    assert!(history.is_open() && history.may_retry(0));
+    let pauses: Vec<u64> = (0..9)
+        .map(|_| {
+            history.failed(0, &machine(4), true, REPORT_MS);
+            (0..).find(|ms| history.may_retry(*ms)).unwrap_or(0)
+        })
+        .collect();
+    assert_eq!(
+        pauses,
+        [500, 1000, 2000, 4000, 8000, 16_000, 32_000, 64_000, 64_000]
+    );
+    let mut inherited = FailureHistory::default();
+    inherited.restore(history.to_record());
+    assert!(inherited.is_open() && inherited.may_retry(0));
+    assert!(inherited.succeeded(), "the first");
+    assert!(!inherited.is_open());
+    assert!(!inherited.succeeded(), "the second");
+    assert_eq!(FailureHistory::default().to_record(), 0);
+}
+
+/// Six machines, and a job of forty tasks with a mistake.
+fn with_a_mistake(nodes: usize) -> (World, Vec<String>) {
+    let mut w = up(nodes);
+    let names: Vec<String> = (1..5).map(|n| format!("vm-c{n}")).collect();
+    for name in &names {
+        w.add_machine(name, "a", false, true);
+    }
+    w.run_for(2000);
+    w.broken.insert("run-1".into());
+    (w, names)
+}
+
+fn starts(w: &World, job: &str) -> usize {
+    let prefix = format!(" {job}/");
+    w.trace.iter().filter(|t| t.contains(&prefix)).count()
+}
+
+/// All its tasks once started again after every pause, on up to 35 machines,
+/// and machines were rented for them (inc-c0eb, inc-683a).
+#[test]
+fn a_job_with_a_mistake_is_probed_by_one_task_at_a_time() {
+    let (mut w, names) = with_a_mistake(1);
+    let machines = w.workers.len();
+    assert_eq!(w.submit(0, &array("run-1", 40)), 201);
+    w.run_for(4000);
+    let first = starts(&w, "run-1");
+    w.run_for(45_000);
+    let probes = starts(&w, "run-1") - first;
+    assert!(
+        (3..=7).contains(&probes),
+        "{first} at first, {probes} since"
+    );
+    assert_eq!(w.workers.len(), machines, "nothing is rented for it");
+    assert!(gone(&w, &names).is_empty());
+    assert_eq!(w.cancel(0, "run-1").0, 200);
+}
+
+/// A machine that is empty but for such a job's tasks was returned at once.
+#[test]
+fn a_job_with_a_mistake_costs_no_empty_machine() {
+    let (mut w, names) = with_a_mistake(1);
+    assert_eq!(w.submit(0, &array("run-1", 2)), 201);
+    w.run_for(10_000);
+    assert!(gone(&w, &names).is_empty(), "{:?}", gone(&w, &names));
+    assert!(!w.workers["vm-a"].gone && !w.workers["vm-b"].gone);
+    // And it is of use at once.
+    assert_eq!(w.submit(0, &service("run-2", 12)), 201);
+    w.run_for(2000);
+    assert_eq!(w.on_machines("run-2"), 12);
+}
+
+/// Both at once, also when the leader changes in between.
+#[test]
+fn a_faulty_machine_is_found_among_jobs_with_a_mistake() {
+    for leader_ends in [false, true] {
+        let (mut w, names) = with_a_mistake(3);
+        w.broken.insert("run-3".into());
+        w.workers.get_mut("vm-c2").unwrap().sick = true;
+        for (n, id) in ["run-1", "run-2", "run-3"].iter().enumerate() {
+            assert_eq!(w.submit(n, &array(id, 14)), 201);
+        }
+        if leader_ends {
+            w.run_for(600);
+            w.kill(w.leader().unwrap());
+        }
+        w.run_for(30_000);
+        let alive = w.leader().unwrap();
+        assert_eq!(w.poll(alive, "run-2").1, "done");
+        assert_eq!(gone(&w, &names), ["vm-c2"], "leader ends: {leader_ends}");
+    }
+}
+
+/// A new leader once knew nothing of it and started all tasks again.
+#[test]
+fn a_new_leader_knows_which_jobs_fail_everywhere() {
+    let (mut w, _) = with_a_mistake(3);
+    assert_eq!(w.submit(0, &array("run-1", 40)), 201);
+    w.run_for(10_000);
+    let first = starts(&w, "run-1");
+    w.kill(w.leader().unwrap());
+    w.run_for(20_000);
+    assert!(w.leader().is_some());
+    let since = starts(&w, "run-1") - first;
+    assert!((1..=6).contains(&since), "{first} at first, {since} since");
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -18,7 +18,7 @@
 use lilacfork::settings::Settings;
 use observer::{Observer, Placed, Question, Verb};
 use serde_json::{json, Value};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 pub const SETTINGS: &str = r#"
 node_name = "NAME"
@@ -279,6 +279,8 @@
     /// Starts carried out, as people read them: time, machine, task, attempt.
     pub trace: Vec<String>,
     pub run_ms: u64,
+    /// Jobs that were submitted with a mistake: their tasks fail everywhere.
+    pub broken: BTreeSet<String>,
     /// Nodes that stand still, and until when.
     pub frozen: BTreeMap<usize, u64>,
     /// Answers to reports: when, by whom, status.
@@ -316,6 +318,7 @@
             looked_ms: 0,
             trace: Vec::new(),
             run_ms: 3000,
+            broken: BTreeSet::new(),
             frozen: BTreeMap::new(),
             report_answers: Vec::new(),
             redirects: Vec::new(),
@@ -589,12 +592,14 @@
                 task,
                 attempt,
             } => {
+                let broken = self.is_broken(&task);
                 if let Some(worker) = self.workers.get_mut(&machine) {
+                    let fails = worker.sick || broken;
                     if let Some(t) = worker.tasks.get_mut(&task) {
                         if t.attempt == attempt && t.state == "running" {
                             t.state = "ended";
-                            t.why = Some(if worker.sick { "error" } else { "done" });
-                            if !worker.sick {
+                            t.why = Some(if fails { "error" } else { "done" });
+                            if !fails {
                                 self.observer.finished(&task);
                             }
                         }
@@ -1249,7 +1254,7 @@
                         .observer
                         .spec(job)
                         .is_some_and(|s| s["genre"] == "service");
-                    let sick = self.workers[name].sick;
+                    let fails = self.workers[name].sick || self.is_broken(&task);
                     let running = Running {
                         attempt,
                         state: "running",
@@ -1258,8 +1263,8 @@
                     if let Some(w) = self.workers.get_mut(name) {
                         w.tasks.insert(task.clone(), running);
                     }
-                    if !service || sick {
-                        let after = if sick {
+                    if !service || fails {
+                        let after = if fails {
                             100
                         } else {
                             self.run_ms * self.workers[name].slowness
@@ -1322,6 +1327,11 @@
         }
     }
 
+    fn is_broken(&self, task: &str) -> bool {
+        let job = task.split('/').next().unwrap_or("");
+        self.broken.contains(job)
+    }
+
     /// Where a task is now, if anywhere.
     pub fn on_machines(&self, prefix: &str) -> usize {
         self.workers
