Let a woken leader act on no old silence, and take the lead back at once

Now the time that a process stood still counts as nobody's silence, a leader in doubt doesn't step aside, and who stepped aside waits no longer once another has led.

--- a/src/election.rs
+++ b/src/election.rs
@@ -287,6 +287,8 @@
         match &self.leader {
             Some(record) if record.node != self.node => {
                 self.role = Role::Follower(record.clone());
+                // Another has claimed: there is nobody left to wait for.
+                self.aside_until_ms = 0;
                 // The watch brings changes; this is in case it hangs, and so
                 // that a quiet follower knows that it is informed.
                 self.due_ms = now.ms + self.ttl_ms / 2;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -453,7 +453,7 @@
             }
         }
         self.take_scheduler(now, scheduler, out);
-        if aside && self.election.is_leader() {
+        if aside && self.election.is_leader() && !self.election.in_doubt() {
             // Workers of ours reach another and not us, nor do commands.
             log::error!("leader steps aside: workers reach {} only", heartbeat.node);
             self.unreached = true;
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -653,7 +653,9 @@
     /// (`to_us`, by zone). Those that are new to it may be on their way.
     pub fn hears_nobody(&self, now: Now, to_us: impl Fn(&str) -> bool) -> bool {
         let patience_ms = (self.report_ms() as f64 * UNREACHABLE_REPORTS) as u64;
-        if !self.active() || now.ms < self.elected_ms + patience_ms {
+        // Nobody can be heard by a process that stands still.
+        let listening_since_ms = self.elected_ms.max(self.stood_still_ms);
+        if !self.active() || now.ms < listening_since_ms + patience_ms {
             return false;
         }
         let mut ours = self
--- a/tests/leadership.rs
+++ b/tests/leadership.rs
@@ -205,3 +205,38 @@
     assert_eq!(w.on_machines("run-1"), 16);
     assert_eq!(w.trace.len(), started, "no lease ended: {:?}", w.trace);
 }
+
+/// A leader woke up, took the silence that it had kept for its workers', and
+/// stepped aside on old reports, though another led by then. When that one
+/// handed the lead over to it, each let the other claim first: nobody led for
+/// six seconds (reparetout-mtl-ops operations, seed 41).
+#[test]
+fn a_leader_that_wakes_up_may_be_handed_the_lead_at_once() {
+    let mut w = up(3);
+    assert_eq!(w.submit(0, &service("run-1", 16)), 201);
+    w.run_for(3000);
+    let first = w.leader().unwrap();
+    let until = w.now + 60_000;
+    w.frozen.insert(first, until);
+    w.run_for(8000);
+    let led = |w: &World, n: usize| w.nodes[n].as_ref().unwrap().is_leader();
+    let second = (0..3).find(|n| *n != first && led(&w, *n)).unwrap();
+    let third = 3 - first - second;
+    let wakes = w.now + 16_000;
+    w.frozen.insert(second, wakes);
+    w.run_until(wakes - 10);
+    assert!(led(&w, third));
+    let mut alone_ms = 0;
+    for _ in 0..1000 {
+        w.run_for(10);
+        if !led(&w, second) && !led(&w, third) {
+            alone_ms += 10;
+        }
+    }
+    assert!(
+        led(&w, second),
+        "handed over: the third's successor is silent"
+    );
+    assert!(alone_ms < 500, "nobody led for {alone_ms} ms");
+    assert_eq!(w.on_machines("run-1"), 16);
+}
