Wait for a boot as long as the catalog says, and learn from those given up

From 497 s on twelve ordinary ones were given up in a row, rented again and given up again. And where all boots take several times as long, only those that came up in time were learned from, so none ever did.

A boot is usual up to the longer of what is learned and what the catalog says; a machine that is given up counts as a sample unless one rented later has come up; samples are clamped around what is known and the catalog's figure, so that a return to ordinary boots is learned at once.

--- a/src/scheduler/learn.rs
+++ b/src/scheduler/learn.rs
@@ -5,26 +5,43 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
+/// How many times above or below what is known a sample may count.
+const OUTLIER: f64 = 3.0;
+
 /// A mean that moves by a fixed share, fed with samples that are clamped to
-/// a few times what it knows.
+/// a few times what it knows or began with.
 #[derive(Clone, Copy, Debug)]
 pub struct Learned {
     pub value: f64,
+    start: f64,
     rate: f64,
 }
 
 impl Learned {
     pub fn new(start: f64, rate: f64) -> Self {
-        Learned { value: start, rate }
+        Learned {
+            value: start,
+            start,
+            rate,
+        }
     }
     pub fn sample(&mut self, x: f64) {
         if x.is_finite() && x >= 0.0 {
-            let x = x.clamp(self.value / 3.0, self.value * 3.0);
-            self.value += self.rate * (x - self.value);
+            let least = self.value.min(self.start) / OUTLIER;
+            let most = self.value.max(self.start) * OUTLIER;
+            self.value += self.rate * (x.clamp(least, most) - self.value);
         }
     }
 }
 
+/// What is known of the boots of a machine type.
+#[derive(Clone, Copy, Debug)]
+struct Boots {
+    took_s: Learned,
+    /// When the latest-rented machine was rented that has come up.
+    up_rented_ms: u64,
+}
+
 /// Arrivals of one class, over a sliding window.
 #[derive(Clone, Debug, Default)]
 struct Arrivals {
@@ -36,7 +53,7 @@
 #[derive(Debug)]
 pub struct Learning {
     rate: f64,
-    boots: BTreeMap<Rc<str>, Learned>,
+    boots: BTreeMap<Rc<str>, Boots>,
     bias: BTreeMap<Rc<str>, Learned>,
     arrivals: BTreeMap<Rc<str>, Arrivals>,
     since: u64,
@@ -72,16 +89,44 @@
         self.arrivals.clear();
     }
 
-    pub fn booted(&mut self, machine_type: &Rc<str>, nominal_s: f64, took_s: f64) {
-        let rate = self.rate;
+    fn boots_of(&mut self, machine_type: &Rc<str>, nominal_s: f64) -> &mut Boots {
+        let took_s = Learned::new(nominal_s, self.rate);
         self.boots
             .entry(machine_type.clone())
-            .or_insert_with(|| Learned::new(nominal_s, rate))
-            .sample(took_s);
+            .or_insert_with(|| Boots {
+                took_s,
+                up_rented_ms: 0,
+            })
     }
 
+    /// A machine that was rented then has come up.
+    pub fn booted(&mut self, machine_type: &Rc<str>, nominal_s: f64, rented_ms: u64, took_s: f64) {
+        let boots = self.boots_of(machine_type, nominal_s);
+        boots.took_s.sample(took_s);
+        boots.up_rented_ms = boots.up_rented_ms.max(rented_ms);
+    }
+
+    /// A machine that was rented then is given up. Unless one that was rented
+    /// later has come up, all may take that long now: those that don't come up
+    /// in time must count, or only the quick ones would be learned from.
+    pub fn gave_up_boot(
+        &mut self,
+        machine_type: &Rc<str>,
+        nominal_s: f64,
+        rented_ms: u64,
+        waited_s: f64,
+    ) {
+        let boots = self.boots_of(machine_type, nominal_s);
+        if boots.up_rented_ms <= rented_ms {
+            boots.took_s.sample(waited_s);
+        }
+    }
+
+    /// How long a boot is expected to take.
     pub fn boot_s(&self, machine_type: &str, nominal_s: f64) -> f64 {
-        self.boots.get(machine_type).map_or(nominal_s, |l| l.value)
+        self.boots
+            .get(machine_type)
+            .map_or(nominal_s, |boots| boots.took_s.value)
     }
 
     pub fn ran(&mut self, class: &Rc<str>, estimate_s: f64, took_s: f64) {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -785,13 +785,26 @@
         }
     }
 
-    fn boot_ms(&self, offer: &Offer) -> u64 {
-        let nominal = self
-            .catalog
+    /// The boot time that the catalog states.
+    fn nominal_boot_s(&self, machine_type: &str) -> f64 {
+        self.catalog
             .as_ref()
-            .and_then(|c| c.find(&offer.machine_type))
-            .map_or(self.settings.site.workers.lease_s, |t| t.boot_s);
-        (self.learning.boot_s(&offer.machine_type, nominal) * 1000.0) as u64
+            .and_then(|c| c.find(machine_type))
+            .map_or(self.settings.site.workers.lease_s, |t| t.boot_s)
+    }
+
+    /// How long a boot is expected to take.
+    fn boot_ms(&self, offer: &Offer) -> u64 {
+        let nominal_s = self.nominal_boot_s(&offer.machine_type);
+        (self.learning.boot_s(&offer.machine_type, nominal_s) * 1000.0) as u64
+    }
+
+    /// How long a boot may take without being unusual. However quick boots
+    /// were of late, the next one may take what the catalog says: machines
+    /// were once given up over and over before they could come up.
+    fn usual_boot_ms(&self, offer: &Offer) -> u64 {
+        let nominal_s = self.nominal_boot_s(&offer.machine_type);
+        self.boot_ms(offer).max((nominal_s * 1000.0) as u64)
     }
 
     fn add_machine(&mut self, now: Now, id: MachineId, offer: Offer, age_s: f64) -> &mut Machine {
--- a/src/scheduler/renting.rs
+++ b/src/scheduler/renting.rs
@@ -98,7 +98,7 @@
         let mut coming: Vec<Coming> = Vec::new();
         let fresh_ms = self.report_ms() * FRESH_REPORTS;
         for machine in self.fleet.machines.values() {
-            let usual_ms = (self.boot_ms(&machine.offer) as f64 * USUAL_BOOTS) as u64;
+            let usual_ms = (self.usual_boot_ms(&machine.offer) as f64 * USUAL_BOOTS) as u64;
             let boots = machine.phase == Phase::Booting && now.ms < machine.rented_ms + usual_ms;
             // It will be back or be given up soon.
             let quiet = machine.phase == Phase::Up
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -133,10 +133,10 @@
             // One that was up before we led, or turned up by itself, says
             // nothing about boot times.
             if machine.own_rental {
-                if let Some(t) = self.catalog.as_ref().and_then(|c| c.find(&machine_type)) {
-                    let nominal = t.boot_s;
-                    self.learning.booted(&machine_type, nominal, took_s);
-                }
+                let rented_ms = machine.rented_ms;
+                let nominal_s = self.nominal_boot_s(&machine_type);
+                self.learning
+                    .booted(&machine_type, nominal_s, rented_ms, took_s);
             }
             self.round_wanted = true;
         }
@@ -503,28 +503,7 @@
         let lease_ms = self.lease_ms();
         let silent_ms = self.silent_limits(now);
         let cancel_ms = self.settings.site.workers.cancel_s * 1000.0;
-        let boots: Vec<(MachineId, u64)> = self
-            .fleet
-            .machines
-            .values()
-            .filter(|m| m.phase == Phase::Booting)
-            .map(|m| (m.id.clone(), self.boot_ms(&m.offer)))
-            .collect();
-        let listen_ms = self.silence_ms();
-        let late: Vec<MachineId> = boots
-            .into_iter()
-            .filter(|(id, boot_ms)| {
-                let limit = (*boot_ms as f64 * self.options.late_boots) as u64;
-                // A new leader may know an old machine by the list alone: it
-                // has to have had time to report.
-                self.fleet.get(id).is_some_and(|m| {
-                    now.ms > m.rented_ms + limit && now.ms > m.heard_ms + listen_ms
-                })
-            })
-            .map(|(id, _)| id)
-            .collect();
-        let mut give_up: Vec<(MachineId, &'static str)> =
-            late.into_iter().map(|id| (id, "never came up")).collect();
+        let mut give_up = self.late_boots(now);
         let mut drain = Vec::new();
         for machine in self.fleet.machines.values() {
             if machine.phase != Phase::Up {
@@ -589,6 +568,37 @@
         }
     }
 
+    /// Machines that should have come up long ago; what that says of boots is
+    /// learned.
+    fn late_boots(&mut self, now: Now) -> Vec<(MachineId, &'static str)> {
+        // A new leader may know an old machine by the list alone: it has to
+        // have had time to report.
+        let listen_ms = self.silence_ms();
+        let late: Vec<MachineId> = self
+            .fleet
+            .machines
+            .values()
+            .filter(|m| m.phase == Phase::Booting && now.ms > m.heard_ms + listen_ms)
+            .filter(|m| {
+                let usual_ms = self.usual_boot_ms(&m.offer) as f64;
+                now.ms > m.rented_ms + (usual_ms * self.options.late_boots) as u64
+            })
+            .map(|m| m.id.clone())
+            .collect();
+        for id in &late {
+            let Some(machine) = self.fleet.get(id).filter(|m| m.own_rental) else {
+                continue;
+            };
+            let machine_type = machine.offer.machine_type.clone();
+            let rented_ms = machine.rented_ms;
+            let waited_s = (now.ms - rented_ms) as f64 / 1000.0;
+            let nominal_s = self.nominal_boot_s(&machine_type);
+            self.learning
+                .gave_up_boot(&machine_type, nominal_s, rented_ms, waited_s);
+        }
+        late.into_iter().map(|id| (id, "never came up")).collect()
+    }
+
     /// How long a machine may be silent by itself.
     fn silence_ms(&self) -> u64 {
         (self.lease_ms() as f64 * self.options.silent_leases) as u64
