Store what was learned of boots and estimates for the next leader

Cause: what a leader had learned was lost at its end; a new one took late boots for the catalog's, gave machines up and rented others (the trace: eight rented for two machines' work).

A bounded record (key 'learned', at most 64 types and classes) is written at leisure, at most once in thirty report intervals, guarded by the leader key, and read by the next leader. It is a hint: no rule rests on it.

--- a/src/scheduler/learn.rs
+++ b/src/scheduler/learn.rs
@@ -1,6 +1,7 @@
 //! What the leader learns from what it sees: boot times, how wrong estimates
 //! are, how fast work arrives. Small, and slow to believe outliers.
 
+use super::learned_record::{LearnedRecord, LearnedValue};
 use crate::wire::JobSpec;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
@@ -32,6 +33,22 @@
             self.value += self.rate * (x.clamp(least, most) - self.value);
         }
     }
+
+    fn to_record(self, name: &str) -> LearnedValue {
+        LearnedValue {
+            name: name.to_string(),
+            start: self.start,
+            value: self.value,
+        }
+    }
+
+    fn restored(stored: &LearnedValue, rate: f64) -> Self {
+        Learned {
+            value: stored.value,
+            start: stored.start,
+            rate,
+        }
+    }
 }
 
 /// What is known of the boots of a machine type.
@@ -58,6 +75,8 @@
     arrivals: BTreeMap<Rc<str>, Arrivals>,
     since: u64,
     window_ms: u64,
+    /// Samples taken since the process began.
+    samples: u64,
 }
 
 /// A class's expected come and go.
@@ -79,6 +98,7 @@
             arrivals: BTreeMap::new(),
             since: 0,
             window_ms,
+            samples: 0,
         }
     }
 
@@ -101,6 +121,7 @@
 
     /// A machine that was rented then has come up.
     pub fn booted(&mut self, machine_type: &Rc<str>, nominal_s: f64, rented_ms: u64, took_s: f64) {
+        self.samples += 1;
         let boots = self.boots_of(machine_type, nominal_s);
         boots.took_s.sample(took_s);
         boots.up_rented_ms = boots.up_rented_ms.max(rented_ms);
@@ -116,6 +137,7 @@
         rented_ms: u64,
         waited_s: f64,
     ) {
+        self.samples += 1;
         let boots = self.boots_of(machine_type, nominal_s);
         if boots.up_rented_ms <= rented_ms {
             boots.took_s.sample(waited_s);
@@ -131,6 +153,7 @@
 
     pub fn ran(&mut self, class: &Rc<str>, estimate_s: f64, took_s: f64) {
         if estimate_s > 0.0 {
+            self.samples += 1;
             let rate = self.rate / 2.0;
             self.bias
                 .entry(class.clone())
@@ -139,6 +162,37 @@
         }
     }
 
+    /// How many samples were taken since the process began.
+    pub fn samples(&self) -> u64 {
+        self.samples
+    }
+
+    /// What the next leader should know, of at most so many types and classes.
+    pub fn to_record(&self, written_at: u64, most: usize) -> LearnedRecord {
+        let boots = self.boots.iter().take(most);
+        let estimates = self.bias.iter().take(most);
+        LearnedRecord {
+            written_at,
+            boots: boots.map(|(n, b)| b.took_s.to_record(n)).collect(),
+            estimates: estimates.map(|(n, l)| l.to_record(n)).collect(),
+        }
+    }
+
+    /// Takes over what an earlier leader learned, as far as it makes sense.
+    pub fn restore(&mut self, record: &LearnedRecord) {
+        for stored in record.boots.iter().filter(|v| v.plausible()) {
+            let boots = Boots {
+                took_s: Learned::restored(stored, self.rate),
+                up_rented_ms: 0,
+            };
+            self.boots.insert(Rc::from(stored.name.as_str()), boots);
+        }
+        for stored in record.estimates.iter().filter(|v| v.plausible()) {
+            let bias = Learned::restored(stored, self.rate / 2.0);
+            self.bias.insert(Rc::from(stored.name.as_str()), bias);
+        }
+    }
+
     pub fn bias(&self, class: &str) -> f64 {
         self.bias.get(class).map_or(1.0, |l| l.value)
     }
--- /dev/null
+++ b/src/scheduler/learned_record.rs
@@ -0,0 +1,146 @@
+//! What a leader has learned, stored at leisure, so that the next one doesn't
+//! begin with the catalog's figures. It is a hint: a record that is missing,
+//! old or unreadable costs nothing but the time to learn again.
+
+use super::{Scheduler, SchedulerCall, SchedulerOut};
+use crate::election::LEADER_KEY;
+use crate::msg::Now;
+use crate::store::{self, Answer, Urgency};
+use crate::wire::{Item, Txn};
+use serde::{Deserialize, Serialize};
+
+/// The key of the record.
+pub const LEARNED_KEY: &str = "learned";
+
+/// It is stored at most once in so many report intervals.
+const STORE_REPORTS: u64 = 30;
+
+/// A record older than so many workers' leases is ignored: machines may boot
+/// differently by now.
+const FRESH_LEASES: u64 = 90;
+
+/// At most so many values of a kind are stored.
+const MOST_VALUES: usize = 64;
+
+/// How far from where it began a stored value may lie, as a factor.
+const MOST_FACTOR: f64 = 100.0;
+
+const TIMEOUT_MS: u64 = 1000;
+
+/// One learned value, by the name of its machine type or class.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct LearnedValue {
+    /// The machine type or class.
+    #[serde(rename = "n")]
+    pub name: String,
+    /// What it was taken for before anything was learned.
+    #[serde(rename = "s")]
+    pub start: f64,
+    /// What it is taken for now.
+    #[serde(rename = "v")]
+    pub value: f64,
+}
+
+impl LearnedValue {
+    /// Whether it can be made sense of.
+    pub fn plausible(&self) -> bool {
+        let factor = self.value / self.start;
+        self.start > 0.0
+            && self.start.is_finite()
+            && (1.0 / MOST_FACTOR..=MOST_FACTOR).contains(&factor)
+    }
+}
+
+/// The stored record.
+#[derive(Clone, PartialEq, Debug, Default, Serialize, Deserialize)]
+pub struct LearnedRecord {
+    /// Time of day at which it was written, milliseconds.
+    #[serde(rename = "t")]
+    pub written_at: u64,
+    /// Boot times in seconds, by machine type.
+    #[serde(rename = "b", default)]
+    pub boots: Vec<LearnedValue>,
+    /// Run time over estimate, by class.
+    #[serde(rename = "e", default)]
+    pub estimates: Vec<LearnedValue>,
+}
+
+/// When the record was stored last, and what it held.
+#[derive(Debug, Default)]
+pub(super) struct LearnedStore {
+    /// Samples that the stored record, or one on its way, is made of.
+    samples_stored: u64,
+    due_ms: u64,
+    writing: bool,
+}
+
+impl LearnedStore {
+    /// A new leadership: nothing is on its way, and the predecessor's record
+    /// comes first.
+    pub fn restart(&mut self, now: Now, report_ms: u64) {
+        self.writing = false;
+        self.due_ms = now.ms + report_ms * STORE_REPORTS;
+    }
+}
+
+impl Scheduler {
+    /// Asks for what the leader before has learned.
+    pub(super) fn read_learned(&mut self, now: Now, out: &mut SchedulerOut) {
+        self.learned_store.restart(now, self.report_ms());
+        let call = store::get(LEARNED_KEY, TIMEOUT_MS);
+        self.ask(now, Urgency::Rest, call, 0, SchedulerCall::ReadLearned, out);
+    }
+
+    /// Takes over what the leader before has learned.
+    pub(super) fn on_learned(&mut self, now: Now, answer: &Answer) {
+        let Some(item) = answer.read::<Item>(200) else {
+            return;
+        };
+        let record: LearnedRecord = match serde_json::from_value(item.value) {
+            Ok(record) => record,
+            Err(e) => {
+                log::error!("record {LEARNED_KEY} can't be read and is ignored: {e}");
+                return;
+            }
+        };
+        let age_ms = now.wall.saturating_sub(record.written_at);
+        if age_ms > self.lease_ms() * FRESH_LEASES {
+            log::info!("record {LEARNED_KEY} is {age_ms} ms old and ignored");
+            return;
+        }
+        self.learning.restore(&record);
+    }
+
+    /// Stores what was learned since, when nothing else is to be written.
+    pub(super) fn store_learned(&mut self, now: Now, out: &mut SchedulerOut) {
+        let samples = self.learning.samples();
+        let pause_ms = self.report_ms() * STORE_REPORTS;
+        let store = &mut self.learned_store;
+        let due = now.ms >= store.due_ms && samples != store.samples_stored;
+        if !due || store.writing || self.batch.is_some() {
+            return;
+        }
+        store.writing = true;
+        store.samples_stored = samples;
+        store.due_ms = now.ms + pause_ms;
+        let record = self.learning.to_record(now.wall, MOST_VALUES);
+        let value = serde_json::to_value(record).unwrap_or_default();
+        let txn = Txn::default()
+            .guard(LEADER_KEY, self.key_version)
+            .put(LEARNED_KEY, value);
+        let (call, writes) = store::txn(&txn, TIMEOUT_MS);
+        self.ask(
+            now,
+            Urgency::Rest,
+            call,
+            writes,
+            SchedulerCall::StoreLearned,
+            out,
+        );
+    }
+
+    /// Whether it was stored or not, the next one will hold the same and more.
+    pub(super) fn on_learned_stored(&mut self) {
+        self.learned_store.writing = false;
+    }
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod jobs;
 mod learn;
+mod learned_record;
 mod moves;
 mod renting;
 mod reports;
@@ -30,6 +31,7 @@
 use commit::Batch;
 use jobs::{shard_size, Assign, StopPlan};
 use learn::Learning;
+use learned_record::LearnedStore;
 use reports::Via;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -46,6 +48,8 @@
     ReadJob(JobId),
     ListProxied,
     Cleanup(Vec<String>),
+    ReadLearned,
+    StoreLearned,
 }
 
 /// What followers say of workers whose leases they renew for the leader.
@@ -110,6 +114,7 @@
     jobs: BTreeMap<JobId, Job>,
     fleet: Fleet,
     learning: Learning,
+    learned_store: LearnedStore,
     shard_size: u32,
     /// Loading: where the lists have got to.
     list_after: Option<String>,
@@ -190,6 +195,7 @@
             jobs: BTreeMap::new(),
             fleet: Fleet::default(),
             learning,
+            learned_store: LearnedStore::default(),
             shard_size,
             list_after: None,
             watch_from: None,
@@ -271,6 +277,7 @@
         self.learning.start(now.wall);
         log::info!("leader term={term} elected, loading");
         self.list(now, out);
+        self.read_learned(now, out);
     }
 
     pub fn deposed(&mut self) {
@@ -646,6 +653,8 @@
         }
         match (self.stage, call) {
             (Stage::Idle, _) => {}
+            (_, SchedulerCall::ReadLearned) => self.on_learned(now, &answer),
+            (_, SchedulerCall::StoreLearned) => self.on_learned_stored(),
             (Stage::Loading, call @ (SchedulerCall::ListJobs | SchedulerCall::ListPlacements)) => {
                 self.on_list(now, call, &answer, out);
             }
@@ -705,6 +714,7 @@
         self.commit(now, out);
         self.push_commands(now, out);
         self.clean_up(now, out);
+        self.store_learned(now, out);
         let next = if self.round_wanted {
             self.round_ms + self.round_gap_ms
         } else {
--- a/tests/boots.rs
+++ b/tests/boots.rs
@@ -2,7 +2,8 @@
 
 mod world;
 
-use world::{array, World};
+use serde_json::json;
+use world::{array, service, Worker, World};
 
 /// An array whose tasks run for as long as the trace lasts, eight to a machine.
 fn long_array(w: &mut World, id: &str, tasks: u32) {
@@ -10,8 +11,10 @@
     assert_eq!(w.submit(0, &array(id, tasks)), 201);
 }
 
-fn returned(w: &World) -> usize {
-    w.workers.values().filter(|worker| worker.gone).count()
+/// Machines that were returned before they came up.
+fn given_up(w: &World) -> usize {
+    let early = |worker: &&Worker| worker.gone && !worker.up;
+    w.workers.values().filter(early).count()
 }
 
 /// After some boots of a second, ordinary ones once took too long: machines
@@ -32,7 +35,7 @@
     w.boot_ms = 12_000;
     long_array(&mut w, "run-8", 16);
     w.run_for(14_000);
-    assert_eq!(returned(&w), 0, "none is late yet");
+    assert_eq!(given_up(&w), 0, "none is late yet");
     assert_eq!(w.on_machines("run-8"), 16);
     assert!(
         w.workers.len() <= before + 4,
@@ -62,3 +65,49 @@
         w.workers.len() - rented
     );
 }
+
+/// What was learned of boots was lost with the leader: the next one gave
+/// machines up, and rented others, until it had learned it again.
+#[test]
+fn a_new_leader_knows_how_long_boots_take() {
+    let mut w = World::new(3);
+    w.boot_ms = 22_000;
+    w.run_until(5000);
+    let leader = w.leader().unwrap();
+    w.run_ms = 600_000;
+    assert_eq!(w.submit(leader, &array("run-1", 16)), 201);
+    w.run_for(75_000);
+    assert_eq!(w.on_machines("run-1"), 16);
+    let (rented, late) = (w.workers.len(), given_up(&w));
+    w.kill(leader);
+    w.run_for(8000);
+    let next = w.leader().unwrap();
+    assert_eq!(w.submit(next, &array("run-2", 16)), 201);
+    w.run_for(35_000);
+    assert_eq!(w.on_machines("run-2"), 16);
+    assert!(
+        w.workers.len() <= rented + 2,
+        "{} rented for two machines' work",
+        w.workers.len() - rented
+    );
+    assert_eq!(given_up(&w), late, "none was given up");
+}
+
+/// A record that is old or makes no sense costs nothing.
+#[test]
+fn a_learned_record_without_sense_is_ignored() {
+    for record in [
+        json!("nonsense"),
+        json!({"t": "yesterday", "b": 7}),
+        json!({"t": 0, "b": [{"n": "g8", "s": 5.0, "v": 400.0}]}),
+        json!({"t": 1_000_000, "b": [{"n": "g8", "s": 0.0, "v": 1e300}, {"n": "g8", "s": 5.0, "v": -1.0}]}),
+    ] {
+        let mut w = World::new(1);
+        w.run_until(100);
+        w.state.items.insert("learned".into(), (record, 1, None));
+        w.run_until(6000);
+        assert_eq!(w.submit(0, &service("run-1", 8)), 201);
+        w.run_for(6000);
+        assert_eq!(w.on_machines("run-1"), 8);
+    }
+}
