Write what is urgent at once, and the rest when it can be afforded

Every transaction of the leader held up to 16 of them and stood in the queue until all could be paid for; a placement of comptoir-rapide waited behind one and in the next, 1.1 to 1.6 s where one second is the aim.

With work that should start within seconds, a transaction now holds what can be paid for at once; without, it is put together only when what it wants can be paid for (after a report interval in any case), which lets one record take more of a job's changes.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -820,7 +820,11 @@
         self.take_election(calls);
         if !self.election.in_doubt() {
             let mut scheduler = SchedulerOut::default();
-            wake = wake.min(self.scheduler.tick(now, &mut self.cloud, &mut scheduler));
+            let budget = self.store.write_budget(now);
+            let next = self
+                .scheduler
+                .tick(now, &mut self.cloud, budget, &mut scheduler);
+            wake = wake.min(next);
             self.take_scheduler(now, scheduler, out);
         }
         self.tend_catalog(now);
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -8,11 +8,15 @@
 use crate::gateway::{final_key, job_key, Final, FinalRecord};
 use crate::ids::{Attempt, JobId};
 use crate::msg::Now;
-use crate::store::{self, Answer, Urgency};
+use crate::store::{self, Answer, Urgency, WriteBudget};
 use crate::wire::{Item, RevisionOnly, Txn};
 
 /// Room for headers and guards below the protocol's 64 KiB.
 const TXN_BYTES: usize = 52 * 1024;
+/// A job's end takes two changes: one record comes, one goes.
+const FINAL_CHANGES: usize = 2;
+/// When too few changes can be afforded, this long passes until the next look.
+const SAVE_UP_MS: u64 = 50;
 const TIMEOUT_MS: u64 = 1000;
 const RETRY_MS: u64 = 200;
 /// Longer than any call's patience.
@@ -20,6 +24,17 @@
 /// Records to be removed at leisure: as many as a new leader reads in one call.
 const MOST_LITTER: usize = 500;
 
+/// What the leader has yet to write.
+#[derive(Debug, Default)]
+struct Unwritten {
+    /// Most important first.
+    jobs: Vec<JobId>,
+    /// How many changes that would take.
+    changes: usize,
+    /// Tasks wait for it that should start within seconds.
+    urgent: bool,
+}
+
 #[derive(Debug)]
 struct ShardWrite {
     job: JobId,
@@ -59,14 +74,24 @@
         }
     }
 
-    pub(super) fn commit(&mut self, now: Now, out: &mut SchedulerOut) {
+    pub(super) fn commit(&mut self, now: Now, budget: WriteBudget, out: &mut SchedulerOut) {
         // Looking for what there is to write takes a walk over all jobs: it is
         // made when something happened, and now and then for what is stored at
         // leisure.
         let due = self.changed || now.ms >= self.leisure_due_ms;
         if self.batch.is_none() && now.ms >= self.commit_due_ms && due {
-            self.batch = self.build_batch(now);
-            self.changed = self.batch.is_some();
+            let unwritten = self.unwritten(now);
+            match self.most_changes(now, &unwritten, budget) {
+                Some(most) => {
+                    self.saving_since_ms = None;
+                    self.batch = self.build_batch(now, unwritten.jobs, most);
+                    self.changed = self.batch.is_some();
+                }
+                None => {
+                    self.saving_since_ms.get_or_insert(now.ms);
+                    self.commit_due_ms = now.ms + SAVE_UP_MS;
+                }
+            }
             self.leisure_due_ms = now.ms + self.leisure_ms() / 4;
         }
         let Some(batch) = self
@@ -88,8 +113,51 @@
         );
     }
 
-    fn build_batch(&mut self, now: Now) -> Option<Batch> {
-        let max_ops = self.settings.site.state.txn_ops;
+    /// What there is to write, most important jobs first.
+    fn unwritten(&self, now: Now) -> Unwritten {
+        let leisure_ms = self.leisure_ms();
+        let mut unwritten = Unwritten::default();
+        let mut order = Vec::new();
+        for (id, job) in &self.jobs {
+            if job.stale || job.finishing {
+                continue;
+            }
+            let cancelled = job.cancelled.is_some();
+            if job.all_done() || (cancelled && job.assigns.is_empty()) {
+                unwritten.changes += FINAL_CHANGES;
+            } else if !cancelled && job.shards.iter().any(|s| s.dirty_ms.is_some()) {
+                let due = job.shards.iter().filter(|s| s.due(now, leisure_ms));
+                unwritten.changes += due.count();
+                unwritten.urgent |= job.shards.iter().any(|s| s.urgent)
+                    && self.settings.start_aim_ms(&job.spec).is_some();
+            } else {
+                continue;
+            }
+            order.push((job.spec.priority, job.submitted, id.clone()));
+        }
+        order.sort();
+        unwritten.jobs = order.into_iter().map(|(_, _, id)| id).collect();
+        unwritten
+    }
+
+    /// How many changes the next transaction may hold. `None`: wait for more
+    /// to be affordable. A transaction that was sent before it could be afforded
+    /// would hold up what turns out to be urgent meanwhile; and one that is put
+    /// together late takes more of a job's changes with one write.
+    fn most_changes(&self, now: Now, unwritten: &Unwritten, budget: WriteBudget) -> Option<usize> {
+        let txn_ops = self.settings.site.state.txn_ops;
+        // Submissions may take whatever comes into the bucket.
+        let long_enough = self
+            .saving_since_ms
+            .is_some_and(|since| now.ms >= since + self.leisure_ms());
+        if unwritten.urgent || long_enough {
+            return Some(budget.now.clamp(FINAL_CHANGES, txn_ops));
+        }
+        let wanted = unwritten.changes.min(txn_ops).min(budget.most);
+        (budget.now >= wanted).then_some(txn_ops)
+    }
+
+    fn build_batch(&mut self, now: Now, jobs: Vec<JobId>, max_ops: usize) -> Option<Batch> {
         let leisure_ms = self.leisure_ms();
         self.writes += 1;
         let write = (self.term.0 << 32) | self.writes;
@@ -106,24 +174,12 @@
             due_ms: 0,
         };
         let mut bytes = 0;
-        // Most important jobs first: what doesn't fit waits for the next one.
-        let mut order: Vec<_> = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| !j.stale && !j.finishing)
-            .filter(|(_, j)| {
-                j.all_done()
-                    || (j.cancelled.is_some() && j.assigns.is_empty())
-                    || j.shards.iter().any(|s| s.dirty_ms.is_some())
-            })
-            .map(|(id, j)| (j.spec.priority, j.submitted, id.clone()))
-            .collect();
-        order.sort();
-        for (_, _, id) in order {
+        // What doesn't fit waits for the next one.
+        for id in jobs {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            if batch.txn.writes.len() + 2 > max_ops || bytes > TXN_BYTES {
+            if batch.txn.writes.len() + FINAL_CHANGES > max_ops || bytes > TXN_BYTES {
                 break;
             }
             let state = match job.cancelled {
@@ -163,10 +219,7 @@
                     break;
                 }
                 let shard = &job.shards[n as usize];
-                let due = shard
-                    .dirty_ms
-                    .is_some_and(|since| shard.urgent || now.ms >= since + leisure_ms);
-                if !due {
+                if !shard.due(now, leisure_ms) {
                     continue;
                 }
                 let key = shard_key(&id, n);
--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -3,6 +3,7 @@
 use crate::faults::FailureHistory;
 use crate::gateway::JobRecord;
 use crate::ids::{Attempt, JobId, MachineId, Session, TaskRef, Token};
+use crate::msg::Now;
 use crate::placement::{Res, ZoneUse};
 use crate::wire::{JobSpec, Kind, TaskPhase};
 use serde::{Deserialize, Serialize};
@@ -147,6 +148,14 @@
     pub urgent: bool,
 }
 
+impl Shard {
+    /// Whether it should be written now.
+    pub fn due(&self, now: Now, leisure_ms: u64) -> bool {
+        self.dirty_ms
+            .is_some_and(|since| self.urgent || now.ms >= since + leisure_ms)
+    }
+}
+
 #[derive(Debug)]
 pub struct Job {
     pub spec: Rc<JobSpec>,
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -23,7 +23,7 @@
 use crate::options::Options;
 use crate::placement::Res;
 use crate::settings::Settings;
-use crate::store::{self, Answer, StateCall, Urgency};
+use crate::store::{self, Answer, StateCall, Urgency, WriteBudget};
 use crate::wire::{
     Catalog, Command, DirectCommands, Item, Items, ListedMachine, ListedState, Report, WatchAnswer,
     WORKER_COMMANDS,
@@ -124,6 +124,8 @@
     /// The transaction in flight, if any.
     batch: Option<Batch>,
     commit_due_ms: u64,
+    /// Since when a transaction has waited until it can be afforded.
+    saving_since_ms: Option<u64>,
     /// When what is stored at leisure is looked for next.
     leisure_due_ms: u64,
     writes: u64,
@@ -203,6 +205,7 @@
             watch_due_ms: 0,
             batch: None,
             commit_due_ms: 0,
+            saving_since_ms: None,
             leisure_due_ms: 0,
             writes: 0,
             cleanup: Vec::new(),
@@ -291,6 +294,7 @@
         self.watch_from = None;
         self.watching = false;
         self.batch = None;
+        self.saving_since_ms = None;
         self.writes = 0;
         self.cleanup.clear();
         self.cleaning = false;
@@ -673,7 +677,14 @@
         }
     }
 
-    pub fn tick(&mut self, now: Now, cloud: &mut Cloud, out: &mut SchedulerOut) -> u64 {
+    /// Acts on what is due, and says when to be called again.
+    pub fn tick(
+        &mut self,
+        now: Now,
+        cloud: &mut Cloud,
+        budget: WriteBudget,
+        out: &mut SchedulerOut,
+    ) -> u64 {
         if self.stage == Stage::Loading {
             let due = self.list_retry_ms.filter(|at| now.ms >= *at).is_some();
             if due {
@@ -711,7 +722,7 @@
             self.round_gap_ms = self.gap_ms(self.looked - before);
             self.changed = true;
         }
-        self.commit(now, out);
+        self.commit(now, budget, out);
         self.push_commands(now, out);
         self.clean_up(now, out);
         self.store_learned(now, out);
--- a/src/store.rs
+++ b/src/store.rs
@@ -62,6 +62,15 @@
     }
 }
 
+/// How many changes the bucket lets through at once.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct WriteBudget {
+    /// At this moment.
+    pub now: usize,
+    /// After a pause, when the bucket is full.
+    pub most: usize,
+}
+
 /// Served in this order when tokens are short.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub enum Urgency {
@@ -168,6 +177,14 @@
         self.writes.set_rate(now, left.max(least), 1.0);
     }
 
+    /// How many changes could be sent at once.
+    pub fn write_budget(&mut self, now: Now) -> WriteBudget {
+        WriteBudget {
+            now: self.writes.level(now).max(0.0) as usize,
+            most: self.writes.burst as usize,
+        }
+    }
+
     /// Changes sent per second of late.
     pub fn writes_per_s(&mut self, now: Now) -> f64 {
         let (used, at_ms) = self.used;
