--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -142,7 +142,7 @@
         }
     }
 
-    pub fn pump(&mut self, now: Now, mut send: impl FnMut(CloudCall, Call)) {
+    pub fn dispatch(&mut self, now: Now, mut send: impl FnMut(CloudCall, Call)) {
         if now.ms < self.pause_until_ms {
             return;
         }
@@ -220,7 +220,7 @@
         }
     }
 
-    /// When `pump` should be called next at the latest.
+    /// When `dispatch` should be called next at the latest.
     pub fn wake_ms(&self, now: Now) -> u64 {
         let pending = !self.releases.is_empty() || self.orders.iter().any(|o| !o.in_flight);
         let next = if pending {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -3,7 +3,7 @@
 use crate::cloud::Offer;
 use crate::faults::FaultEvidence;
 use crate::ids::{MachineId, Session, TaskRef, Term, Token};
-use crate::placement::Res;
+use crate::placement::Resources;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
@@ -22,7 +22,7 @@
 pub struct Machine {
     pub id: MachineId,
     pub offer: Offer,
-    pub room: Res,
+    pub room: Resources,
     pub cache_gb: f64,
     pub address: Option<String>,
     pub phase: Phase,
@@ -45,7 +45,7 @@
     /// Assigned tasks that may be on it.
     pub tasks: BTreeSet<TaskRef>,
     /// What its assigned tasks take.
-    pub used: Res,
+    pub used: Resources,
     /// It runs something that nobody assigned.
     pub strays: bool,
     /// Most recently used last.
@@ -65,7 +65,7 @@
     pub fn new(
         id: MachineId,
         offer: Offer,
-        room: Res,
+        room: Resources,
         cache_gb: f64,
         term: Term,
         now_ms: u64,
@@ -89,7 +89,7 @@
             unresponsive_since_ms: None,
             notice_until_ms: None,
             tasks: BTreeSet::new(),
-            used: Res::default(),
+            used: Resources::default(),
             strays: false,
             cached: VecDeque::new(),
             fetching: BTreeMap::new(),
@@ -100,7 +100,7 @@
         }
     }
 
-    pub fn free(&self) -> Res {
+    pub fn free(&self) -> Resources {
         let mut free = self.room;
         free.take(&self.used);
         free
@@ -117,20 +117,20 @@
             && now_ms < self.heard_ms + fresh_ms
     }
 
-    pub fn assign(&mut self, task: TaskRef, need: &Res) {
+    pub fn assign(&mut self, task: TaskRef, need: &Resources) {
         if self.tasks.insert(task) {
             self.used.add(need);
         }
         self.idle_since_ms = None;
     }
 
-    pub fn unassign(&mut self, task: &TaskRef, need: &Res, now_ms: u64) {
+    pub fn unassign(&mut self, task: &TaskRef, need: &Resources, now_ms: u64) {
         if self.tasks.remove(task) {
             self.used.take(need);
         }
         if self.tasks.is_empty() {
             // Sums of decimals must not leave dust behind.
-            self.used = Res::default();
+            self.used = Resources::default();
             self.idle_since_ms.get_or_insert(now_ms);
         }
     }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -556,7 +556,7 @@
     let left = task.until_ms.saturating_sub(now.ms).max(1);
     StateCall {
         urgency: match task.goal {
-            Goal::Show => Urgency::Rest,
+            Goal::Show => Urgency::Background,
             Goal::Cancel => Urgency::Cancel,
             _ => Urgency::Submission,
         },
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -91,16 +91,16 @@
     heartbeat_due_ms: u64,
     heartbeat_every_ms: u64,
     /// What peers were last told, so that only changes go out.
-    told: HashMap<JobId, (u32, u32)>,
+    sent_counts: HashMap<JobId, (u32, u32)>,
     announced: Vec<JobId>,
     /// The peers should hear of cancellations before the next heartbeat is due.
     cancelled_here: bool,
     leader_share: f64,
     /// When it last did anything.
-    turned_ms: u64,
+    last_turn_ms: u64,
     led_since_ms: Option<u64>,
     /// The silent successor for which it stepped aside.
-    minded: Option<String>,
+    handed_over_for: Option<String>,
     /// It stepped aside as leader, and no worker has reached it since.
     unreached: bool,
     /// Workers whose leases this node renews in the leader's stead, and when
@@ -182,13 +182,13 @@
             next_call: 0,
             heartbeat_due_ms: 0,
             heartbeat_every_ms: ttl_ms / 4,
-            told: HashMap::new(),
+            sent_counts: HashMap::new(),
             announced: Vec::new(),
             cancelled_here: false,
             leader_share,
-            turned_ms: 0,
+            last_turn_ms: 0,
             led_since_ms: None,
-            minded: None,
+            handed_over_for: None,
             unreached: false,
             proxied: HashMap::new(),
             to_forward: Vec::new(),
@@ -205,9 +205,9 @@
         self.election.is_leader()
     }
 
-    /// What its rounds have cost so far, in entries looked at.
-    pub fn looked(&self) -> u64 {
-        self.scheduler.looked()
+    /// What its rounds have cost so far, in entries examined.
+    pub fn examined(&self) -> u64 {
+        self.scheduler.examined()
     }
 
     /// Everybody's rates together stay near what the services take; a 429
@@ -383,7 +383,7 @@
     /// is heard. While it leads on, nobody else may serve them.
     fn unreachable(&self, now: Now) -> bool {
         let to_us = |zone: &str| self.forwarder_for(now, zone).is_none();
-        self.scheduler.hears_nobody(now, to_us)
+        self.scheduler.hears_no_worker(now, to_us)
     }
 
     fn on_heartbeat(&mut self, now: Now, body: &[u8], out: &mut Vec<Effect>) -> Reply {
@@ -479,7 +479,7 @@
     /// next one a second later; two silent nodes in a row cost it its lease.
     /// So a leader whose successor in that order has been silent for long leaves
     /// the lead, once, to one with a successor that isn't.
-    fn mind_successor(&mut self, now: Now, out: &mut Vec<Effect>) {
+    fn check_successor(&mut self, now: Now, out: &mut Vec<Effect>) {
         let lease_ms = (self.settings.site.workers.lease_s * 1000.0) as u64;
         let led_for_long = self
             .led_since_ms
@@ -502,7 +502,7 @@
         let silent = |p: &Peer| p.heard_ms.is_some_and(|at| now.ms > at + lease_ms);
         let exposed = successor(me).filter(|p| silent(p));
         let Some(next) = exposed.map(|p| (p.name.clone(), p.zone.clone())) else {
-            self.minded = None;
+            self.handed_over_for = None;
             return;
         };
         let better = self
@@ -513,12 +513,12 @@
         // One whose whole zone is silent is beyond a cut: a new leader would
         // only have to find that out again.
         let cut = !self.scheduler.hears_zone(now, &next.1);
-        if better && !cut && self.minded.as_ref() != Some(&next.0) {
+        if better && !cut && self.handed_over_for.as_ref() != Some(&next.0) {
             log::info!(
                 "leader steps aside: its workers' next node {} is silent",
                 next.0
             );
-            self.minded = Some(next.0);
+            self.handed_over_for = Some(next.0);
             self.step_aside(now, out);
         }
     }
@@ -533,7 +533,7 @@
         if now.ms >= self.heartbeat_due_ms {
             self.heartbeat_due_ms = now.ms + self.heartbeat_every_ms;
             self.share_writes(now);
-            self.mind_successor(now, out);
+            self.check_successor(now, out);
         }
         let leader = match &self.election.role {
             Role::Leader { .. } => self.settings.node_name.clone(),
@@ -557,7 +557,7 @@
         if self.scheduler.active() {
             let mut told = HashMap::new();
             for (id, done, running) in self.scheduler.counts() {
-                if self.told.get(id) != Some(&(done, running)) {
+                if self.sent_counts.get(id) != Some(&(done, running)) {
                     heartbeat.counts.push(JobCount {
                         job: id.to_string(),
                         done,
@@ -567,7 +567,7 @@
                 told.insert(id.clone(), (done, running));
                 self.gateway.counts.insert(id.clone(), (done, running));
             }
-            self.told = told;
+            self.sent_counts = told;
         }
         let timeout_ms = self.heartbeat_every_ms * 2;
         for index in 0..self.peers.len() {
@@ -691,7 +691,7 @@
             Change::Elected { term, key_version } => {
                 self.led_since_ms = Some(now.ms);
                 self.set_share(now, true);
-                self.told.clear();
+                self.sent_counts.clear();
                 self.cloud.lead(now, true);
                 let mut scheduler = SchedulerOut::default();
                 self.scheduler
@@ -768,7 +768,7 @@
     }
 
     /// Reads the stored catalogue until there is one; stores it as leader.
-    fn tend_catalog(&mut self, now: Now) {
+    fn maintain_catalog(&mut self, now: Now) {
         if self.catalog.is_none() && now.ms >= self.catalog_read_ms {
             self.catalog_read_ms = now.ms + 1000;
             self.store.submit(StateCall {
@@ -790,7 +790,7 @@
                 .put(CATALOG_KEY, value);
             let (call, writes) = store::txn(&txn, 1000);
             self.store.submit(StateCall {
-                urgency: Urgency::Rest,
+                urgency: Urgency::Background,
                 call,
                 writes,
                 give_up_ms: now.ms + 2000,
@@ -804,8 +804,9 @@
     /// is no fault of theirs.
     fn notice_time(&mut self, now: Now) {
         // Peers send heartbeats, and a leader renews, four times in this period.
-        let still = self.turned_ms > 0 && now.ms > self.turned_ms + self.heartbeat_every_ms * 4;
-        self.turned_ms = now.ms;
+        let still =
+            self.last_turn_ms > 0 && now.ms > self.last_turn_ms + self.heartbeat_every_ms * 4;
+        self.last_turn_ms = now.ms;
         if still && self.election.is_leader() && !self.peers.is_empty() {
             log::info!("stood still, may have lost the lead");
             self.election.doubt(now);
@@ -814,7 +815,7 @@
     }
 
     /// Lets every actor act, and sends what they want sent.
-    fn pump(&mut self, now: Now, out: &mut Vec<Effect>) -> u64 {
+    fn dispatch(&mut self, now: Now, out: &mut Vec<Effect>) -> u64 {
         let mut calls = Vec::new();
         let mut wake = self.election.tick(now, &mut calls);
         self.take_election(calls);
@@ -827,7 +828,7 @@
             wake = wake.min(next);
             self.take_scheduler(now, scheduler, out);
         }
-        self.tend_catalog(now);
+        self.maintain_catalog(now);
         let mut gateway = GatewayOut::default();
         wake = wake.min(self.gateway.tick(now, &mut gateway));
         self.take_gateway(now, gateway, out);
@@ -841,7 +842,7 @@
         }
         let mut cloud_calls = Vec::new();
         self.cloud
-            .pump(now, |tag, call| cloud_calls.push((tag, call)));
+            .dispatch(now, |tag, call| cloud_calls.push((tag, call)));
         for (tag, call) in cloud_calls {
             self.send(CallTag::Cloud(tag), call, out);
         }
@@ -851,7 +852,7 @@
         let mut sent = Vec::new();
         let mut given_up = Vec::new();
         self.store
-            .pump(now, |id, call| sent.push((id, call)), &mut given_up);
+            .dispatch(now, |id, call| sent.push((id, call)), &mut given_up);
         for (id, call) in sent {
             self.send(CallTag::State(id), call, out);
         }
@@ -934,7 +935,7 @@
                             != Some(word.incarnation)
                         {
                             // A new process there knows no counts at all.
-                            self.told.clear();
+                            self.sent_counts.clear();
                         }
                         let new = self.cancellations.heard(now, index, Some(asked_ms), &word);
                         let mut scheduler = SchedulerOut::default();
@@ -949,6 +950,6 @@
 
     fn tick(&mut self, now: Now, out: &mut Vec<Effect>) -> u64 {
         self.notice_time(now);
-        self.pump(now, out)
+        self.dispatch(now, out)
     }
 }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -11,51 +11,51 @@
 
 /// Amounts of a machine, or of what a task takes of it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Res {
+pub struct Resources {
     pub cpus: f64,
     pub gpus: f64,
     pub memory_gb: f64,
 }
 
-impl Res {
-    pub fn of_task(spec: &JobSpec) -> Res {
-        Res {
+impl Resources {
+    pub fn of_task(spec: &JobSpec) -> Resources {
+        Resources {
             cpus: spec.cpus,
             gpus: spec.gpus,
             memory_gb: spec.memory_gb,
         }
     }
-    pub fn of_type(t: &MachineType) -> Res {
-        Res {
+    pub fn of_type(t: &MachineType) -> Resources {
+        Resources {
             cpus: t.cpus,
             gpus: t.gpus,
             memory_gb: t.memory_gb,
         }
     }
-    pub fn holds(&self, need: &Res) -> bool {
+    pub fn holds(&self, need: &Resources) -> bool {
         need.cpus <= self.cpus + SLOP
             && need.gpus <= self.gpus + SLOP
             && need.memory_gb <= self.memory_gb + SLOP
     }
-    pub fn add(&mut self, other: &Res) {
+    pub fn add(&mut self, other: &Resources) {
         self.cpus += other.cpus;
         self.gpus += other.gpus;
         self.memory_gb += other.memory_gb;
     }
-    pub fn scaled(&self, times: f64) -> Res {
-        Res {
+    pub fn scaled(&self, times: f64) -> Resources {
+        Resources {
             cpus: self.cpus * times,
             gpus: self.gpus * times,
             memory_gb: self.memory_gb * times,
         }
     }
-    pub fn take(&mut self, other: &Res) {
+    pub fn take(&mut self, other: &Resources) {
         self.cpus -= other.cpus;
         self.gpus -= other.gpus;
         self.memory_gb -= other.memory_gb;
     }
     /// How many times `need` goes in here.
-    pub fn times(&self, need: &Res) -> u32 {
+    pub fn times(&self, need: &Resources) -> u32 {
         let ratio = |have: f64, want: f64| {
             if want > 0.0 {
                 (have + SLOP) / want
@@ -69,7 +69,7 @@
         n.min(f64::from(u32::MAX)).max(0.0) as u32
     }
     /// The share of `whole` that this takes, by the scarcest amount.
-    pub fn share_of(&self, whole: &Res) -> f64 {
+    pub fn share_of(&self, whole: &Resources) -> f64 {
         let part = |x: f64, y: f64| if y > 0.0 { x / y } else { 0.0 };
         part(self.cpus, whole.cpus)
             .max(part(self.gpus, whole.gpus))
@@ -131,7 +131,7 @@
 }
 
 /// Every rental that could hold a task of the job, with its nominal price.
-pub fn offers_for(spec: &JobSpec, catalog: &Catalog) -> Vec<(Offer, f64, Res, f64)> {
+pub fn offers_for(spec: &JobSpec, catalog: &Catalog) -> Vec<(Offer, f64, Resources, f64)> {
     let mut offers = Vec::new();
     for t in catalog.types.iter().filter(|t| fits_type(spec, t)) {
         for zone in &t.zones {
@@ -148,7 +148,7 @@
                     zone: zone.clone(),
                     spot,
                 };
-                offers.push((offer, price, Res::of_type(t), t.boot_s));
+                offers.push((offer, price, Resources::of_type(t), t.boot_s));
             }
         }
     }
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -426,7 +426,7 @@
         let (call, writes) = store::txn(&txn, TIMEOUT_MS);
         self.ask(
             now,
-            Urgency::Rest,
+            Urgency::Background,
             call,
             writes,
             SchedulerCall::Cleanup(keys),
--- a/src/scheduler/exchange.rs
+++ b/src/scheduler/exchange.rs
@@ -9,7 +9,7 @@
 use crate::fleet::Machine;
 use crate::ids::TaskRef;
 use crate::msg::Now;
-use crate::placement::{may_stand, Res, ZoneUse};
+use crate::placement::{may_stand, Resources, ZoneUse};
 use crate::wire::JobSpec;
 
 /// A fetch takes up to so many times its nominal time (PROTOCOL: give or take
@@ -21,7 +21,7 @@
 /// A task that makes room, and the room that it goes to.
 struct Moving {
     task: TaskRef,
-    need: Res,
+    need: Resources,
     to: usize,
 }
 
@@ -45,8 +45,8 @@
         if slack_ms < handover_ms || fetch_ms * SLOWEST_FETCH < slack_ms {
             return None;
         }
-        let need = Res::of_task(spec);
-        self.looked += rooms.len() as u64 * 2;
+        let need = Resources::of_task(spec);
+        self.examined += rooms.len() as u64 * 2;
         let (index, moves) = (0..rooms.len())
             .filter(|i| may_stand(spec, zones, &rooms[*i].offer))
             .filter_map(|i| {
@@ -65,7 +65,7 @@
             rooms[moving.to].free.take(&moving.need);
             rooms[moving.to].reserved = true;
             self.stop_task(now, &moving.task, true);
-            self.bound_for
+            self.migration_targets
                 .insert(moving.task, rooms[moving.to].id.clone());
         }
         rooms[index].free.take(&need);
@@ -78,13 +78,13 @@
         &self,
         now: Now,
         spec: &JobSpec,
-        need: &Res,
+        need: &Resources,
         from: usize,
         machine: &Machine,
         rooms: &[Room],
     ) -> Option<(f64, Vec<Moving>)> {
         let mut free = rooms[from].soon_free();
-        let mut taken: Vec<(usize, Res)> = Vec::new();
+        let mut taken: Vec<(usize, Resources)> = Vec::new();
         let (mut cost, mut moves) = (0.0, Vec::new());
         for task in &machine.tasks {
             if free.holds(need) {
--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -4,7 +4,7 @@
 use crate::gateway::JobRecord;
 use crate::ids::{Attempt, JobId, MachineId, Session, TaskRef, Token};
 use crate::msg::Now;
-use crate::placement::{Res, ZoneUse};
+use crate::placement::{Resources, ZoneUse};
 use crate::wire::{JobSpec, Kind, TaskPhase};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -159,7 +159,7 @@
 #[derive(Debug)]
 pub struct Job {
     pub spec: Rc<JobSpec>,
-    pub need: Res,
+    pub need: Resources,
     pub submitted: u64,
     pub cancelled: Option<u64>,
     pub version: u64,
@@ -186,7 +186,7 @@
     pub fn new(record: JobRecord, version: u64, shard_size: u32, now_ms: u64) -> Job {
         let tasks = record.spec.tasks;
         Job {
-            need: Res::of_task(&record.spec),
+            need: Resources::of_task(&record.spec),
             submitted: record.submitted,
             cancelled: record.cancelled,
             version,
--- a/src/scheduler/learned_record.rs
+++ b/src/scheduler/learned_record.rs
@@ -88,7 +88,14 @@
     pub(super) fn read_learned(&mut self, now: Now, out: &mut SchedulerOut) {
         self.learned_store.restart(now, self.report_ms());
         let call = store::get(LEARNED_KEY, TIMEOUT_MS);
-        self.ask(now, Urgency::Rest, call, 0, SchedulerCall::ReadLearned, out);
+        self.ask(
+            now,
+            Urgency::Background,
+            call,
+            0,
+            SchedulerCall::ReadLearned,
+            out,
+        );
     }
 
     /// Takes over what the leader before has learned.
@@ -131,7 +138,7 @@
         let (call, writes) = store::txn(&txn, TIMEOUT_MS);
         self.ask(
             now,
-            Urgency::Rest,
+            Urgency::Background,
             call,
             writes,
             SchedulerCall::StoreLearned,
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -21,7 +21,7 @@
 use crate::ids::{JobId, MachineId, Revision, Session, TaskRef, Term, Token};
 use crate::msg::{Call, ConnId, Now, Outcome, Reply, Target};
 use crate::options::Options;
-use crate::placement::Res;
+use crate::placement::Resources;
 use crate::settings::Settings;
 use crate::store::{self, Answer, StateCall, Urgency, WriteBudget};
 use crate::wire::{
@@ -90,8 +90,8 @@
 
 /// Periods of the leader's own, in worker report intervals.
 const ROUND_REPORTS: f64 = 1.0;
-/// So many times in such a period machines are looked after.
-const TENDS: u64 = 4;
+/// So many times in such a period machines are checked.
+const CHECKS: u64 = 4;
 /// What the state service couldn't answer is asked again after this pause.
 const RETRY_MS: u64 = 200;
 /// Time between two rounds at least, so that a rush is served in gulps.
@@ -99,7 +99,7 @@
 /// What looking at one entry of a round (a machine, a task, a pair of them)
 /// takes of a processor, roughly; the reason to count and not to measure is
 /// that traces replay.
-const ENTRY_MS: f64 = 50e-6;
+const EXAMINE_MS: f64 = 50e-6;
 /// The share of the processor's limit that rounds may take in a rush.
 const ROUNDS_SHARE: f64 = 0.3;
 
@@ -136,12 +136,12 @@
     round_gap_ms: u64,
     /// The last round that did everything.
     full_ms: u64,
-    /// When machines were last looked after, and whether they should be
+    /// When machines were last checked, and whether they should be
     /// before that's due again.
-    tended_ms: u64,
-    tend_wanted: bool,
-    /// Entries that rounds have looked at, all together.
-    looked: u64,
+    checked_ms: u64,
+    check_wanted: bool,
+    /// Entries that rounds have examined, all together.
+    examined: u64,
     /// Something may have to be written.
     changed: bool,
     /// Expected work, as of the last full round.
@@ -156,16 +156,16 @@
     /// Machines whose commands should go out by the direct path.
     push: BTreeSet<MachineId>,
     /// Work of the last round that found no room.
-    rest: Vec<rounds::Rest>,
+    unplaced: Vec<rounds::Unplaced>,
     /// Machines that hold room for expected work.
     reserved: BTreeSet<MachineId>,
     /// When followers' word on silent machines is asked for next.
     proxied_due_ms: u64,
     asking_proxied: bool,
     /// When a replica of a class may next move to spread its image.
-    warm_due_ms: HashMap<Rc<str>, u64>,
+    preplacement_due_ms: HashMap<Rc<str>, u64>,
     /// Where tasks that are being moved are to go.
-    bound_for: HashMap<TaskRef, MachineId>,
+    migration_targets: HashMap<TaskRef, MachineId>,
     stale_due_ms: u64,
     /// When most machines of a zone were last silent.
     zones_silent: HashMap<Rc<str>, u64>,
@@ -214,9 +214,9 @@
             round_ms: 0,
             round_gap_ms: ROUND_GAP_MS,
             full_ms: 0,
-            tended_ms: 0,
-            tend_wanted: false,
-            looked: 0,
+            checked_ms: 0,
+            check_wanted: false,
+            examined: 0,
             changed: false,
             expected: Vec::new(),
             refused: HashMap::new(),
@@ -224,12 +224,12 @@
             listed: false,
             early_list: None,
             push: BTreeSet::new(),
-            rest: Vec::new(),
+            unplaced: Vec::new(),
             reserved: BTreeSet::new(),
             proxied_due_ms: 0,
             asking_proxied: false,
-            warm_due_ms: HashMap::new(),
-            bound_for: HashMap::new(),
+            preplacement_due_ms: HashMap::new(),
+            migration_targets: HashMap::new(),
             stale_due_ms: 0,
             zones_silent: HashMap::new(),
             stood_still_ms: 0,
@@ -306,7 +306,7 @@
         self.asking_proxied = false;
         self.list_retry_ms = None;
         self.over.clear();
-        self.bound_for.clear();
+        self.migration_targets.clear();
         self.zones_silent.clear();
         self.expected.clear();
     }
@@ -420,7 +420,8 @@
                         zone,
                         spot: false,
                     };
-                    let mut m = Machine::new(machine, offer, Res::default(), 0.0, term, now.ms);
+                    let mut m =
+                        Machine::new(machine, offer, Resources::default(), 0.0, term, now.ms);
                     m.phase = Phase::Up;
                     m
                 });
@@ -704,22 +705,22 @@
         // What scales in or looks after machines can wait for its turn; a
         // rush of rounds only places what has come and rents for it.
         let full = now.ms >= self.full_ms + every;
-        let tend_ms = self.tended_ms + every / TENDS;
-        if now.ms >= tend_ms || std::mem::take(&mut self.tend_wanted) {
-            self.tended_ms = now.ms;
-            self.tend_fleet(now, cloud);
+        let check_ms = self.checked_ms + every / CHECKS;
+        if now.ms >= check_ms || std::mem::take(&mut self.check_wanted) {
+            self.checked_ms = now.ms;
+            self.check_machines(now, cloud);
         }
         if full || (self.round_wanted && now.ms >= self.round_ms + self.round_gap_ms) {
             self.round_wanted = false;
             self.round_ms = now.ms;
-            let before = self.looked;
+            let before = self.examined;
             if full {
                 self.full_ms = now.ms;
                 self.ask_proxied(now, out);
             }
             self.place(now, full);
             self.rent(now, cloud, full);
-            self.round_gap_ms = self.gap_ms(self.looked - before);
+            self.round_gap_ms = self.gap_ms(self.examined - before);
             self.changed = true;
         }
         self.commit(now, budget, out);
@@ -731,21 +732,21 @@
         } else {
             self.full_ms + every
         };
-        let tend_ms = self.tended_ms + every / TENDS;
-        next.min(self.commit_wake_ms(now)).min(tend_ms)
+        let check_ms = self.checked_ms + every / CHECKS;
+        next.min(self.commit_wake_ms(now)).min(check_ms)
     }
 
     /// The pause after a round follows what it cost, so that a rush on a large
     /// fleet leaves time for reports, submissions and cancellations.
-    fn gap_ms(&self, looked: u64) -> u64 {
-        let cost_ms = looked as f64 * ENTRY_MS;
+    fn gap_ms(&self, examined: u64) -> u64 {
+        let cost_ms = examined as f64 * EXAMINE_MS;
         let gap = cost_ms / (self.settings.site.limits.cores * ROUNDS_SHARE);
         (gap as u64).clamp(ROUND_GAP_MS, self.report_ms().max(ROUND_GAP_MS))
     }
 
-    /// Entries that rounds have looked at since the process began.
-    pub fn looked(&self) -> u64 {
-        self.looked
+    /// Entries that rounds have examined since the process began.
+    pub fn examined(&self) -> u64 {
+        self.examined
     }
 
     /// Counts for display.
@@ -833,7 +834,9 @@
             .catalog
             .as_ref()
             .and_then(|c| c.find(&offer.machine_type));
-        let (room, cache) = known.map_or((Res::default(), 0.0), |t| (Res::of_type(t), t.cache_gb));
+        let (room, cache) = known.map_or((Resources::default(), 0.0), |t| {
+            (Resources::of_type(t), t.cache_gb)
+        });
         let term = self.term;
         let rented_ms = now.ms.saturating_sub((age_s * 1000.0) as u64);
         let machine = self
@@ -841,7 +844,7 @@
             .machines
             .entry(id.clone())
             .or_insert_with(|| Machine::new(id, offer.clone(), room, cache, term, now.ms));
-        if machine.room == Res::default() {
+        if machine.room == Resources::default() {
             // A stub from a stored assignment learns what it is.
             machine.offer = offer;
             machine.room = room;
--- a/src/scheduler/moves.rs
+++ b/src/scheduler/moves.rs
@@ -1,18 +1,18 @@
 //! Tasks on the move: stopped for more important work, gathered so that
 //! machines can be returned, or spread so that images are at hand.
 
-use super::rounds::{Cold, Rest, Room};
+use super::rounds::{Cold, Room, Unplaced};
 use super::{Assign, Job, Scheduler};
 use crate::fleet::{Machine, Phase};
 use crate::ids::{MachineId, TaskRef};
 use crate::msg::Now;
-use crate::placement::{allows_offer, may_stand, Res, ZoneUse};
+use crate::placement::{allows_offer, may_stand, Resources, ZoneUse};
 use crate::settings::Settings;
 use crate::wire::JobSpec;
 use std::collections::{BTreeMap, HashMap};
 
 /// One of so many machines at a time is emptied.
-const GATHERED_OF: usize = 16;
+const CONSOLIDATED_OF: usize = 16;
 /// A machine with more than this share in use isn't emptied.
 const MOST_MOVED: f64 = 0.6;
 /// A start counts for the users once it has lasted for this long (PROTOCOL,
@@ -23,7 +23,7 @@
 /// A fetch that takes so many report intervals is hardly missed.
 const QUICK_FETCH_REPORTS: f64 = 2.5;
 /// A replica moves to spread an image at most once in so many fetch times.
-const WARM_FETCHES: f64 = 10.0;
+const PREPLACEMENT_FETCHES: f64 = 10.0;
 
 /// A task that runs or may run on a machine.
 struct Stoppable<'a> {
@@ -36,21 +36,22 @@
     /// Stops tasks of less important jobs where that gives room to work with
     /// a wait objective sooner than a rental would. What is stopped saves
     /// first, if it can, and waits again in the queue.
-    pub(super) fn preempt(&mut self, now: Now, rest: &mut Vec<Rest>, rooms: &[Room]) {
-        let has_aim =
-            |r: &Rest, settings: &Settings| !r.forecast && settings.start_aim_ms(&r.spec).is_some();
-        if !rest.iter().any(|r| has_aim(r, &self.settings)) {
+    pub(super) fn preempt(&mut self, now: Now, unplaced: &mut Vec<Unplaced>, rooms: &[Room]) {
+        let has_aim = |r: &Unplaced, settings: &Settings| {
+            !r.forecast && settings.start_aim_ms(&r.spec).is_some()
+        };
+        if !unplaced.iter().any(|r| has_aim(r, &self.settings)) {
             return;
         }
-        let mut free: Vec<Res> = rooms.iter().map(Room::soon_free).collect();
+        let mut free: Vec<Resources> = rooms.iter().map(Room::soon_free).collect();
         let mut chosen: BTreeMap<TaskRef, bool> = BTreeMap::new();
-        let mut looked = 0;
+        let mut examined = 0;
         {
             let stoppable = self.stoppable(rooms);
-            for waiting in rest.iter_mut().filter(|r| has_aim(r, &self.settings)) {
-                let need = Res::of_task(&waiting.spec);
+            for waiting in unplaced.iter_mut().filter(|r| has_aim(r, &self.settings)) {
+                let need = Resources::of_task(&waiting.spec);
                 let slack_s = (waiting.deadline as f64 - now.wall as f64) / 1000.0;
-                let offer = |i: usize, free: &Res, chosen: &BTreeMap<TaskRef, bool>| {
+                let offer = |i: usize, free: &Resources, chosen: &BTreeMap<TaskRef, bool>| {
                     let tasks = &stoppable[i];
                     let any = |s: &Stoppable| s.job.spec.priority > waiting.spec.priority;
                     if !free.holds(&need) && !tasks.iter().any(any) {
@@ -63,7 +64,7 @@
                     Some((cost + fetch_s, victims))
                 };
                 // What each room would cost; only the one that was chosen has
-                // to be looked at again for the next task of the job.
+                // to be examined again for the next task of the job.
                 let mut offers: Vec<_> = (0..rooms.len())
                     .map(|i| {
                         allows_offer(&waiting.spec, &rooms[i].offer)
@@ -71,9 +72,9 @@
                             .flatten()
                     })
                     .collect();
-                looked += stoppable.len() as u64 * 2;
+                examined += stoppable.len() as u64 * 2;
                 while waiting.count > 0 {
-                    looked += offers.len() as u64;
+                    examined += offers.len() as u64;
                     let best = (0..rooms.len())
                         .filter(|i| waiting.zones.allows(&waiting.spec, &rooms[*i].offer.zone))
                         .filter_map(|i| Some((offers[i].as_ref()?.0, i)))
@@ -95,16 +96,16 @@
                 }
             }
         }
-        self.looked += looked;
-        rest.retain(|r| r.count > 0);
+        self.examined += examined;
+        unplaced.retain(|r| r.count > 0);
         for (task, saves) in chosen {
             self.stop_task(now, &task, saves);
         }
     }
 
     /// What tasks that are being stopped will give back, by machine.
-    pub(super) fn freeing(&self) -> HashMap<MachineId, Res> {
-        let mut freeing: HashMap<MachineId, Res> = HashMap::new();
+    pub(super) fn freeing(&self) -> HashMap<MachineId, Resources> {
+        let mut freeing: HashMap<MachineId, Resources> = HashMap::new();
         for job in self.jobs.values() {
             for assign in job.assigns.values().filter(|a| a.stop.is_some()) {
                 freeing
@@ -148,7 +149,7 @@
         if self.settings.start_aim_ms(spec).is_none() {
             return count;
         }
-        let need = Res::of_task(spec);
+        let need = Resources::of_task(spec);
         for n in 0..count {
             let room = rooms
                 .iter_mut()
@@ -171,14 +172,14 @@
         now: Now,
         tasks: &[Stoppable],
         spec: &JobSpec,
-        mut free: Res,
+        mut free: Resources,
         patience_s: f64,
         chosen: &BTreeMap<TaskRef, bool>,
     ) -> Option<(f64, Vec<(TaskRef, bool)>)> {
         let settled_ms = self.settled_ms();
         let handover_s = self.handover_s();
-        let need = Res::of_task(spec);
-        let mut candidates: Vec<(f64, TaskRef, bool, Res)> = Vec::new();
+        let need = Resources::of_task(spec);
+        let mut candidates: Vec<(f64, TaskRef, bool, Resources)> = Vec::new();
         for Stoppable { job, assign, index } in tasks {
             if job.spec.priority <= spec.priority {
                 continue;
@@ -222,7 +223,7 @@
     /// Scaling in: moves the replicas of the emptiest machine into free room
     /// that nobody expects to need, so that the machine can be returned. One
     /// machine at a time, and only where a replica is hardly missed.
-    pub(super) fn gather(&mut self, now: Now, rooms: &mut [Room]) {
+    pub(super) fn consolidate(&mut self, now: Now, rooms: &mut [Room]) {
         let up = |m: &&Machine| matches!(m.phase, Phase::Up | Phase::Draining);
         let machines = self.fleet.machines.values().filter(up);
         let moving = self
@@ -231,7 +232,7 @@
             .values()
             .filter(|m| m.phase == Phase::Draining && !m.tasks.is_empty())
             .count();
-        let most = (machines.count() / GATHERED_OF).max(1);
+        let most = (machines.count() / CONSOLIDATED_OF).max(1);
         let mut order: Vec<(f64, usize)> = rooms
             .iter()
             .enumerate()
@@ -257,17 +258,17 @@
                 for (_, to) in &moves {
                     // Room that is promised is nobody else's.
                     if let Some(room) = rooms.iter_mut().find(|r| r.id == *to) {
-                        room.free = Res::default();
+                        room.free = Resources::default();
                         room.reserved = true;
                     }
                 }
-                self.bound_for.extend(moves);
+                self.migration_targets.extend(moves);
                 let id = rooms[index].id.clone();
                 log::info!("machine {id} emptied, its replicas move");
                 if let Some(machine) = self.fleet.get_mut(&id) {
                     machine.phase = Phase::Draining;
                 }
-                rooms[index].free = Res::default();
+                rooms[index].free = Resources::default();
                 self.drain(now, &id);
             }
         }
@@ -282,7 +283,7 @@
         rooms: &[Room],
     ) -> Option<Vec<(TaskRef, MachineId)>> {
         let machine = self.fleet.get(&rooms[index].id)?;
-        let mut free: Vec<(usize, Res)> = rooms
+        let mut free: Vec<(usize, Resources)> = rooms
             .iter()
             .enumerate()
             .filter(|(i, r)| {
@@ -345,7 +346,7 @@
         };
         for index in job.assigns.keys() {
             let task = job.task(*index);
-            if let Some(to) = self.bound_for.get(&task) {
+            if let Some(to) = self.migration_targets.get(&task) {
                 arrive(&task, to);
             }
         }
@@ -392,9 +393,9 @@
     /// that its class may wait: a settled replica with that image moves to
     /// where it is missing, and leaves warm room behind. Seldom, so that the
     /// gaps stay far below what the aims allow.
-    pub(super) fn warm(&mut self, now: Now, cold: Vec<Cold>) {
+    pub(super) fn preplace_images(&mut self, now: Now, cold: Vec<Cold>) {
         for Cold { spec, machine } in cold {
-            let due_ms = self.warm_due_ms.get(&spec.class).copied();
+            let due_ms = self.preplacement_due_ms.get(&spec.class).copied();
             if due_ms.is_some_and(|due| now.ms < due) {
                 continue;
             }
@@ -413,10 +414,10 @@
                 continue;
             };
             log::info!("task {task} moves to {machine}, to leave warm room behind");
-            let due_ms = now.ms + (fetch_s * 1000.0 * WARM_FETCHES) as u64;
-            self.warm_due_ms.insert(spec.class.clone(), due_ms);
+            let due_ms = now.ms + (fetch_s * 1000.0 * PREPLACEMENT_FETCHES) as u64;
+            self.preplacement_due_ms.insert(spec.class.clone(), due_ms);
             self.stop_task(now, &task, true);
-            self.bound_for.insert(task, machine);
+            self.migration_targets.insert(task, machine);
         }
     }
 
--- a/src/scheduler/renting.rs
+++ b/src/scheduler/renting.rs
@@ -1,13 +1,13 @@
 //! What found no room chooses rental rungs; machines that nobody needs go
 //! back.
 
-use super::rounds::{Rest, FRESH_REPORTS};
+use super::rounds::{Unplaced, FRESH_REPORTS};
 use super::Scheduler;
 use crate::cloud::{Cloud, Offer, RENT_MAX};
 use crate::fleet::{Machine, Phase};
 use crate::ids::{MachineId, Term};
 use crate::msg::Now;
-use crate::placement::{may_stand, offers_for, Res};
+use crate::placement::{may_stand, offers_for, Resources};
 use crate::slackfit::{self, Rung};
 use crate::wire::{Catalog, JobSpec, Kind};
 use std::collections::BTreeMap;
@@ -27,7 +27,7 @@
 /// Room that isn't there yet.
 struct Coming {
     offer: Offer,
-    free: Res,
+    free: Resources,
     new: bool,
 }
 
@@ -41,9 +41,9 @@
         if self.listens(now) || !cloud.reachable() {
             return;
         }
-        let rest = std::mem::take(&mut self.rest);
-        if !rest.is_empty() {
-            self.order(now, &rest, &catalog, cloud);
+        let unplaced = std::mem::take(&mut self.unplaced);
+        if !unplaced.is_empty() {
+            self.order(now, &unplaced, &catalog, cloud);
         }
         if full {
             self.return_idle(now, cloud);
@@ -62,15 +62,15 @@
     }
 
     /// Orders what covers the work that neither free nor coming room holds.
-    fn order(&mut self, now: Now, rest: &[Rest], catalog: &Catalog, cloud: &mut Cloud) {
+    fn order(&mut self, now: Now, unplaced: &[Unplaced], catalog: &Catalog, cloud: &mut Cloud) {
         let mut coming = self.coming(now, cloud);
         let mut crowd: BTreeMap<Rc<str>, u32> = BTreeMap::new();
         for machine in self.fleet.machines.values() {
             *crowd.entry(machine.offer.zone.clone()).or_insert(0) += 1;
         }
-        for rest in rest {
-            self.looked += coming.len() as u64;
-            self.cover(now, rest, catalog, &crowd, &mut coming);
+        for unplaced in unplaced {
+            self.examined += coming.len() as u64;
+            self.cover(now, unplaced, catalog, &crowd, &mut coming);
         }
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
         for room in coming.iter().filter(|c| c.new) {
@@ -119,7 +119,7 @@
                 .catalog
                 .as_ref()
                 .and_then(|c| c.find(&offer.machine_type))
-                .map_or(Res::default(), Res::of_type);
+                .map_or(Resources::default(), Resources::of_type);
             for _ in 0..count {
                 coming.push(Coming {
                     offer: offer.clone(),
@@ -134,31 +134,32 @@
     fn cover(
         &self,
         now: Now,
-        rest: &Rest,
+        unplaced: &Unplaced,
         catalog: &Catalog,
         crowd: &BTreeMap<Rc<str>, u32>,
         coming: &mut Vec<Coming>,
     ) {
-        let need = Res::of_task(&rest.spec);
-        let mut zones = rest.zones.clone();
-        let slack_ms = rest.deadline as i64 - now.wall as i64;
+        let need = Resources::of_task(&unplaced.spec);
+        let mut zones = unplaced.zones.clone();
+        let slack_ms = unplaced.deadline as i64 - now.wall as i64;
         let mut buckets: Option<Vec<Rung>> = None;
         // What couldn't hold one task won't hold the next of the same job.
         let mut from = 0;
-        for _ in 0..rest.count {
+        for _ in 0..unplaced.count {
             let found = coming[from..]
                 .iter()
-                .position(|c| c.free.holds(&need) && may_stand(&rest.spec, &zones, &c.offer));
+                .position(|c| c.free.holds(&need) && may_stand(&unplaced.spec, &zones, &c.offer));
             from = found.map_or(coming.len(), |i| from + i);
             if let Some(room) = coming.get_mut(from) {
                 room.free.take(&need);
                 zones.add(&room.offer.zone);
                 continue;
             }
-            let rungs = buckets.get_or_insert_with(|| self.rungs(now, &rest.spec, catalog, crowd));
+            let rungs =
+                buckets.get_or_insert_with(|| self.rungs(now, &unplaced.spec, catalog, crowd));
             let mut open: Vec<Rung> = rungs
                 .iter()
-                .filter(|r| zones.allows(&rest.spec, &r.offer.zone))
+                .filter(|r| zones.allows(&unplaced.spec, &r.offer.zone))
                 .cloned()
                 .collect();
             // Among equals, the zone with the fewest machines.
@@ -168,7 +169,7 @@
                     .filter(|c| c.new && c.offer.zone == rung.offer.zone)
                     .count() as u32;
             }
-            let chosen = if rest.spec.kind == Kind::Service {
+            let chosen = if unplaced.spec.kind == Kind::Service {
                 slackfit::cheapest(&open).cloned()
             } else {
                 let buckets = slackfit::buckets(&open, self.options.buckets as usize);
@@ -179,7 +180,7 @@
             };
             log::debug!(
                 "rung for {} slack_ms={slack_ms} latency_ms={} cost={:.2} type={} zone={} spot={}",
-                rest.spec.id,
+                unplaced.spec.id,
                 rung.latency_ms,
                 rung.cost,
                 rung.offer.machine_type,
@@ -188,7 +189,7 @@
             );
             let mut free = catalog
                 .find(&rung.offer.machine_type)
-                .map_or(Res::default(), Res::of_type);
+                .map_or(Resources::default(), Resources::of_type);
             free.take(&need);
             zones.add(&rung.offer.zone);
             coming.push(Coming {
@@ -208,7 +209,7 @@
         catalog: &Catalog,
         crowd: &BTreeMap<Rc<str>, u32>,
     ) -> Vec<Rung> {
-        let need = Res::of_task(spec);
+        let need = Resources::of_task(spec);
         let run_s = spec.estimate_s * self.learning.bias(&spec.class);
         offers_for(spec, catalog)
             .into_iter()
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -148,7 +148,7 @@
             if notice.is_some() != machine.notice_until_ms.is_some() {
                 log::info!("machine {id} notice_s={:?}", report.notice_s);
                 self.round_wanted = true;
-                self.tend_wanted = true;
+                self.check_wanted = true;
             }
             machine.notice_until_ms = notice;
             // Without our token the report may be any old one's echo.
@@ -488,7 +488,7 @@
     }
 
     /// Looks after every machine and every stop that is due.
-    pub(super) fn tend_fleet(&mut self, now: Now, cloud: &mut Cloud) {
+    pub(super) fn check_machines(&mut self, now: Now, cloud: &mut Cloud) {
         self.fleet.forget_gone(now.ms);
         self.over.retain(|_, until| now.ms < *until);
         let cancelled: Vec<_> = self
@@ -661,7 +661,7 @@
 
     /// Whether none of the workers is heard that report to this leader itself
     /// (`to_us`, by zone). Those that are new to it may be on their way.
-    pub fn hears_nobody(&self, now: Now, to_us: impl Fn(&str) -> bool) -> bool {
+    pub fn hears_no_worker(&self, now: Now, to_us: impl Fn(&str) -> bool) -> bool {
         let patience_ms = (self.report_ms() as f64 * UNREACHABLE_REPORTS) as u64;
         // Nobody can be heard by a process that stands still.
         let listening_since_ms = self.elected_ms.max(self.stood_still_ms);
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -5,7 +5,7 @@
 use crate::cloud::Offer;
 use crate::ids::{JobId, MachineId, TaskRef};
 use crate::msg::Now;
-use crate::placement::{allows_offer, may_stand, Fit, Res, ZoneUse};
+use crate::placement::{allows_offer, may_stand, Fit, Resources, ZoneUse};
 use crate::wire::{JobSpec, Kind, Priority};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
@@ -16,7 +16,7 @@
 /// that its turn comes all the same.
 const LAST_DEADLINE: f64 = 3.0;
 
-/// So many tasks of one job are looked at in one round.
+/// So many tasks of one job are examined in one round.
 const ROUND_TASKS: usize = 512;
 
 /// One entry of the queue.
@@ -49,18 +49,18 @@
 pub(super) struct Room {
     pub(super) id: MachineId,
     pub(super) offer: Offer,
-    pub(super) free: Res,
+    pub(super) free: Resources,
     /// What tasks that are being stopped will give back.
-    pub(super) freeing: Res,
-    pub(super) whole: Res,
+    pub(super) freeing: Resources,
+    pub(super) whole: Resources,
     pub(super) fetches: u32,
     pub(super) reserved: bool,
     /// Room set aside for expected work.
-    pub(super) kept: Res,
+    pub(super) kept: Resources,
 }
 
 impl Room {
-    pub(super) fn soon_free(&self) -> Res {
+    pub(super) fn soon_free(&self) -> Resources {
         let mut free = self.free;
         free.add(&self.freeing);
         free
@@ -77,14 +77,14 @@
 /// What a room is worth to a job, as long as nothing changes there.
 struct Ranked {
     index: usize,
-    free: Res,
+    free: Resources,
     fetches: u32,
     rank: f64,
 }
 
 /// Tasks that found no room.
 #[derive(Debug)]
-pub(super) struct Rest {
+pub(super) struct Unplaced {
     pub(super) spec: Rc<JobSpec>,
     pub(super) count: u32,
     pub(super) deadline: u64,
@@ -160,8 +160,8 @@
     }
 
     /// What each team's tasks may be using now.
-    fn team_use(&self) -> HashMap<Rc<str>, Res> {
-        let mut used: HashMap<Rc<str>, Res> = HashMap::new();
+    fn team_use(&self) -> HashMap<Rc<str>, Resources> {
+        let mut used: HashMap<Rc<str>, Resources> = HashMap::new();
         for job in self.jobs.values() {
             let total = used.entry(job.spec.team.clone()).or_default();
             total.add(&job.need.scaled(job.assigns.len() as f64));
@@ -170,7 +170,7 @@
     }
 
     /// Whether the team may take one more such task.
-    fn quota_allows(&self, team: &str, used: &Res, need: &Res) -> bool {
+    fn quota_allows(&self, team: &str, used: &Resources, need: &Resources) -> bool {
         let Some(team) = self.settings.team(team) else {
             return false;
         };
@@ -190,7 +190,7 @@
             .collect();
         // In the scarcest amount's terms one class can stand in for another.
         let weigh = |f: &Flow| {
-            let need = Res::of_task(&f.spec);
+            let need = Resources::of_task(&f.spec);
             let variance = 2.0 * f.jobs_per_s * slowest * f.tasks_squared;
             (variance, variance * need.gpus.max(need.cpus / 8.0).powi(2))
         };
@@ -247,7 +247,7 @@
         let within = self.within_guarantee();
         // A task on the move has its place already; nothing expected may
         // take that before it arrives.
-        let moving: BTreeSet<&JobId> = self.bound_for.keys().map(|t| &t.job).collect();
+        let moving: BTreeSet<&JobId> = self.migration_targets.keys().map(|t| &t.job).collect();
         let mut queue: Vec<Waiting> = self
             .jobs
             .iter()
@@ -299,30 +299,30 @@
                 whole: m.room,
                 fetches: m.fetching.len() as u32,
                 reserved: false,
-                kept: Res::default(),
+                kept: Resources::default(),
             })
             .collect();
         let jobs = &self.jobs;
-        self.bound_for.retain(|task, _| {
+        self.migration_targets.retain(|task, _| {
             jobs.get(&task.job).is_some_and(|j| {
                 let leaving = j.assigns.get(&task.index).is_some_and(|a| a.stop.is_some());
                 j.pending.contains(&task.index) || leaving
             })
         });
         let mut used = self.team_use();
-        self.looked += (self.jobs.len() + rooms.len()) as u64;
-        let mut rest = Vec::new();
+        self.examined += (self.jobs.len() + rooms.len()) as u64;
+        let mut unplaced = Vec::new();
         let mut cold = Vec::new();
         for waiting in self.queue(now) {
             match waiting.what {
                 Work::Job(id) => {
                     let left = self.place_job(now, &id, waiting.deadline, &mut rooms, &mut used);
-                    rest.extend(left);
+                    unplaced.extend(left);
                 }
                 Work::Forecast(spec, count) => {
                     let left = self.reserve(&spec, count, &mut rooms, &mut cold);
                     if left > 0 {
-                        rest.push(Rest {
+                        unplaced.push(Unplaced {
                             spec,
                             count: left,
                             deadline: waiting.deadline,
@@ -333,12 +333,12 @@
                 }
             }
         }
-        self.preempt(now, &mut rest, &rooms);
-        if rest.is_empty() && full {
-            self.gather(now, &mut rooms);
-            self.warm(now, cold);
+        self.preempt(now, &mut unplaced, &rooms);
+        if unplaced.is_empty() && full {
+            self.consolidate(now, &mut rooms);
+            self.preplace_images(now, cold);
         }
-        self.rest = rest;
+        self.unplaced = unplaced;
         self.reserved = rooms
             .into_iter()
             .filter(|r| r.reserved)
@@ -356,8 +356,8 @@
         rooms: &mut [Room],
         cold: &mut Vec<Cold>,
     ) -> u32 {
-        let need = Res::of_task(spec);
-        self.looked += rooms.len() as u64;
+        let need = Resources::of_task(spec);
+        self.examined += rooms.len() as u64;
         let mut open: Vec<(usize, bool)> = (0..rooms.len())
             .filter(|i| {
                 let r = &rooms[*i];
@@ -366,7 +366,7 @@
             .map(|i| (i, self.has_image(&rooms[i].id, &spec.image)))
             .collect();
         for n in 0..count {
-            self.looked += open.len() as u64;
+            self.examined += open.len() as u64;
             let rank = |(i, has): &(usize, bool)| {
                 let room = &rooms[*i];
                 room.free.share_of(&room.whole) + if *has { 0.0 } else { 1.0 }
@@ -403,8 +403,8 @@
         id: &JobId,
         deadline: u64,
         rooms: &mut [Room],
-        used: &mut HashMap<Rc<str>, Res>,
-    ) -> Option<Rest> {
+        used: &mut HashMap<Rc<str>, Resources>,
+    ) -> Option<Unplaced> {
         let job = self.jobs.get(id)?;
         let (spec, need) = (job.spec.clone(), job.need);
         let mut zones = job.zone_use();
@@ -421,7 +421,7 @@
         let tasks: Vec<u32> = job.pending.iter().copied().take(most).collect();
         if spec.kind == Kind::Group && !self.whole_fits(&spec, &need, &zones, rooms, &tasks, used) {
             // A gang starts whole, as one round, or waits.
-            return (!probing).then_some(Rest {
+            return (!probing).then_some(Unplaced {
                 spec,
                 count: tasks.len() as u32,
                 deadline,
@@ -450,7 +450,7 @@
                 job: id.clone(),
                 index: *task,
             };
-            let bound = self.bound_for.remove(&task_ref).and_then(|to| {
+            let bound = self.migration_targets.remove(&task_ref).and_then(|to| {
                 rooms
                     .iter()
                     .position(|r| r.id == to && may_stand(&spec, &zones, &r.offer))
@@ -473,7 +473,7 @@
             }
             if let Some(index) = held {
                 let room = &rooms[index];
-                self.bound_for.insert(task_ref, room.id.clone());
+                self.migration_targets.insert(task_ref, room.id.clone());
                 zones.add(&room.offer.zone);
                 team.add(&need);
                 promised += 1;
@@ -537,7 +537,7 @@
         }
         let count = (tasks.len() - placed - promised) as u32 - blocked;
         let count = self.hold_room(&spec, count, &mut zones, rooms);
-        (count > 0).then_some(Rest {
+        (count > 0).then_some(Unplaced {
             spec,
             count,
             deadline,
@@ -550,15 +550,15 @@
     fn whole_fits(
         &self,
         spec: &JobSpec,
-        need: &Res,
+        need: &Resources,
         zones: &ZoneUse,
         rooms: &[Room],
         tasks: &[u32],
-        used: &HashMap<Rc<str>, Res>,
+        used: &HashMap<Rc<str>, Resources>,
     ) -> bool {
         let mut used = used.get(&spec.team).copied().unwrap_or_default();
         let mut zones = zones.clone();
-        let mut free: Vec<(&Room, Res)> = rooms
+        let mut free: Vec<(&Room, Resources)> = rooms
             .iter()
             .filter(|r| allows_offer(spec, &r.offer))
             .map(|r| (r, r.free))
@@ -584,7 +584,7 @@
     /// kept in `ranked` from task to task, and found anew where one changed.
     fn best_room(
         &mut self,
-        need: &Res,
+        need: &Resources,
         zones: &ZoneUse,
         rooms: &[Room],
         id: &JobId,
@@ -618,14 +618,14 @@
                 best = Some((rank, entry.index));
             }
         }
-        let looked = if first { rooms.len() } else { ranked.len() };
-        self.looked += looked as u64;
+        let examined = if first { rooms.len() } else { ranked.len() };
+        self.examined += examined as u64;
         best.map(|(_, index)| index)
     }
 
     /// What a room is worth to a task of the job, its zone aside; `None`: it
     /// doesn't hold one.
-    fn rank(&self, job: &Job, need: &Res, index: usize, room: &Room) -> Option<Ranked> {
+    fn rank(&self, job: &Job, need: &Resources, index: usize, room: &Room) -> Option<Ranked> {
         if !room.free.holds(need) {
             return None;
         }
@@ -660,7 +660,12 @@
 }
 
 /// Gives up room that was set aside, where that makes room for this task.
-fn release_kept(spec: &JobSpec, need: &Res, zones: &ZoneUse, rooms: &mut [Room]) -> Option<usize> {
+fn release_kept(
+    spec: &JobSpec,
+    need: &Resources,
+    zones: &ZoneUse,
+    rooms: &mut [Room],
+) -> Option<usize> {
     let index = rooms.iter().position(|room| {
         let mut all = room.free;
         all.add(&room.kept);
@@ -668,6 +673,6 @@
     })?;
     let room = &mut rooms[index];
     room.free.add(&room.kept);
-    room.kept = Res::default();
+    room.kept = Resources::default();
     Some(index)
 }
--- a/src/store.rs
+++ b/src/store.rs
@@ -78,7 +78,7 @@
     Cancel,
     Submission,
     Placement,
-    Rest,
+    Background,
 }
 
 const URGENCIES: usize = 5;
@@ -215,7 +215,7 @@
     }
 
     /// Sends what the buckets allow and returns what was given up.
-    pub fn pump(&mut self, now: Now, mut send: impl FnMut(u64, Call), given_up: &mut Vec<T>) {
+    pub fn dispatch(&mut self, now: Now, mut send: impl FnMut(u64, Call), given_up: &mut Vec<T>) {
         for queue in &mut self.queues {
             while let Some(first) = queue.front() {
                 if now.ms >= first.give_up_ms {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -4,7 +4,7 @@
 use lilacfork::ids::{Term, Token};
 use lilacfork::msg::Now;
 use lilacfork::options::Options;
-use lilacfork::placement::{Fit, Res, ZoneUse};
+use lilacfork::placement::{Fit, Resources, ZoneUse};
 use lilacfork::scheduler::{read_ranges, write_ranges};
 use lilacfork::settings::Settings;
 use lilacfork::slackfit::{buckets, cheapest, choose, Rung};
@@ -114,12 +114,12 @@
 
 #[test]
 fn room_is_counted_by_the_scarcest_amount() {
-    let whole = Res {
+    let whole = Resources {
         cpus: 48.0,
         gpus: 8.0,
         memory_gb: 288.0,
     };
-    let need = Res {
+    let need = Resources {
         cpus: 8.0,
         gpus: 2.0,
         memory_gb: 40.0,
@@ -132,13 +132,13 @@
     }
     assert!(!free.holds(&need));
     // Tenths don't add up exactly; a machine isn't lost for it.
-    let tenth = Res {
+    let tenth = Resources {
         cpus: 0.1,
-        ..Res::default()
+        ..Resources::default()
     };
-    let mut free = Res {
+    let mut free = Resources {
         cpus: 1.0,
-        ..Res::default()
+        ..Resources::default()
     };
     (0..9).for_each(|_| free.take(&tenth));
     assert!(free.holds(&tenth));
@@ -283,7 +283,7 @@
             });
         }
         let mut given_up = Vec::new();
-        store.pump(now, |_, _| sent += 1, &mut given_up);
+        store.dispatch(now, |_, _| sent += 1, &mut given_up);
     }
     sent
 }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -1209,17 +1209,17 @@
     assert!(asked.calls.values().all(|n| *n <= 200), "{:?}", asked.calls);
 }
 
-/// Entries that the rounds of all controllers have looked at since `before`.
-fn looked_since(w: &World, before: &[u64]) -> u64 {
-    let now = looked(w);
+/// Entries that the rounds of all controllers have examined since `before`.
+fn examined_since(w: &World, before: &[u64]) -> u64 {
+    let now = examined(w);
     now.iter()
         .zip(before)
         .map(|(a, b)| a.saturating_sub(*b))
         .sum()
 }
 
-fn looked(w: &World) -> Vec<u64> {
-    let of = |n: &Option<lilacfork::node::Node>| n.as_ref().map_or(0, |n| n.looked());
+fn examined(w: &World) -> Vec<u64> {
+    let of = |n: &Option<lilacfork::node::Node>| n.as_ref().map_or(0, |n| n.examined());
     w.nodes.iter().map(of).collect()
 }
 
@@ -1232,9 +1232,9 @@
 fn a_thousand_machines_through_restarts_a_frozen_leader_and_the_loss_of_a_fifth() {
     let (mut w, asked) = large(1000);
     let started = w.trace.len();
-    let before = looked(&w);
+    let before = examined(&w);
     w.run_for(10_000);
-    let quiet = looked_since(&w, &before);
+    let quiet = examined_since(&w, &before);
     assert!(quiet < 10 * 60_000, "entries in ten quiet seconds: {quiet}");
 
     // Late copies of reports from before arrive at whoever leads then.
@@ -1271,12 +1271,12 @@
 
     let fifth: Vec<String> = w.workers.keys().step_by(5).cloned().collect();
     set_silent(&mut w, &fifth, true);
-    let before = looked(&w);
+    let before = examined(&w);
     w.run_for(20_000);
     assert_eq!(gone(&w, &fifth).len(), 200, "they are given up");
     let there = w.workers.values().filter(|m| !m.gone).count();
     assert_eq!(there, 800, "and no others");
-    let loss = looked_since(&w, &before);
+    let loss = examined_since(&w, &before);
     assert!(loss < 20 * 600_000, "entries in twenty seconds: {loss}");
     assert_eq!(w.on_machines("run-"), 6400);
 
