Bound what a controller remembers of jobs' progress, and keep it to its owner

Counts for display were kept for every job that a leader ever told of, on every controller, until a user asked again after its end: without bound. The gateway's fields are its own; the counts are a type.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -1,6 +1,7 @@
 //! Users' requests, on any node. The node writes the job or the cancellation
 //! itself and then answers; whoever leads learns of it from the state service.
 
+use crate::bounded_map::BoundedMap;
 use crate::cancellations::Standing;
 use crate::ids::JobId;
 use crate::msg::{ConnId, Now, Reply};
@@ -129,6 +130,15 @@
 /// Jobs remembered; of any other the state service is asked as if it were new.
 const REMEMBERED: usize = 20_000;
 
+/// How far a job is, for display.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct TaskCounts {
+    /// Tasks that are done.
+    pub done: u32,
+    /// Tasks that run.
+    pub running: u32,
+}
+
 /// What can't change any more, so that memory may speak of it.
 #[derive(Clone, Copy, Debug)]
 enum Fact {
@@ -140,15 +150,14 @@
 pub struct Gateway {
     settings: Rc<Settings>,
     catalog: Option<Rc<Catalog>>,
-    facts: HashMap<JobId, Fact>,
-    facts_order: VecDeque<JobId>,
+    facts: BoundedMap<JobId, Fact>,
     /// Counts for display, hints from the leader.
-    pub counts: HashMap<JobId, (u32, u32)>,
+    counts: BoundedMap<JobId, TaskCounts>,
     tasks: HashMap<GatewayCall, Task>,
     /// Those that wait for a poll, in the order in which they came.
     polling: VecDeque<GatewayCall>,
     /// Whether a poll tells of every job.
-    pub follows: bool,
+    polls_tell_all: bool,
     next: GatewayCall,
 }
 
@@ -157,12 +166,11 @@
         Gateway {
             settings,
             catalog: None,
-            facts: HashMap::new(),
-            facts_order: VecDeque::new(),
-            counts: HashMap::new(),
+            facts: BoundedMap::new(REMEMBERED),
+            counts: BoundedMap::new(REMEMBERED),
             tasks: HashMap::new(),
             polling: VecDeque::new(),
-            follows: false,
+            polls_tell_all: false,
             next: 0,
         }
     }
@@ -228,7 +236,7 @@
             Goal::Submit(_) if fact.is_none() => Step::Write,
             // To cancel it the whole record is needed.
             Goal::Cancel => Step::ReadLive,
-            _ if self.follows => Step::Poll,
+            _ if self.polls_tell_all => Step::Poll,
             _ => Step::ReadLive,
         };
         self.next += 1;
@@ -380,19 +388,24 @@
     fn remember(&mut self, id: &JobId, fact: Fact) {
         if matches!(fact, Fact::Over(..)) {
             self.counts.remove(id);
-        } else if self.facts.contains_key(id) {
+        } else if self.facts.get(id).is_some() {
             return;
         }
-        if self.facts.insert(id.clone(), fact).is_none() {
-            self.facts_order.push_back(id.clone());
-        }
-        while self.facts_order.len() > REMEMBERED {
-            if let Some(old) = self.facts_order.pop_front() {
-                self.facts.remove(&old);
-            }
+        self.facts.insert(id.clone(), fact);
+    }
+
+    /// How many of a job's tasks are done and run, as the leader says.
+    pub fn note_counts(&mut self, id: &JobId, counts: TaskCounts) {
+        if !matches!(self.facts.get(id), Some(Fact::Over(..))) {
+            self.counts.insert(id.clone(), counts);
         }
     }
 
+    /// Whether a poll of the records tells of every job from now on.
+    pub fn set_polls_tell_all(&mut self, tell_all: bool) {
+        self.polls_tell_all = tell_all;
+    }
+
     /// A read made for this request has told what the job is.
     fn known(
         &mut self,
@@ -447,8 +460,8 @@
 
     fn live_reply(&mut self, id: &JobId, status: u16) -> Reply {
         self.remember(id, Fact::Accepted);
-        let (done, running) = self.counts.get(id).copied().unwrap_or((0, 0));
-        let state = if running > 0 {
+        let counts = self.counts.get(id).copied().unwrap_or_default();
+        let state = if counts.running > 0 {
             UserState::Running
         } else {
             UserState::Pending
@@ -456,8 +469,8 @@
         let body = JobState {
             id,
             state,
-            done: Some(done),
-            running: Some(running),
+            done: Some(counts.done),
+            running: Some(counts.running),
         };
         Reply::json(status, &body)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! actors (plain structs: message and time in, messages out) joined by
 //! [`node`], and one thread of I/O in [`reactor`].
 
+pub mod bounded_map;
 pub mod cancellations;
 pub mod cloud;
 pub mod election;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,7 +6,7 @@
 use crate::cancellations::{self, Cancellations, CancellationsCall};
 use crate::cloud::{Cloud, CloudCall, CloudEvent};
 use crate::election::{Change, Election, ElectionCall, Role};
-use crate::gateway::{Gateway, GatewayCall, GatewayOut};
+use crate::gateway::{Gateway, GatewayCall, GatewayOut, TaskCounts};
 use crate::ids::{JobId, Session, Term};
 use crate::msg::{Call, CallId, ConnId, Effect, Now, Outcome, Port, Reply, Request, Target};
 use crate::options::Options;
@@ -91,7 +91,7 @@
     heartbeat_due_ms: u64,
     heartbeat_every_ms: u64,
     /// What peers were last told, so that only changes go out.
-    sent_counts: HashMap<JobId, (u32, u32)>,
+    sent_counts: HashMap<JobId, TaskCounts>,
     announced: Vec<JobId>,
     /// The peers should hear of cancellations before the next heartbeat is due.
     cancelled_here: bool,
@@ -416,10 +416,12 @@
             }
         }
         if heartbeat.node == heartbeat.leader {
-            for count in heartbeat.counts {
-                self.gateway
-                    .counts
-                    .insert(JobId::new(&count.job), (count.done, count.running));
+            for count in &heartbeat.counts {
+                let counts = TaskCounts {
+                    done: count.done,
+                    running: count.running,
+                };
+                self.gateway.note_counts(&JobId::new(&count.job), counts);
             }
         }
         let mut scheduler = SchedulerOut::default();
@@ -555,19 +557,19 @@
         };
         self.cancelled_here = false;
         if self.scheduler.active() {
-            let mut told = HashMap::new();
-            for (id, done, running) in self.scheduler.counts() {
-                if self.sent_counts.get(id) != Some(&(done, running)) {
+            let mut sent_counts = HashMap::new();
+            for (id, counts) in self.scheduler.counts() {
+                if self.sent_counts.get(id) != Some(&counts) {
                     heartbeat.counts.push(JobCount {
                         job: id.to_string(),
-                        done,
-                        running,
+                        done: counts.done,
+                        running: counts.running,
                     });
                 }
-                told.insert(id.clone(), (done, running));
-                self.gateway.counts.insert(id.clone(), (done, running));
+                sent_counts.insert(id.clone(), counts);
+                self.gateway.note_counts(id, counts);
             }
-            self.sent_counts = told;
+            self.sent_counts = sent_counts;
         }
         let timeout_ms = self.heartbeat_every_ms * 2;
         for index in 0..self.peers.len() {
@@ -677,7 +679,8 @@
     }
 
     fn take_cancellations(&mut self, calls: Vec<StateCall<CancellationsCall>>) {
-        self.gateway.follows = self.cancellations.follows();
+        let tell_all = self.cancellations.follows();
+        self.gateway.set_polls_tell_all(tell_all);
         for call in calls {
             if call.tag == CancellationsCall::Poll {
                 self.polled_for = self.gateway.asked_up_to();
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::cloud::{Cloud, CloudEvent, Offer};
 use crate::fleet::{Fleet, Machine, Phase};
-use crate::gateway::{JobRecord, JOB_PREFIX};
+use crate::gateway::{JobRecord, TaskCounts, JOB_PREFIX};
 use crate::ids::{JobId, MachineId, Revision, Session, TaskRef, Term, Token};
 use crate::msg::{Call, ConnId, Now, Outcome, Reply, Target};
 use crate::options::Options;
@@ -750,10 +750,14 @@
     }
 
     /// Counts for display.
-    pub fn counts(&self) -> impl Iterator<Item = (&JobId, u32, u32)> {
-        self.jobs
-            .iter()
-            .map(|(id, job)| (id, job.done.len() as u32, job.running()))
+    pub fn counts(&self) -> impl Iterator<Item = (&JobId, TaskCounts)> {
+        self.jobs.iter().map(|(id, job)| {
+            let counts = TaskCounts {
+                done: job.done.len() as u32,
+                running: job.running(),
+            };
+            (id, counts)
+        })
     }
 
     // ---- the cloud ----
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -308,3 +308,20 @@
     assert!((300..=340).contains(&least), "{least}");
     assert!(store.writes_per_s(at(70_000)) < 0.1, "and it is forgotten");
 }
+
+/// Counts for display were once kept for every job that ever ran.
+#[test]
+fn a_bounded_map_forgets_the_oldest_and_no_more() {
+    let mut map = lilacfork::bounded_map::BoundedMap::new(100);
+    for key in 0..1000 {
+        map.insert(key, key * 2);
+        map.insert(key / 2 * 2, 0);
+        if key % 3 == 0 {
+            map.remove(&key);
+        }
+        assert!(map.len() <= 100);
+    }
+    assert_eq!(map.get(&998), Some(&0));
+    assert_eq!(map.get(&999), None, "removed");
+    assert_eq!(map.get(&10), None, "too old");
+}
