Answer nobody with what was read before standing still

Cause (a trace): a follower read that a job runs, slept for 4 s while the job was cancelled at another controller, and on waking answered 200 'running' to whoever had asked before. A user who had heard of the cancellation would have seen the job go back. With the stand-ins' order of events it showed only once a woken node may look at the answers to its calls first.

On waking, whoever still waits gets 503 with Retry-After; and an answer that isn't final is given only within the time that a request may take, which covers sleeps shorter than a lease.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -321,6 +321,15 @@
         u64::MAX
     }
 
+    /// The process stood still: what was read for requests before may be older
+    /// than what others have told since. Whoever still waits is to ask again.
+    pub fn stood_still(&mut self, out: &mut GatewayOut) {
+        self.polling.clear();
+        for (_, task) in std::mem::take(&mut self.tasks) {
+            self.give_up(task, out);
+        }
+    }
+
     /// `None`: machine types unknown, so nobody can tell.
     fn can_ever_run(&self, spec: &JobSpec) -> Option<Result<(), &'static str>> {
         let Some(team) = self.settings.team(&spec.team) else {
@@ -415,6 +424,13 @@
         known: Known,
         out: &mut GatewayOut,
     ) {
+        // What isn't final may have changed since it was read, if that took so
+        // long that others have been asked meanwhile.
+        let may_change = matches!(known, Known::Live(..) | Known::Unfinished | Known::Absent);
+        if may_change && now.ms >= task.until_ms {
+            self.give_up(task, out);
+            return;
+        }
         let reply = match (&task.goal, known) {
             (_, Known::Over(record)) => {
                 self.remember(&task.id, Fact::Over(record.state, record.tasks));
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -803,14 +803,20 @@
     }
 
     /// A process that stood still wakes up with its sockets full of what is
-    /// long over. If it led, others may lead by now; and that nobody was heard
-    /// is no fault of theirs.
-    fn notice_time(&mut self, now: Now) {
+    /// long over. What it read for users may be old by now; if it led, others
+    /// may lead; and that nobody was heard is no fault of theirs.
+    fn notice_time(&mut self, now: Now, out: &mut Vec<Effect>) {
         // Peers send heartbeats, and a leader renews, four times in this period.
-        let still =
-            self.last_turn_ms > 0 && now.ms > self.last_turn_ms + self.heartbeat_every_ms * 4;
+        let limit_ms = self.heartbeat_every_ms * 4;
+        let still = self.last_turn_ms > 0 && now.ms > self.last_turn_ms + limit_ms;
         self.last_turn_ms = now.ms;
-        if still && self.election.is_leader() && !self.peers.is_empty() {
+        if !still || self.peers.is_empty() {
+            return;
+        }
+        let mut gateway = GatewayOut::default();
+        self.gateway.stood_still(&mut gateway);
+        self.take_gateway(now, gateway, out);
+        if self.election.is_leader() {
             log::info!("stood still, may have lost the lead");
             self.election.doubt(now);
             self.scheduler.excuse_silence(now);
@@ -901,12 +907,12 @@
         request: Request,
         out: &mut Vec<Effect>,
     ) {
-        self.notice_time(now);
+        self.notice_time(now, out);
         self.route(now, conn, port, request, out);
     }
 
     fn outcome(&mut self, now: Now, call: CallId, outcome: Outcome, out: &mut Vec<Effect>) {
-        self.notice_time(now);
+        self.notice_time(now, out);
         match self.calls.remove(&call) {
             Some(CallTag::State(id)) => {
                 if let Some((tag, answer)) = self.store.answered(now, id, outcome) {
@@ -952,7 +958,7 @@
     }
 
     fn tick(&mut self, now: Now, out: &mut Vec<Effect>) -> u64 {
-        self.notice_time(now);
+        self.notice_time(now, out);
         self.dispatch(now, out)
     }
 }
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -876,3 +876,45 @@
     let reads = *reads.borrow();
     assert!(reads < 1200, "{reads} calls for 4,000 questions in 20 s");
 }
+
+/// A controller that stood still answers nobody with what it had read before:
+/// others may have told them something newer since.
+#[test]
+fn a_woken_controller_answers_nothing_that_it_read_before() {
+    for asleep_after_ms in (5..300).step_by(25) {
+        // Also for less than a leader's lease.
+        for (method, path, asleep_ms) in [
+            ("GET", "/v2/runs/run-1", 2500),
+            ("GET", "/v2/runs/run-1", 4000),
+            ("POST", "/v2/runs", 4000),
+        ] {
+            let mut w = up(3);
+            w.answers_first = true;
+            let leader = w.leader().unwrap();
+            let follower = (leader + 1) % 3;
+            let spec = service("run-1", 2);
+            assert_eq!(w.submit(leader, &spec), 201);
+            w.run_for(2000);
+            let body = if method == "POST" { spec } else { json!(null) };
+            // The state service answers while the controller sleeps.
+            w.hook = Box::new(move |_, node, call| match call.target {
+                Target::State if node == follower => Fate::SlowAnswer(300),
+                _ => Fate::Pass,
+            });
+            let asked = w.ask(follower, method, path, body);
+            w.run_for(asleep_after_ms);
+            let wakes = w.now + asleep_ms;
+            w.frozen.insert(follower, wakes);
+            w.run_for(500);
+            assert_eq!(w.cancel(leader, "run-1"), (200, "cancelled".into()));
+            w.run_until(wakes + 200);
+            let (status, state) = w.answer(asked);
+            let fresh = status == 503 || state == "cancelled";
+            assert!(
+                fresh,
+                "{method} after {asleep_after_ms} ms, for {asleep_ms} ms: {status} {state}"
+            );
+            assert_eq!(w.poll(follower, "run-1"), (200, "cancelled".into()));
+        }
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -283,6 +283,8 @@
     pub broken: BTreeSet<String>,
     /// Nodes that stand still, and until when.
     pub frozen: BTreeMap<usize, u64>,
+    /// A woken node looks at answers to its calls before anything else.
+    pub answers_first: bool,
     /// Answers to reports: when, by whom, status.
     pub report_answers: Vec<(u64, usize, u16)>,
     /// Where workers were sent: when, by whom, to whom.
@@ -320,6 +322,7 @@
             run_ms: 3000,
             broken: BTreeSet::new(),
             frozen: BTreeMap::new(),
+            answers_first: false,
             report_answers: Vec::new(),
             redirects: Vec::new(),
             cuts: Vec::new(),
@@ -545,7 +548,9 @@
                     ..
                 }
             );
-            self.at(until + u64::from(!report), action);
+            let answer = matches!(&action, Action::Return { .. });
+            let first = report || (answer && self.answers_first);
+            self.at(until + u64::from(!first), action);
             return;
         }
         match action {
