--- a/src/cancellations.rs
+++ b/src/cancellations.rs
@@ -49,7 +49,9 @@
 /// Figures from the settings.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
+    /// The workers' report interval.
     pub report_ms: u64,
+    /// The time that a cancellation has until its tasks are gone.
     pub cancel_ms: u64,
     /// For how long after the watermark leases may still be renewed.
     pub uninformed_ms: u64,
@@ -58,7 +60,9 @@
 /// Which question to the state service an answer belongs to.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum CancellationsCall {
+    /// All job records, page by page.
     List,
+    /// What changed since the last read.
     Poll,
 }
 
@@ -129,6 +133,7 @@
     acknowledged: Cursor,
 }
 
+/// What a controller knows of cancellations, and up to when that is all.
 pub struct Cancellations {
     node: String,
     incarnation: u64,
@@ -155,13 +160,16 @@
 pub enum Standing {
     /// No record: never accepted, or over.
     None,
+    /// Neither done nor cancelled.
     Unfinished,
+    /// Cancelled by its user.
     Cancelled,
 }
 
 type Out = Vec<StateCall<CancellationsCall>>;
 
 impl Cancellations {
+    /// Knows nothing yet; `peers` in the order in which they are numbered.
     pub fn new<'a>(
         node: &str,
         incarnation: u64,
@@ -203,6 +211,7 @@
         self.due_ms = self.due_ms.min(self.asked_ms + gap_ms);
     }
 
+    /// How a job stands by the latest read or what was told since.
     pub fn standing(&self, id: &JobId) -> Standing {
         if !self.unfinished.contains(id) {
             Standing::None
@@ -231,6 +240,7 @@
             .is_some_and(|at| now.ms <= at + self.bounds.uninformed_ms)
     }
 
+    /// Whether the job is known to be cancelled.
     pub fn contains(&self, id: &JobId) -> bool {
         self.known.contains_key(id)
     }
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -10,42 +10,58 @@
 
 /// The protocol's most for one call.
 const RELEASE_MAX: usize = 100;
+/// The most machines of one rental (PROTOCOL).
 pub const RENT_MAX: u32 = 50;
 const LIST_PAGE: usize = 500;
 
 /// A kind of rental: type, zone, spot or steady.
 #[derive(Clone, PartialEq, Eq, Hash, Debug, PartialOrd, Ord)]
 pub struct Offer {
+    /// The machine type's name.
     pub machine_type: Rc<str>,
+    /// The zone.
     pub zone: Rc<str>,
+    /// A spot machine, which may be taken back.
     pub spot: bool,
 }
 
+/// A rental that was decided and isn't answered for sure yet.
 #[derive(Clone, Debug)]
 pub struct Order {
     /// Never reused, by any node: term, counter.
     pub name: String,
+    /// What is rented.
     pub offer: Offer,
+    /// How many machines.
     pub count: u32,
     retry_ms: u64,
     in_flight: bool,
     unclear: bool,
 }
 
+/// Which request to the cloud an answer belongs to.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum CloudCall {
+    /// The machine types.
     Catalog,
+    /// A page of the machine list.
     List,
+    /// The rental of this name.
     Rent(String),
+    /// The return of these machines.
     Release(Vec<MachineId>),
 }
 
+/// What the cloud's answers tell the leader.
 #[derive(Debug)]
 pub enum CloudEvent {
+    /// The machine types, with current prices.
     Catalog(Catalog),
     /// All machines, as of some while ago.
     Listed(Vec<ListedMachine>),
+    /// Machines that were rented.
     Rented(Offer, Vec<MachineId>),
+    /// Nothing of the kind is to be had now.
     NoCapacity(Offer),
     /// The order can't be placed now; decide anew later.
     Unavailable(Offer),
@@ -53,6 +69,7 @@
     Released(Vec<MachineId>),
 }
 
+/// Paces the requests to the cloud and repeats them until they are clear.
 pub struct Cloud {
     bucket: TokenBucket,
     timeout_ms: u64,
@@ -72,6 +89,7 @@
 }
 
 impl Cloud {
+    /// Nothing is asked yet.
     pub fn new(rps: f64, list_lag_s: f64) -> Self {
         Cloud {
             // Followers ask for the catalogue at most, so the leader may have
@@ -104,14 +122,17 @@
         self.list_due_ms = now.ms;
     }
 
+    /// Asks for the machine types soon.
     pub fn want_catalog(&mut self, now: Now) {
         self.catalog_due_ms = self.catalog_due_ms.min(now.ms);
     }
 
+    /// Whether the cloud answered its last call.
     pub fn reachable(&self) -> bool {
         !self.trouble
     }
 
+    /// Places an order; its name must never have been used.
     pub fn rent(&mut self, name: String, offer: Offer, count: u32) {
         self.orders.push(Order {
             name,
@@ -132,16 +153,19 @@
             .sum()
     }
 
+    /// The orders that aren't answered yet, with their counts.
     pub fn orders(&self) -> impl Iterator<Item = (&Offer, u32)> {
         self.orders.iter().map(|o| (&o.offer, o.count))
     }
 
+    /// Returns a machine; repeated until the cloud says 200.
     pub fn release(&mut self, machine: MachineId) {
         if !self.releasing.contains(&machine) {
             self.releases.insert(machine);
         }
     }
 
+    /// Sends what is due, returns first, as fast as the cloud's limit allows.
     pub fn dispatch(&mut self, now: Now, mut send: impl FnMut(CloudCall, Call)) {
         if now.ms < self.pause_until_ms {
             return;
@@ -233,6 +257,7 @@
         next.max(self.pause_until_ms).max(now.ms + 50)
     }
 
+    /// Takes an answer in.
     pub fn answered(&mut self, now: Now, call: CloudCall, outcome: Outcome) -> Option<CloudEvent> {
         self.busy.retain(|c| *c != call);
         let away = match &outcome {
--- a/src/election.rs
+++ b/src/election.rs
@@ -8,15 +8,21 @@
 use crate::wire::{Items, LeaseGranted, RevisionOnly, Txn, WatchAnswer};
 use serde::{Deserialize, Serialize};
 
+/// Prefix of the records of the election.
 pub const LEADER_PREFIX: &str = "leader/";
+/// The key that the leader holds under its lease.
 pub const LEADER_KEY: &str = "leader/key";
+/// The key of the term, which outlives leaders.
 pub const TERM_KEY: &str = "leader/term";
 
+/// The value of the leader key.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct LeaderRecord {
+    /// The leader's name.
     pub node: String,
     /// Tells this process from an earlier one of the same name.
     pub incarnation: u64,
+    /// Its term.
     pub term: Term,
     /// The lease that holds the key: a claim carried out late may stand under
     /// one that its author has given up.
@@ -32,21 +38,32 @@
 /// Which question an answer belongs to.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum ElectionCall {
+    /// Reads both records.
     Read,
+    /// Asks for a lease.
     Lease,
+    /// Claims the leader key under that lease.
     Claim,
+    /// Renews the lease.
     Renew,
+    /// Waits for a change of the records.
     Watch,
+    /// Ends the lease.
     End,
 }
 
+/// A controller's part.
 #[derive(Clone, PartialEq, Debug)]
 pub enum Role {
     /// Nothing known yet, or nothing sure any more.
     Unknown,
+    /// Another one leads.
     Follower(LeaderRecord),
+    /// This one leads.
     Leader {
+        /// Its term.
         term: Term,
+        /// The revision of the leader key, which guards every write.
         key_version: Revision,
     },
 }
@@ -54,16 +71,26 @@
 /// What the node learns from the election.
 #[derive(Clone, PartialEq, Debug)]
 pub enum Change {
-    Elected { term: Term, key_version: Revision },
+    /// It leads from now on.
+    Elected {
+        /// Its term.
+        term: Term,
+        /// The revision of the leader key, which guards every write.
+        key_version: Revision,
+    },
+    /// It leads no longer.
     Deposed,
 }
 
+/// Calls that the election wants made.
 pub type ElectionOut = Vec<StateCall<ElectionCall>>;
 
+/// One controller's part in the election.
 pub struct Election {
     node: String,
     incarnation: u64,
     ttl_ms: u64,
+    /// What it is as far as it knows.
     pub role: Role,
     /// Versions as last read: of the leader key (0: absent) and of the term.
     key_version: u64,
@@ -87,6 +114,7 @@
 }
 
 impl Election {
+    /// Knows nothing yet. `stagger_ms` differs between controllers.
     pub fn new(node: &str, incarnation: u64, ttl_ms: u64, stagger_ms: u64) -> Self {
         Election {
             node: node.to_string(),
@@ -109,6 +137,7 @@
         }
     }
 
+    /// Whether this controller leads, as far as it knows.
     pub fn is_leader(&self) -> bool {
         matches!(self.role, Role::Leader { .. })
     }
@@ -138,6 +167,7 @@
         matches!(self.role, Role::Follower(_)) && now.ms < self.read_ms + self.ttl_ms * 4
     }
 
+    /// The latest term that the state service told of.
     pub fn known_term(&self) -> Term {
         self.term.term
     }
@@ -162,6 +192,7 @@
         });
     }
 
+    /// Makes the calls that are due, and says when to be called again.
     pub fn tick(&mut self, now: Now, out: &mut ElectionOut) -> u64 {
         if self.waiting.is_none() && now.ms >= self.due_ms {
             let timeout = self.timeout_ms();
@@ -225,6 +256,7 @@
         Some(Change::Deposed)
     }
 
+    /// Takes the answer to a call in.
     pub fn answered(
         &mut self,
         now: Now,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,10 +7,12 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
+/// Where a machine is in its life.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Phase {
     /// Rented; its worker hasn't reported yet.
     Booting,
+    /// Its worker has reported.
     Up,
     /// Nothing new goes there; its tasks are stopped or run out.
     Draining,
@@ -18,22 +20,34 @@
     Releasing,
 }
 
+/// What the leader knows of a machine.
 #[derive(Debug)]
 pub struct Machine {
+    /// Its name.
     pub id: MachineId,
+    /// Its type, zone and kind.
     pub offer: Offer,
+    /// What it holds in all.
     pub room: Resources,
+    /// How much its image cache holds.
     pub cache_gb: f64,
+    /// Where its worker takes direct commands.
     pub address: Option<String>,
+    /// Where it is in its life.
     pub phase: Phase,
+    /// When it was rented.
     pub rented_ms: u64,
     /// Rented under this term, so that its boot time is known exactly.
     pub own_rental: bool,
+    /// When its worker first reported to this leader.
     pub up_ms: Option<u64>,
+    /// When its worker last reported.
     pub heard_ms: u64,
     /// When a follower last renewed its lease for us.
     pub proxied_ms: u64,
+    /// The worker's session.
     pub session: Session,
+    /// The number of the newest report in it.
     pub seq: u64,
     /// The token that we give this worker.
     pub token: Token,
@@ -41,6 +55,7 @@
     pub evidence: bool,
     /// Since when answers seem not to reach it.
     pub unresponsive_since_ms: Option<u64>,
+    /// When the cloud takes it away, by its notice.
     pub notice_until_ms: Option<u64>,
     /// Assigned tasks that may be on it.
     pub tasks: BTreeSet<TaskRef>,
@@ -54,6 +69,7 @@
     pub fetching: BTreeMap<Rc<str>, u32>,
     /// What failed here, without a success since.
     pub faults: FaultEvidence,
+    /// Since when it has had no task.
     pub idle_since_ms: Option<u64>,
     /// The list called it running.
     pub listed_up: bool,
@@ -62,6 +78,7 @@
 }
 
 impl Machine {
+    /// A machine that was just rented or heard of.
     pub fn new(
         id: MachineId,
         offer: Offer,
@@ -100,6 +117,7 @@
         }
     }
 
+    /// What assigned tasks leave free.
     pub fn free(&self) -> Resources {
         let mut free = self.room;
         free.take(&self.used);
@@ -117,6 +135,7 @@
             && now_ms < self.heard_ms + fresh_ms
     }
 
+    /// A task is assigned to it.
     pub fn assign(&mut self, task: TaskRef, need: &Resources) {
         if self.tasks.insert(task) {
             self.used.add(need);
@@ -124,6 +143,7 @@
         self.idle_since_ms = None;
     }
 
+    /// A task is off it for sure.
     pub fn unassign(&mut self, task: &TaskRef, need: &Resources, now_ms: u64) {
         if self.tasks.remove(task) {
             self.used.take(need);
@@ -135,6 +155,7 @@
         }
     }
 
+    /// Whether a fetch of this image can be spared.
     pub fn has_image(&self, image: &str) -> bool {
         self.cached.iter().any(|(i, _)| &**i == image)
     }
@@ -165,6 +186,7 @@
 /// Splits tasks into (zones, offers) rooms for the scheduler's rounds.
 #[derive(Default)]
 pub struct Fleet {
+    /// The machines by name.
     pub machines: BTreeMap<MachineId, Machine>,
     /// Returned machines, so that lists that lag don't bring them back:
     /// name, and when it may be forgotten.
@@ -172,15 +194,18 @@
 }
 
 impl Fleet {
+    /// Forgets everything.
     pub fn clear(&mut self) {
         self.machines.clear();
         self.gone.clear();
     }
 
+    /// The machine of this name.
     pub fn get(&self, id: &MachineId) -> Option<&Machine> {
         self.machines.get(id)
     }
 
+    /// The machine of this name, to be changed.
     pub fn get_mut(&mut self, id: &MachineId) -> Option<&mut Machine> {
         self.machines.get_mut(id)
     }
@@ -191,10 +216,12 @@
         self.machines.remove(id)
     }
 
+    /// Whether the cloud has confirmed that it is gone.
     pub fn is_gone(&self, id: &MachineId) -> bool {
         self.gone.contains_key(id)
     }
 
+    /// Forgets names that no list can hold any more.
     pub fn forget_gone(&mut self, now_ms: u64) {
         self.gone.retain(|_, until| *until > now_ms);
     }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,16 +19,20 @@
 /// Jobs that are over, for good.
 pub const FINAL_PREFIX: &str = "f/";
 
+/// The key of an unfinished job's record.
 pub fn job_key(id: &JobId) -> String {
     format!("{JOB_PREFIX}{id}")
 }
 
+/// The key of the record of a job that is over.
 pub fn final_key(id: &JobId) -> String {
     format!("{FINAL_PREFIX}{id}")
 }
 
+/// The record of an unfinished job.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct JobRecord {
+    /// The job as its user described it.
     pub spec: JobSpec,
     /// Time of day of the submission, milliseconds.
     #[serde(rename = "t")]
@@ -38,10 +42,13 @@
     pub cancelled: Option<u64>,
 }
 
+/// How a job ended.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum Final {
+    /// All its tasks are done.
     #[serde(rename = "d")]
     Done,
+    /// Its user cancelled it.
     #[serde(rename = "c")]
     Cancelled,
 }
@@ -55,10 +62,13 @@
     }
 }
 
+/// The record of a job that is over.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct FinalRecord {
+    /// How it ended.
     #[serde(rename = "s")]
     pub state: Final,
+    /// How many tasks it had.
     #[serde(rename = "n")]
     pub tasks: u32,
     /// Names the write, so that its author knows it again.
@@ -110,11 +120,14 @@
 /// Number of a user's request in work.
 pub type GatewayCall = u64;
 
+/// What the gateway wants done.
 #[derive(Default)]
 pub struct GatewayOut {
     /// Somebody waits for the next poll of the records.
     pub poll: bool,
+    /// Answers to users.
     pub replies: Vec<(ConnId, Reply)>,
+    /// Calls of the state service.
     pub calls: Vec<StateCall<GatewayCall>>,
     /// Jobs just written, for the leader's ears.
     pub announced: Vec<JobId>,
@@ -147,6 +160,7 @@
     Over(Final, u32),
 }
 
+/// Users' requests in work, and what is known of jobs for good.
 pub struct Gateway {
     settings: Rc<Settings>,
     catalog: Option<Rc<Catalog>>,
@@ -162,6 +176,7 @@
 }
 
 impl Gateway {
+    /// Knows nothing yet.
     pub fn new(settings: Rc<Settings>) -> Self {
         Gateway {
             settings,
@@ -175,14 +190,17 @@
         }
     }
 
+    /// The machine types are known.
     pub fn set_catalog(&mut self, catalog: Rc<Catalog>) {
         self.catalog = Some(catalog);
     }
 
+    /// Whether the machine types are known.
     pub fn has_catalog(&self) -> bool {
         self.catalog.is_some()
     }
 
+    /// A submission.
     pub fn submit(&mut self, now: Now, conn: ConnId, body: &[u8], out: &mut GatewayOut) {
         let goal = match JobSpec::parse(body) {
             Ok(spec) => match self.can_ever_run(&spec) {
@@ -204,10 +222,12 @@
         }
     }
 
+    /// A question about a job.
     pub fn show(&mut self, now: Now, conn: ConnId, id: &str, out: &mut GatewayOut) {
         self.begin_named(now, conn, id, Goal::Show, out);
     }
 
+    /// A cancellation.
     pub fn cancel(&mut self, now: Now, conn: ConnId, id: &str, out: &mut GatewayOut) {
         self.begin_named(now, conn, id, Goal::Cancel, out);
     }
--- a/src/http.rs
+++ b/src/http.rs
@@ -13,14 +13,19 @@
 /// Watches have no limit of their own; this one guards memory.
 pub const MAX_RESPONSE_BODY: usize = 6 * 1024 * 1024;
 
+/// Why a message can't be taken.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Error)]
 pub enum HttpError {
+    /// It breaks the grammar.
     #[error("malformed message")]
     Malformed,
+    /// Its head is larger than is taken.
     #[error("head too large")]
     HeadTooLarge,
+    /// Its body is larger than is taken.
     #[error("body too large")]
     BodyTooLarge,
+    /// It has a transfer coding that isn't supported.
     #[error("transfer coding not supported")]
     Coding,
 }
@@ -157,8 +162,11 @@
 /// A whole message, how many bytes it took, and whether the sender closes.
 #[derive(Debug)]
 pub struct Parsed<T> {
+    /// The message itself.
     pub message: T,
+    /// How many bytes it took.
     pub size: usize,
+    /// The other side closes the connection after it.
     pub close: bool,
 }
 
@@ -251,6 +259,7 @@
     }
 }
 
+/// Appends a response.
 pub fn write_reply(out: &mut Vec<u8>, reply: &Reply, close: bool) {
     use std::io::Write;
     // Writing to a Vec cannot fail.
@@ -271,6 +280,7 @@
     out.extend_from_slice(&reply.body);
 }
 
+/// Appends a request.
 pub fn write_request(out: &mut Vec<u8>, method: &str, path: &str, host: &str, body: &[u8]) {
     use std::io::Write;
     let _ = write!(
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -13,9 +13,11 @@
         pub struct $t(pub Rc<str>);
 
         impl $t {
+            /// The name, as it goes over the wire.
             pub fn new(s: &str) -> Self {
                 $t(Rc::from(s))
             }
+            /// The name, as it goes over the wire.
             pub fn as_str(&self) -> &str {
                 &self.0
             }
@@ -85,9 +87,11 @@
 const SEQUENCE_BITS: u32 = 20;
 
 impl Token {
+    /// The token of a term with this sequence number.
     pub fn new(term: Term, sequence: u64) -> Self {
         Token((term.0 << SEQUENCE_BITS) | (sequence & ((1 << SEQUENCE_BITS) - 1)))
     }
+    /// The term that it belongs to.
     pub fn term(self) -> Term {
         Term(self.0 >> SEQUENCE_BITS)
     }
@@ -101,11 +105,14 @@
 /// A task of a job: `run-000412/3`.
 #[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
 pub struct TaskRef {
+    /// Its job.
     pub job: JobId,
+    /// Its number in the job.
     pub index: u32,
 }
 
 impl TaskRef {
+    /// Reads `JOB/INDEX`; `None` for anything else.
     pub fn parse(s: &str) -> Option<TaskRef> {
         let (job, index) = s.rsplit_once('/')?;
         Some(TaskRef {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 //! actors (plain structs: message and time in, messages out) joined by
 //! [`node`], and one thread of I/O in [`reactor`].
 
+#![deny(missing_docs)]
+
 pub mod bounded_map;
 pub mod cancellations;
 pub mod cloud;
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -21,26 +21,39 @@
 /// Which listener a request came in by.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Port {
+    /// Users, workers and the load balancer.
     Client,
+    /// The other controllers.
     Peer,
 }
 
+/// Whom a call goes to.
 #[derive(Clone, PartialEq, Eq, Hash, Debug)]
 pub enum Target {
+    /// The state service.
     State,
     /// Watches hang for long; they have connections of their own.
     StateWatch,
+    /// The cloud.
     Cloud,
+    /// The worker at this address.
     Worker(String),
+    /// The controller at this address.
     Peer(String),
 }
 
+/// A request that this process makes.
 #[derive(Clone, Debug)]
 pub struct Call {
+    /// Whom it goes to.
     pub target: Target,
+    /// The HTTP method.
     pub method: &'static str,
+    /// The path, with its query.
     pub path: String,
+    /// The body.
     pub body: Vec<u8>,
+    /// How long an answer is waited for.
     pub timeout_ms: u64,
 }
 
@@ -53,16 +66,22 @@
     Unclear,
 }
 
+/// Status and body of the answer, or why there is none.
 pub type Outcome = Result<(u16, Vec<u8>), CallError>;
 
+/// An answer to somebody else's request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reply {
+    /// The HTTP status.
     pub status: u16,
+    /// The body.
     pub body: Vec<u8>,
+    /// `Retry-After`, in seconds.
     pub retry_after_s: Option<u64>,
 }
 
 impl Reply {
+    /// An answer with a JSON body.
     pub fn json<T: serde::Serialize>(status: u16, body: &T) -> Reply {
         Reply {
             status,
@@ -70,6 +89,7 @@
             retry_after_s: None,
         }
     }
+    /// An answer that says what is wrong.
     pub fn error(status: u16, why: &str) -> Reply {
         Reply::json(status, &serde_json::json!({ "error": why }))
     }
@@ -82,16 +102,22 @@
     }
 }
 
+/// A request of somebody else.
 #[derive(Clone, Debug)]
 pub struct Request {
+    /// The HTTP method.
     pub method: String,
+    /// The path, with its query.
     pub path: String,
+    /// The body.
     pub body: Vec<u8>,
 }
 
 /// What the node asks of the reactor.
 #[derive(Clone, Debug)]
 pub enum Effect {
+    /// Answer who waits on this connection.
     Reply(ConnId, Reply),
+    /// Make this call.
     Call(CallId, Call),
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -72,6 +72,7 @@
 /// What the others wrote of late may grow so much before the leader knows.
 const OTHERS_GROWTH: f64 = 1.5;
 
+/// One controller.
 pub struct Node {
     settings: Rc<Settings>,
     election: Election,
@@ -201,6 +202,7 @@
         node
     }
 
+    /// Whether it leads, as far as it knows.
     pub fn is_leader(&self) -> bool {
         self.election.is_leader()
     }
--- a/src/options.rs
+++ b/src/options.rs
@@ -5,14 +5,25 @@
 use std::path::Path;
 use thiserror::Error;
 
+/// What is wrong with the operators' settings.
 #[derive(Debug, Error)]
 pub enum OptionsError {
     #[error("{file}: {why}")]
-    Read { file: String, why: String },
+    /// The file can't be read.
+    Read {
+        /// The file.
+        file: String,
+        /// Why.
+        why: String,
+    },
     #[error("{file}: {key}: {why}")]
+    /// A key's value can't be taken.
     Key {
+        /// The file.
         file: String,
+        /// The key.
         key: String,
+        /// Why.
         why: String,
     },
 }
@@ -20,6 +31,7 @@
 macro_rules! options {
     ($($(#[$doc:meta])* $section:literal $key:ident = $default:literal in $low:literal .. $high:literal;)*) => {
         #[derive(Clone, Debug, PartialEq)]
+        /// The operators' settings, checked.
         pub struct Options { $($(#[$doc])* pub $key: f64,)* }
 
         impl Default for Options {
@@ -73,6 +85,7 @@
 }
 
 impl Options {
+    /// Reads and checks a file.
     pub fn load(path: &Path) -> Result<Options, OptionsError> {
         let file = path.display().to_string();
         let ini = ini::Ini::load_from_file(path).map_err(|e| OptionsError::Read {
@@ -82,6 +95,7 @@
         Options::from_ini(&ini, &file)
     }
 
+    /// Checks what was read; `file` is named in errors.
     pub fn from_ini(ini: &ini::Ini, file: &str) -> Result<Options, OptionsError> {
         let mut options = Options::default();
         for (section, properties) in ini.iter() {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -3,16 +3,19 @@
 
 use prost::Message;
 
+/// Where controllers take each other's messages.
 pub const PEER_PATH: &str = "/peer";
 
 /// Sent by every controller to every other a few times per lease.
 #[derive(Clone, PartialEq, Message)]
 pub struct Heartbeat {
+    /// The sender.
     #[prost(string, tag = "1")]
     pub node: String,
     /// The leader that the sender knows from the state service, if any.
     #[prost(string, tag = "2")]
     pub leader: String,
+    /// The latest term that it knows.
     #[prost(uint64, tag = "3")]
     pub term: u64,
     /// The sender has heard from the state service lately.
@@ -42,12 +45,16 @@
     pub reports: Vec<Vec<u8>>,
 }
 
+/// Progress of a job, for display.
 #[derive(Clone, PartialEq, Message)]
 pub struct JobCount {
+    /// The job's id.
     #[prost(string, tag = "1")]
     pub job: String,
+    /// Tasks that are done.
     #[prost(uint32, tag = "2")]
     pub done: u32,
+    /// Tasks that run.
     #[prost(uint32, tag = "3")]
     pub running: u32,
 }
@@ -55,6 +62,7 @@
 /// A place in the numbered cancellations that one process has confirmed.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct Cursor {
+    /// The process whose log is meant.
     #[prost(uint64, tag = "1")]
     pub incarnation: u64,
     /// All up to this number are known.
@@ -65,13 +73,16 @@
 /// Cancellations that a process has confirmed to users, numbered from 1.
 #[derive(Clone, PartialEq, Message)]
 pub struct Confirmations {
+    /// The sender.
     #[prost(string, tag = "1")]
     pub node: String,
+    /// Its process.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
     /// The number of the first one told here; the others follow.
     #[prost(uint64, tag = "3")]
     pub first: u64,
+    /// The jobs, in the order of the log.
     #[prost(string, repeated, tag = "4")]
     pub jobs: Vec<String>,
     /// How many there are in all.
@@ -79,6 +90,7 @@
     pub total: u64,
 }
 
+/// The answer to a heartbeat.
 #[derive(Clone, PartialEq, Message)]
 pub struct HeartbeatAnswer {
     /// What the sender asked for with its cursor.
@@ -86,18 +98,22 @@
     pub confirmations: Option<Confirmations>,
 }
 
+/// The answer as bytes.
 pub fn encode_answer(answer: &HeartbeatAnswer) -> Vec<u8> {
     answer.encode_to_vec()
 }
 
+/// Reads an answer; `None` if it isn't one.
 pub fn decode_answer(bytes: &[u8]) -> Option<HeartbeatAnswer> {
     HeartbeatAnswer::decode(bytes).ok()
 }
 
+/// The heartbeat as bytes.
 pub fn encode(heartbeat: &Heartbeat) -> Vec<u8> {
     heartbeat.encode_to_vec()
 }
 
+/// Reads a heartbeat; `None` if it isn't one.
 pub fn decode(bytes: &[u8]) -> Option<Heartbeat> {
     Heartbeat::decode(bytes).ok()
 }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -12,12 +12,16 @@
 /// Amounts of a machine, or of what a task takes of it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Resources {
+    /// Processor cores.
     pub cpus: f64,
+    /// GPUs.
     pub gpus: f64,
+    /// Memory in GB.
     pub memory_gb: f64,
 }
 
 impl Resources {
+    /// What one task of the job takes.
     pub fn of_task(spec: &JobSpec) -> Resources {
         Resources {
             cpus: spec.cpus,
@@ -25,6 +29,7 @@
             memory_gb: spec.memory_gb,
         }
     }
+    /// What a machine of the type has.
     pub fn of_type(t: &MachineType) -> Resources {
         Resources {
             cpus: t.cpus,
@@ -32,16 +37,19 @@
             memory_gb: t.memory_gb,
         }
     }
+    /// Whether this much is there.
     pub fn holds(&self, need: &Resources) -> bool {
         need.cpus <= self.cpus + SLOP
             && need.gpus <= self.gpus + SLOP
             && need.memory_gb <= self.memory_gb + SLOP
     }
+    /// Adds to it.
     pub fn add(&mut self, other: &Resources) {
         self.cpus += other.cpus;
         self.gpus += other.gpus;
         self.memory_gb += other.memory_gb;
     }
+    /// So many times as much.
     pub fn scaled(&self, times: f64) -> Resources {
         Resources {
             cpus: self.cpus * times,
@@ -49,6 +57,7 @@
             memory_gb: self.memory_gb * times,
         }
     }
+    /// Takes from it.
     pub fn take(&mut self, other: &Resources) {
         self.cpus -= other.cpus;
         self.gpus -= other.gpus;
@@ -85,17 +94,20 @@
 }
 
 impl ZoneUse {
+    /// A task stands in the zone.
     pub fn add(&mut self, zone: &Rc<str>) {
         match self.counts.iter_mut().find(|(z, _)| z == zone) {
             Some((_, n)) => *n += 1,
             None => self.counts.push((zone.clone(), 1)),
         }
     }
+    /// A task leaves the zone.
     pub fn remove(&mut self, zone: &str) {
         if let Some((_, n)) = self.counts.iter_mut().find(|(z, _)| &**z == zone) {
             *n = n.saturating_sub(1);
         }
     }
+    /// How many tasks stand in the zone.
     pub fn count(&self, zone: &str) -> u32 {
         self.counts
             .iter()
--- a/src/reactor.rs
+++ b/src/reactor.rs
@@ -14,6 +14,7 @@
 
 /// What drives the reactor's owner.
 pub trait Handler {
+    /// A request came in.
     fn request(
         &mut self,
         now: Now,
@@ -22,15 +23,21 @@
         request: Request,
         out: &mut Vec<Effect>,
     );
+    /// A call of ours was answered, or won't be.
     fn outcome(&mut self, now: Now, call: CallId, outcome: Outcome, out: &mut Vec<Effect>);
     /// Called every turn; returns when it wants to be called at the latest.
     fn tick(&mut self, now: Now, out: &mut Vec<Effect>) -> u64;
 }
 
+/// The addresses of a controller and of the services that it uses.
 pub struct Endpoints {
+    /// Where users and workers are taken.
     pub client: SocketAddrV4,
+    /// Where other controllers are taken.
     pub peer: SocketAddrV4,
+    /// The state service.
     pub state: SocketAddrV4,
+    /// The cloud.
     pub cloud: SocketAddrV4,
 }
 
@@ -88,6 +95,7 @@
     waiting: VecDeque<Waiting>,
 }
 
+/// Sockets and timers of one controller, on one thread.
 pub struct Reactor {
     poller: Poller,
     listeners: [TcpListener; 2],
@@ -134,6 +142,7 @@
 }
 
 impl Reactor {
+    /// Opens the listeners.
     pub fn new(endpoints: Endpoints, max_connections: usize, peers: usize) -> io::Result<Reactor> {
         let poller = Poller::new()?;
         let listeners = [
--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -10,12 +10,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
+/// Prefix of the placement records.
 pub const PLACEMENT_PREFIX: &str = "p/";
 
+/// The key of a range's placement record.
 pub fn shard_key(id: &JobId, shard: u32) -> String {
     format!("{PLACEMENT_PREFIX}{id}/{shard}")
 }
 
+/// The job and range of such a key.
 pub fn parse_shard_key(key: &str) -> Option<(JobId, u32)> {
     let (job, shard) = key.strip_prefix(PLACEMENT_PREFIX)?.rsplit_once('/')?;
     Some((JobId::new(job), shard.parse().ok()?))
@@ -37,6 +40,7 @@
 /// Task, attempt, machine, session, index of the zone in the settings.
 pub type Row = (u32, Attempt, MachineId, Session, u32);
 
+/// The placement record of a range of a job's tasks.
 #[derive(Clone, PartialEq, Debug, Default, Serialize, Deserialize)]
 pub struct ShardRecord {
     /// The next attempt; attempts are never reused within a shard.
@@ -48,6 +52,7 @@
     /// Done tasks as ranges: `0-4,7`.
     #[serde(rename = "d", default, skip_serializing_if = "String::is_empty")]
     pub done: String,
+    /// The tasks that may be on a machine.
     #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
     pub assigned: Vec<Row>,
     /// Failed probes of a job that fails everywhere, plus one; 0: it doesn't.
@@ -59,6 +64,7 @@
     *count == 0
 }
 
+/// Task numbers, in order, as ranges: `0-4,7`.
 pub fn write_ranges(tasks: impl Iterator<Item = u32>) -> String {
     let mut text = String::new();
     let mut run: Option<(u32, u32)> = None;
@@ -156,17 +162,28 @@
     }
 }
 
+/// An unfinished job, as the leader holds it.
 #[derive(Debug)]
 pub struct Job {
+    /// The job as its user described it.
     pub spec: Rc<JobSpec>,
+    /// What one task takes.
     pub need: Resources,
+    /// When it was submitted, time of day.
     pub submitted: u64,
+    /// When it was cancelled, time of day.
     pub cancelled: Option<u64>,
+    /// The revision of its record.
     pub version: u64,
+    /// Tasks per placement record.
     pub shard_size: u32,
+    /// Its placement records.
     pub shards: Vec<Shard>,
+    /// The tasks that may be on a machine.
     pub assigns: BTreeMap<u32, Assign>,
+    /// The tasks that are done.
     pub done: BTreeSet<u32>,
+    /// The tasks that wait for a place.
     pub pending: BTreeSet<u32>,
     /// Ended attempts whose end isn't stored yet; not to be forgotten by
     /// their workers.
@@ -179,10 +196,12 @@
     pub runs: (u32, u64),
     /// The record changed under us; read it before the next write.
     pub stale: bool,
+    /// When this leader heard of it.
     pub arrived_ms: u64,
 }
 
 impl Job {
+    /// A job whose placements aren't known yet.
     pub fn new(record: JobRecord, version: u64, shard_size: u32, now_ms: u64) -> Job {
         let tasks = record.spec.tasks;
         Job {
@@ -205,14 +224,17 @@
         }
     }
 
+    /// Whether its tasks run until it is cancelled.
     pub fn is_service(&self) -> bool {
         self.spec.kind == Kind::Service
     }
 
+    /// Whether nothing is left to run.
     pub fn all_done(&self) -> bool {
         self.done.len() as u32 == self.spec.tasks
     }
 
+    /// How many of its tasks are seen running.
     pub fn running(&self) -> u32 {
         self.assigns
             .values()
@@ -220,6 +242,7 @@
             .count() as u32
     }
 
+    /// The name of one of its tasks.
     pub fn task(&self, index: u32) -> TaskRef {
         TaskRef {
             job: self.spec.id.clone(),
@@ -227,6 +250,7 @@
         }
     }
 
+    /// The record that holds the task has to be written.
     pub fn touch(&mut self, task: u32, now_ms: u64, urgent: bool) {
         if let Some(shard) = self.shards.get_mut((task / self.shard_size) as usize) {
             shard.dirty_ms.get_or_insert(now_ms);
@@ -271,6 +295,7 @@
         zones
     }
 
+    /// What is to be stored of a range now.
     pub fn record(&self, shard: u32, write: u64, zones: &[String]) -> ShardRecord {
         let range = shard * self.shard_size..(shard + 1) * self.shard_size;
         ShardRecord {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -40,26 +40,38 @@
 /// Which question an answer of the state service belongs to.
 #[derive(Clone, PartialEq, Debug)]
 pub enum SchedulerCall {
+    /// A page of the job records.
     ListJobs,
+    /// A page of the placement records.
     ListPlacements,
+    /// Changes of the job records.
     Watch,
+    /// The transaction in flight.
     Commit,
+    /// Whether the transaction in flight was carried out.
     CheckCommit,
+    /// This job's record.
     ReadJob(JobId),
+    /// Whose leases followers renew.
     ListProxied,
+    /// The removal of these records.
     Cleanup(Vec<String>),
+    /// What the leader before has learned.
     ReadLearned,
+    /// The write of what was learned.
     StoreLearned,
 }
 
 /// What followers say of workers whose leases they renew for the leader.
 pub const PROXIED_PREFIX: &str = "h/";
 
+/// The record of the machines whose leases a follower renews.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct ProxiedRecord {
     /// Time of day.
     #[serde(rename = "t")]
     pub at: u64,
+    /// Each machine with its session.
     #[serde(rename = "m")]
     pub machines: Vec<(String, Session)>,
 }
@@ -67,13 +79,18 @@
 /// A call straight to a worker.
 #[derive(Clone, PartialEq, Debug)]
 pub struct WorkerCall {
+    /// The machine that is called.
     pub machine: MachineId,
 }
 
+/// What the scheduler wants done.
 #[derive(Default)]
 pub struct SchedulerOut {
+    /// Answers to workers.
     pub replies: Vec<(ConnId, Reply)>,
+    /// Calls of the state service.
     pub state: Vec<StateCall<SchedulerCall>>,
+    /// Direct calls to workers.
     pub workers: Vec<(WorkerCall, Call)>,
     /// Something can't be made sense of: lead anew from what is stored.
     pub resign: Option<&'static str>,
@@ -103,6 +120,7 @@
 /// The share of the processor's limit that rounds may take in a rush.
 const ROUNDS_SHARE: f64 = 0.3;
 
+/// The leader's loop.
 pub struct Scheduler {
     settings: Rc<Settings>,
     options: Options,
@@ -182,6 +200,7 @@
 }
 
 impl Scheduler {
+    /// Leads nothing yet.
     pub fn new(settings: Rc<Settings>, options: Options) -> Self {
         let shard_size = shard_size(settings.site.state.value_kb);
         let window_ms = (settings.site.workers.lease_s * 9000.0) as u64;
@@ -240,6 +259,7 @@
         }
     }
 
+    /// The machine types are known.
     pub fn set_catalog(&mut self, catalog: Rc<Catalog>) {
         self.catalog = Some(catalog);
         self.round_wanted = true;
@@ -250,14 +270,17 @@
         self.informed_ms = self.informed_ms.max(watermark_ms.unwrap_or(0));
     }
 
+    /// Whether this controller leads, loading or active.
     pub fn leading(&self) -> bool {
         self.stage != Stage::Idle
     }
 
+    /// Whether everything stored has been read.
     pub fn active(&self) -> bool {
         self.stage == Stage::Active
     }
 
+    /// The term that it leads, or led last.
     pub fn term(&self) -> Term {
         self.term
     }
@@ -283,6 +306,7 @@
         self.read_learned(now, out);
     }
 
+    /// Leads no longer: everything is forgotten.
     pub fn deposed(&mut self) {
         if self.stage != Stage::Idle {
             log::info!("leader term={} ends", self.term);
@@ -646,6 +670,7 @@
 
     // ---- entry points ----
 
+    /// Takes an answer of the state service in.
     pub fn state_answered(
         &mut self,
         now: Now,
@@ -762,6 +787,7 @@
 
     // ---- the cloud ----
 
+    /// Takes in what the cloud says.
     pub fn cloud_event(&mut self, now: Now, event: CloudEvent, cloud: &mut Cloud) {
         if self.stage != Stage::Active {
             if let (Stage::Loading, CloudEvent::Listed(list)) = (self.stage, event) {
@@ -1021,6 +1047,7 @@
         }
     }
 
+    /// Takes in how a direct call to a worker ended.
     pub fn worker_answered(
         &mut self,
         now: Now,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,73 +7,114 @@
 use std::path::Path;
 use thiserror::Error;
 
+/// What is wrong with the platform's settings.
 #[derive(Debug, Error)]
 pub enum SettingsError {
     #[error("{file}: {why}")]
-    Read { file: String, why: String },
+    /// The file can't be read.
+    Read {
+        /// The file.
+        file: String,
+        /// Why.
+        why: String,
+    },
     #[error("{file}: {key}: {why}")]
+    /// A key's value can't be taken.
     Key {
+        /// The file.
         file: String,
+        /// The key.
         key: String,
+        /// Why.
         why: String,
     },
 }
 
+/// The platform's settings of one controller.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
+    /// This controller's name.
     pub node_name: String,
+    /// The zone that it stands in.
     #[serde(rename = "domain")]
     pub zone: String,
+    /// Where users and workers are taken.
     pub client_listen: SocketAddrV4,
+    /// Where other controllers are taken.
     #[serde(rename = "back")]
     pub peer_listen: SocketAddrV4,
+    /// The other controllers; this one may be among them.
     #[serde(default)]
     pub peers: Vec<PeerSettings>,
+    /// The services that it uses.
     pub services: Services,
+    /// The deployment.
     #[serde(rename = "settings")]
     pub site: Site,
 }
 
+/// Another controller.
 #[derive(Clone, Debug, Deserialize)]
 pub struct PeerSettings {
+    /// Its name.
     #[serde(rename = "node_name")]
     pub name: String,
+    /// The zone that it stands in.
     #[serde(rename = "domain")]
     pub zone: String,
+    /// Where it takes controllers' messages.
     #[serde(rename = "peer_addr")]
     pub addr: SocketAddrV4,
 }
 
+/// Addresses of the services.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Services {
+    /// The cloud.
     pub cloud: SocketAddrV4,
+    /// The state service.
     pub state: SocketAddrV4,
 }
 
+/// The deployment, the same for all controllers.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Site {
+    /// The zones.
     pub zones: Vec<String>,
+    /// How far the times of day of two machines may differ.
     #[serde(default)]
     pub skew_ms: f64,
+    /// The teams.
     #[serde(default)]
     pub teams: Vec<Team>,
+    /// What the users expect.
     #[serde(default)]
     pub objectives: Vec<Objective>,
+    /// The workers' intervals.
     pub workers: Workers,
+    /// The state service's limits.
     pub state: StateLimits,
+    /// The cloud's limits.
     pub cloud: CloudLimits,
+    /// What a controller may use.
     pub limits: Limits,
 }
 
+/// A team's guarantee and limit; 0 is none.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Team {
+    /// Its name.
     pub name: String,
+    /// Guaranteed cores.
     #[serde(default)]
     pub cpus: f64,
+    /// Most cores.
     #[serde(default)]
     pub cpus_max: f64,
+    /// Guaranteed GPUs.
     #[serde(default)]
     pub gpus: f64,
+    /// Most GPUs.
     #[serde(default)]
     pub gpus_max: f64,
 }
@@ -82,42 +123,64 @@
 /// kept as they come and simply match nothing.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Objective {
+    /// What is aimed at.
     pub kind: String,
+    /// The class that it is about.
     pub class: Option<String>,
+    /// The time that it names.
     pub within_s: Option<f64>,
+    /// The share of jobs that should keep it.
     pub share: Option<f64>,
+    /// The multiple of the deadline that it names.
     pub times: Option<f64>,
 }
 
+/// The workers' intervals.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Workers {
+    /// Between two reports.
     pub report_s: f64,
+    /// The lease that an answered report renews.
     pub lease_s: f64,
+    /// Within which a cancelled job's tasks are gone.
     pub cancel_s: f64,
 }
 
+/// The state service's limits.
 #[derive(Clone, Debug, Deserialize)]
 pub struct StateLimits {
+    /// Requests per second.
     pub rps: f64,
+    /// Changes per second.
     pub write_rps: f64,
+    /// The size of a value.
     pub value_kb: f64,
+    /// Changes in a transaction.
     pub txn_ops: usize,
 }
 
+/// The cloud's limits.
 #[derive(Clone, Debug, Deserialize)]
 pub struct CloudLimits {
+    /// Requests per second.
     pub rps: f64,
+    /// How far the machine list lags.
     pub list_lag_s: f64,
 }
 
+/// What a controller may use.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Limits {
+    /// Processor cores.
     pub cores: f64,
+    /// Memory.
     pub ram_mb: f64,
+    /// Connections.
     pub max_connections: usize,
 }
 
 impl Settings {
+    /// Reads and checks a file.
     pub fn load(path: &Path) -> Result<Settings, SettingsError> {
         let file = path.display().to_string();
         let text = std::fs::read_to_string(path).map_err(|e| SettingsError::Read {
@@ -127,6 +190,7 @@
         Settings::parse(&text, &file)
     }
 
+    /// Checks what was read; `file` is named in errors.
     pub fn parse(text: &str, file: &str) -> Result<Settings, SettingsError> {
         let settings: Settings = toml::from_str(text).map_err(|e| SettingsError::Read {
             file: file.to_string(),
@@ -182,6 +246,7 @@
         Ok(())
     }
 
+    /// The team of this name.
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.site.teams.iter().find(|t| t.name == name)
     }
--- a/src/slackfit.rs
+++ b/src/slackfit.rs
@@ -8,6 +8,7 @@
 /// A rental that could start a round of tasks.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Rung {
+    /// What would be rented.
     pub offer: Offer,
     /// Learned boot time plus the task's run-time estimate.
     pub latency_ms: u64,
@@ -17,9 +18,12 @@
     pub crowd: u32,
 }
 
+/// One evenly spaced part of the range of latencies.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Bucket {
+    /// The longest latency in it.
     pub edge_ms: u64,
+    /// Its cheapest rung.
     pub rung: Rung,
 }
 
--- a/src/store.rs
+++ b/src/store.rs
@@ -16,6 +16,7 @@
 }
 
 impl TokenBucket {
+    /// A full bucket that saves up tokens for so many seconds.
     pub fn new(rate_per_s: f64, burst_s: f64) -> Self {
         let burst = (rate_per_s * burst_s).max(1.0);
         TokenBucket {
@@ -26,6 +27,7 @@
         }
     }
 
+    /// Changes the rate and how long tokens are saved up.
     pub fn set_rate(&mut self, now: Now, rate_per_s: f64, burst_s: f64) {
         self.refill(now);
         self.rate_per_ms = rate_per_s / 1000.0;
@@ -39,6 +41,7 @@
         self.at_ms = now.ms;
     }
 
+    /// How many tokens there are.
     pub fn level(&mut self, now: Now) -> f64 {
         self.refill(now);
         self.level
@@ -74,10 +77,15 @@
 /// Served in this order when tokens are short.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub enum Urgency {
+    /// Leases and the election.
     Leadership,
+    /// Users' cancellations.
     Cancel,
+    /// Users' submissions.
     Submission,
+    /// The leader's placements.
     Placement,
+    /// What can wait.
     Background,
 }
 
@@ -90,19 +98,25 @@
 /// limit.
 const SAFE_SHARE: f64 = 0.9;
 
+/// A call of the state service, before it is sent.
 #[derive(Clone, Debug)]
 pub struct StateCall<T> {
+    /// Whom it goes before.
     pub urgency: Urgency,
+    /// The request.
     pub call: Call,
+    /// How many changes it makes.
     pub writes: usize,
     /// When waiting in the queue makes no more sense.
     pub give_up_ms: u64,
+    /// The caller's own note.
     pub tag: T,
 }
 
 /// What became of a call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
+    /// The service answered with this status and body.
     Status(u16, Vec<u8>),
     /// Certainly not executed (503, or never sent).
     Refused,
@@ -118,12 +132,14 @@
             _ => None,
         }
     }
+    /// The status, if the service answered.
     pub fn status(&self) -> Option<u16> {
         match self {
             Answer::Status(s, _) => Some(*s),
             _ => None,
         }
     }
+    /// The revision of a transaction that was carried out.
     pub fn committed(&self) -> Option<Revision> {
         self.read::<RevisionOnly>(200).map(|r| Revision(r.revision))
     }
@@ -147,6 +163,7 @@
 }
 
 impl<T> Store<T> {
+    /// A client with the whole of the service's limits.
     pub fn new(rps: f64, write_rps: f64) -> Self {
         Store {
             queues: Default::default(),
@@ -202,14 +219,17 @@
         }
     }
 
+    /// When the service last answered.
     pub fn last_ok_ms(&self) -> Option<u64> {
         self.last_ok_ms
     }
 
+    /// Whether calls wait to be sent.
     pub fn waiting(&self) -> bool {
         self.queues.iter().any(|q| !q.is_empty())
     }
 
+    /// Queues a call.
     pub fn submit(&mut self, call: StateCall<T>) {
         self.queues[call.urgency as usize].push_back(call);
     }
@@ -297,6 +317,7 @@
     }
 }
 
+/// A page of the keys under a prefix, and where the next one starts.
 pub fn list(prefix: &str, after: Option<&str>, timeout_ms: u64) -> Call {
     let after = after.map(|k| format!("&from={k}")).unwrap_or_default();
     Call {
@@ -308,6 +329,7 @@
     }
 }
 
+/// Waits for changes under a prefix.
 pub fn watch(prefix: &str, after: Revision, wait_ms: u64, timeout_ms: u64) -> Call {
     Call {
         target: Target::StateWatch,
@@ -329,6 +351,7 @@
     }
 }
 
+/// A transaction, and how many changes it makes.
 pub fn txn(txn: &Txn, timeout_ms: u64) -> (Call, usize) {
     let call = Call {
         target: Target::State,
@@ -341,6 +364,7 @@
     (call, txn.writes.len())
 }
 
+/// Asks for a lease.
 pub fn lease_create(ttl_ms: u64, timeout_ms: u64) -> Call {
     Call {
         target: Target::State,
@@ -351,6 +375,7 @@
     }
 }
 
+/// Renews a lease.
 pub fn lease_renew(lease: u64, timeout_ms: u64) -> Call {
     Call {
         target: Target::State,
@@ -361,6 +386,7 @@
     }
 }
 
+/// Ends a lease.
 pub fn lease_end(lease: u64, timeout_ms: u64) -> Call {
     Call {
         target: Target::State,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,18 +5,28 @@
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 
+/// Users' submissions; a job's own path starts with it.
 pub const USER_JOBS: &str = "/v2/runs";
+/// The load balancer's probe.
 pub const READY: &str = "/ready";
+/// Workers' reports.
 pub const WORKER_REPORT: &str = "/agent/beat";
+/// Direct commands to a worker.
 pub const WORKER_COMMANDS: &str = "/commands";
+/// The cloud's machine types.
 pub const CLOUD_CATALOG: &str = "/catalog";
+/// The cloud's machines, and rentals.
 pub const CLOUD_MACHINES: &str = "/machines";
+/// Returns of machines.
 pub const CLOUD_RELEASE: &str = "/machines/release";
 
+/// What kind of job it is.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Kind {
+    /// Independent tasks that run to completion.
     Array,
+    /// Replicas that run until the job is cancelled.
     Service,
     /// A gang: tasks that run together or not at all.
     Group,
@@ -26,49 +36,73 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Priority {
+    /// Before all others.
     Critical,
+    /// Before ordinary work.
     High,
+    /// Ordinary work.
     Standard,
+    /// What fills gaps.
     Idle,
 }
 
 /// A job as its user describes it.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct JobSpec {
+    /// Its id, chosen by the user.
     pub id: JobId,
+    /// The class of jobs that it belongs to.
     #[serde(rename = "gabarit")]
     pub class: Rc<str>,
+    /// Its team.
     #[serde(rename = "equipe")]
     pub team: Rc<str>,
+    /// Its kind.
     #[serde(rename = "genre")]
     pub kind: Kind,
+    /// Its priority.
     #[serde(rename = "rang")]
     pub priority: Priority,
+    /// How many tasks it has.
     #[serde(rename = "pieces")]
     pub tasks: u32,
+    /// Cores of a task.
     pub cpus: f64,
+    /// GPUs of a task.
     pub gpus: f64,
+    /// Memory of a task in GB.
     #[serde(rename = "memoryGb")]
     pub memory_gb: f64,
+    /// The image that a machine must have.
     #[serde(rename = "moule")]
     pub image: Rc<str>,
+    /// The image's size in GB.
     #[serde(rename = "pullGb")]
     pub image_gb: f64,
+    /// The allowed machine types; `None`: any.
     #[serde(rename = "gammes", default, skip_serializing_if = "Option::is_none")]
     pub types: Option<Vec<Rc<str>>>,
+    /// The only allowed zone.
     #[serde(rename = "secteur", default, skip_serializing_if = "Option::is_none")]
     pub zone: Option<Rc<str>>,
+    /// All tasks in one zone.
     #[serde(rename = "samePlace")]
     pub one_zone: bool,
+    /// At most half of the tasks in one zone.
     pub spread: bool,
+    /// It may use spot machines.
     #[serde(rename = "occasion")]
     pub spot: bool,
+    /// The owner's estimate of a task's run time.
     #[serde(rename = "prevuS")]
     pub estimate_s: f64,
+    /// How often a task saves by itself; 0: never.
     #[serde(rename = "jalonS")]
     pub checkpoint_s: f64,
+    /// How long a task takes to save when it is stopped.
     #[serde(rename = "sauvegardeS")]
     pub save_s: f64,
+    /// When it should be done, after its submission.
     #[serde(rename = "echeanceS", default, skip_serializing_if = "Option::is_none")]
     pub deadline_s: Option<f64>,
 }
@@ -135,175 +169,249 @@
         })
 }
 
+/// A job's state as its user sees it.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum UserState {
+    /// No task runs.
     Pending,
+    /// A task runs.
     Running,
+    /// Every task is done.
     Done,
+    /// Its user cancelled it.
     Cancelled,
 }
 
+/// The answer to a user about a job.
 #[derive(Debug, Serialize)]
 pub struct JobState<'a> {
+    /// The job.
     pub id: &'a JobId,
+    /// Its state.
     #[serde(rename = "etat")]
     pub state: UserState,
+    /// Tasks that are done, for display.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub done: Option<u32>,
+    /// Tasks that run, for display.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub running: Option<u32>,
 }
 
 // ---- workers ----
 
+/// What a task on a machine is doing.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum TaskPhase {
+    /// It waits for its image.
     #[serde(rename = "pulling")]
     Fetching,
+    /// It runs.
     Running,
+    /// It was told to stop and saves.
     #[serde(rename = "flushing")]
     Saving,
+    /// It ended; see [`EndReason`].
     Ended,
     /// Anything newer than this program: on the machine, as far as we know.
     #[serde(other)]
     Other,
 }
 
+/// Why a task ended.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum EndReason {
+    /// It completed.
     Done,
+    /// It was stopped by command.
     Stopped,
+    /// It failed.
     Error,
+    /// Its start was refused: not enough room.
     Full,
+    /// Its start was refused: another attempt is there.
     Busy,
+    /// Its start was refused: no such job or task.
     Unknown,
+    /// Anything newer than this program.
     #[serde(other)]
     Other,
 }
 
+/// A task in a worker's report.
 #[derive(Clone, Debug, Deserialize)]
 pub struct ReportedTask {
+    /// Its name, `JOB/INDEX`.
     #[serde(rename = "piece")]
     pub task: String,
+    /// Its attempt.
     #[serde(rename = "essai")]
     pub attempt: Attempt,
+    /// What it is doing.
     #[serde(rename = "etat")]
     pub phase: TaskPhase,
+    /// Why it ended.
     #[serde(rename = "motif", default)]
     pub reason: Option<EndReason>,
+    /// Whether its progress was saved.
     #[serde(rename = "stored", default)]
     pub saved: Option<bool>,
 }
 
+/// A worker's report.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Report {
+    /// The machine.
     #[serde(rename = "banc")]
     pub machine: String,
+    /// Where direct commands reach it.
     #[serde(default)]
     pub address: String,
+    /// Its type.
     #[serde(rename = "gamme")]
     pub machine_type: String,
+    /// Its zone.
     #[serde(rename = "secteur")]
     pub zone: String,
+    /// A spot machine.
     #[serde(rename = "occasion")]
     pub spot: bool,
+    /// Rises each time its lease ends.
     #[serde(rename = "quart")]
     pub session: Session,
+    /// Rises with every report of a session.
     #[serde(rename = "numero")]
     pub seq: u64,
+    /// The highest token that it has seen.
     #[serde(rename = "jeton")]
     pub token: Token,
+    /// Seconds until the cloud takes it.
     #[serde(rename = "preavisS", default)]
     pub notice_s: Option<f64>,
+    /// All tasks on it, ended ones included.
     #[serde(rename = "pieces", default)]
     pub tasks: Vec<ReportedTask>,
 }
 
+/// What a worker is told to do.
 #[derive(Clone, PartialEq, Debug, Serialize)]
 #[serde(tag = "geste", rename_all = "lowercase")]
 pub enum Command {
+    /// Start a task.
     Start {
+        /// The task.
         #[serde(rename = "piece")]
         task: String,
+        /// Its attempt.
         #[serde(rename = "essai")]
         attempt: Attempt,
     },
+    /// Stop a task.
     #[serde(rename = "halt")]
     Stop {
+        /// The task.
         #[serde(rename = "piece")]
         task: String,
+        /// Its attempt.
         #[serde(rename = "essai")]
         attempt: Attempt,
+        /// How long it may save.
         #[serde(rename = "delaiS")]
         grace_s: u64,
     },
+    /// Leave an ended task out of the reports.
     #[serde(rename = "reap")]
     Forget {
+        /// The task.
         #[serde(rename = "piece")]
         task: String,
+        /// Its attempt.
         #[serde(rename = "essai")]
         attempt: Attempt,
     },
 }
 
+/// The answer to a report.
 #[derive(Debug, Serialize)]
 pub struct ReportAnswer<'a> {
+    /// Who is entitled to give commands.
     #[serde(rename = "jeton")]
     pub token: Token,
+    /// What the worker is to do, in order.
     #[serde(rename = "consignes")]
     pub commands: &'a [Command],
 }
 
+/// Commands sent straight to a worker.
 #[derive(Debug, Serialize)]
 pub struct DirectCommands<'a> {
+    /// Who is entitled to give commands.
     #[serde(rename = "jeton")]
     pub token: Token,
+    /// The session that they are meant for.
     #[serde(rename = "quart")]
     pub session: Session,
+    /// What the worker is to do, in order.
     #[serde(rename = "consignes")]
     pub commands: &'a [Command],
 }
 
+/// Sends a worker elsewhere.
 #[derive(Debug, Serialize)]
 pub struct ReportTo<'a> {
+    /// The controller to report to.
     #[serde(rename = "rendreA", skip_serializing_if = "Option::is_none")]
     pub node: Option<&'a str>,
 }
 
 // ---- cloud ----
 
+/// A machine type of the cloud's.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct MachineType {
+    /// Its name.
     #[serde(rename = "sku")]
     pub name: Rc<str>,
+    /// Cores.
     pub cpus: f64,
+    /// GPUs.
     pub gpus: f64,
+    /// Memory in GB.
     #[serde(rename = "memoryGb")]
     pub memory_gb: f64,
+    /// The image cache in GB.
     #[serde(rename = "cacheGb", default)]
     pub cache_gb: f64,
+    /// How fast it fetches images.
     #[serde(rename = "pullGbPerS", default)]
     pub fetch_gb_per_s: f64,
+    /// The price per hour.
     #[serde(rename = "hourly")]
     pub price: f64,
+    /// The price per hour as a spot machine.
     #[serde(rename = "marketPrice", default)]
     pub spot_price: f64,
+    /// The usual boot time.
     #[serde(rename = "startupS")]
     pub boot_s: f64,
+    /// The zones that have it.
     #[serde(rename = "secteurs")]
     pub zones: Vec<Rc<str>>,
 }
 
+/// The cloud's machine types.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Catalog {
+    /// The machine types.
     #[serde(rename = "gammes")]
     pub types: Vec<MachineType>,
 }
 
 impl Catalog {
+    /// The catalogue, if it makes sense.
     pub fn checked(self) -> Option<Catalog> {
         let fine = |t: &MachineType| {
             [
@@ -321,133 +429,184 @@
         };
         (!self.types.is_empty() && self.types.iter().all(fine)).then_some(self)
     }
+    /// The machine type of this name.
     pub fn find(&self, name: &str) -> Option<&MachineType> {
         self.types.iter().find(|t| &*t.name == name)
     }
 }
 
+/// A rental.
 #[derive(Debug, Serialize)]
 pub struct Rent<'a> {
+    /// Its name, never used twice.
     #[serde(rename = "bon")]
     pub request: &'a str,
+    /// The machine type.
     #[serde(rename = "gamme")]
     pub machine_type: &'a str,
+    /// The zone.
     #[serde(rename = "secteur")]
     pub zone: &'a str,
+    /// Spot machines.
     #[serde(rename = "occasion")]
     pub spot: bool,
+    /// How many.
     #[serde(rename = "howMany")]
     pub count: u32,
 }
 
+/// Names of machines.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct MachineNames {
+    /// The names.
     #[serde(rename = "bancs")]
     pub machines: Vec<String>,
 }
 
+/// What the cloud's list says of a machine.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ListedState {
+    /// It boots.
     #[serde(rename = "starting")]
     Booting,
+    /// It runs.
     Running,
+    /// It stopped by itself.
     Failed,
+    /// Anything newer than this program.
     #[serde(other)]
     Other,
 }
 
+/// A machine in the cloud's list.
 #[derive(Clone, Debug, Deserialize)]
 pub struct ListedMachine {
+    /// Its name.
     pub id: String,
+    /// Where direct commands reach it.
     #[serde(default)]
     pub address: String,
+    /// Its type.
     #[serde(rename = "gamme")]
     pub machine_type: String,
+    /// Its zone.
     #[serde(rename = "secteur")]
     pub zone: String,
+    /// A spot machine.
     #[serde(rename = "occasion")]
     pub spot: bool,
+    /// What it is doing.
     #[serde(rename = "etat")]
     pub state: ListedState,
+    /// Seconds since its rental.
     #[serde(rename = "heldS", default)]
     pub age_s: f64,
 }
 
+/// A page of the cloud's list.
 #[derive(Debug, Deserialize)]
 pub struct MachineList {
+    /// The machines, by name.
     #[serde(rename = "bancs")]
     pub machines: Vec<ListedMachine>,
+    /// There are more.
     #[serde(rename = "truncated", default)]
     pub more: bool,
 }
 
 // ---- state service ----
 
+/// A value in the state service.
 pub type Value = serde_json::Value;
 
+/// A key with its value.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Item {
+    /// The key.
     #[serde(rename = "k")]
     pub key: String,
+    /// The value.
     #[serde(rename = "v")]
     pub value: Value,
+    /// The revision of its last change.
     #[serde(rename = "retouche")]
     pub version: u64,
 }
 
+/// A page of keys.
 #[derive(Debug, Deserialize)]
 pub struct Items {
+    /// The keys, in order.
     #[serde(rename = "rows")]
     pub items: Vec<Item>,
+    /// There are more.
     #[serde(rename = "truncated", default)]
     pub more: bool,
+    /// The revision that they were read at.
     #[serde(rename = "tirage")]
     pub revision: u64,
 }
 
+/// The answer to a transaction.
 #[derive(Debug, Deserialize)]
 pub struct RevisionOnly {
+    /// The revision of the state service.
     #[serde(rename = "tirage")]
     pub revision: u64,
+    /// The keys whose guards failed.
     #[serde(default)]
     pub failed: Vec<String>,
 }
 
+/// A condition of a transaction.
 #[derive(Clone, Debug, Serialize)]
 pub struct Guard {
+    /// The key.
     #[serde(rename = "k")]
     pub key: String,
+    /// The revision that it must have; 0: it must not exist.
     #[serde(rename = "retouche")]
     pub version: u64,
 }
 
+/// A change of a transaction.
 #[derive(Clone, Debug, Serialize)]
 #[serde(untagged)]
 pub enum Write {
+    /// Sets a key.
     Put {
+        /// The key.
         #[serde(rename = "set")]
         key: String,
+        /// Its value.
         #[serde(rename = "v")]
         value: Value,
+        /// The lease that it ends with.
         #[serde(rename = "bail", skip_serializing_if = "Option::is_none")]
         lease: Option<u64>,
     },
+    /// Removes a key.
     Delete {
+        /// The key.
         #[serde(rename = "drop")]
         key: String,
     },
 }
 
+/// A transaction.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Txn {
+    /// What must hold.
     #[serde(rename = "guards")]
     pub guards: Vec<Guard>,
+    /// What it changes.
     #[serde(rename = "writes")]
     pub writes: Vec<Write>,
 }
 
 impl Txn {
+    /// Demands that a key has this revision.
     pub fn guard(mut self, key: impl Into<String>, version: u64) -> Self {
         self.guards.push(Guard {
             key: key.into(),
@@ -455,6 +614,7 @@
         });
         self
     }
+    /// Sets a key.
     pub fn put(mut self, key: impl Into<String>, value: Value) -> Self {
         self.writes.push(Write::Put {
             key: key.into(),
@@ -463,6 +623,7 @@
         });
         self
     }
+    /// Sets a key that ends with a lease.
     pub fn put_leased(mut self, key: impl Into<String>, value: Value, lease: u64) -> Self {
         self.writes.push(Write::Put {
             key: key.into(),
@@ -471,33 +632,44 @@
         });
         self
     }
+    /// Removes a key.
     pub fn delete(mut self, key: impl Into<String>) -> Self {
         self.writes.push(Write::Delete { key: key.into() });
         self
     }
 }
 
+/// A lease that was granted.
 #[derive(Debug, Deserialize)]
 pub struct LeaseGranted {
+    /// Its number.
     #[serde(rename = "bail")]
     pub lease: u64,
 }
 
+/// A change that was seen.
 #[derive(Debug, Deserialize)]
 pub struct WatchEvent {
+    /// The key that was set.
     #[serde(rename = "set", default)]
     pub put: Option<String>,
+    /// The key that was removed.
     #[serde(rename = "drop", default)]
     pub delete: Option<String>,
+    /// The value that was set.
     #[serde(rename = "v", default)]
     pub value: Value,
+    /// The revision of the change.
     #[serde(rename = "retouche")]
     pub version: u64,
 }
 
+/// The answer to a watch.
 #[derive(Debug, Deserialize)]
 pub struct WatchAnswer {
+    /// The revision up to which it tells.
     #[serde(rename = "tirage")]
     pub revision: u64,
+    /// The changes since.
     pub events: Vec<WatchEvent>,
 }
