--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,8 @@
 //! [`node`], and one thread of I/O in [`reactor`].
 
 #![deny(missing_docs)]
+#![warn(clippy::too_many_lines, clippy::cognitive_complexity)]
+#![warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 pub mod bounded_map;
 pub mod cancellations;
--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -143,6 +143,27 @@
     pub absent_proof: Option<Token>,
 }
 
+impl Assign {
+    /// A task that was just bound to a machine and that nothing is known of.
+    pub fn new(attempt: Attempt, machine: MachineId, session: Session, zone: Rc<str>) -> Assign {
+        Assign {
+            attempt,
+            machine,
+            session,
+            zone,
+            recorded: false,
+            first_sent_ms: None,
+            sent_ms: None,
+            phase: None,
+            running_since_ms: None,
+            inherited: false,
+            late: false,
+            stop: None,
+            absent_proof: None,
+        }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Shard {
     /// Version of the stored record; 0: none.
@@ -342,19 +363,9 @@
             self.assigns.insert(
                 task,
                 Assign {
-                    attempt,
-                    machine,
-                    session,
-                    zone: Rc::from(zone),
                     recorded: true,
-                    first_sent_ms: None,
-                    sent_ms: None,
-                    phase: None,
-                    running_since_ms: None,
                     inherited: true,
-                    late: false,
-                    stop: None,
-                    absent_proof: None,
+                    ..Assign::new(attempt, machine, session, Rc::from(zone))
                 },
             );
         }
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -3,7 +3,7 @@
 use super::learn::Flow;
 use super::{Assign, Job, Scheduler};
 use crate::cloud::Offer;
-use crate::ids::{JobId, MachineId, TaskRef};
+use crate::ids::{Attempt, JobId, MachineId, TaskRef};
 use crate::msg::Now;
 use crate::placement::{allows_offer, may_stand, Fit, Resources, ZoneUse};
 use crate::wire::{JobSpec, Kind, Priority};
@@ -82,6 +82,26 @@
     rank: f64,
 }
 
+/// What one task of a job asks of a room.
+struct Wanted<'a> {
+    spec: &'a JobSpec,
+    need: &'a Resources,
+    /// Where the job's tasks are, those of this round included.
+    zones: &'a ZoneUse,
+    deadline: u64,
+    /// The job's breaker is open.
+    probing: bool,
+}
+
+/// Where a task goes.
+enum Choice {
+    /// Into this room, at once.
+    Free(usize),
+    /// Into this room, once it is made.
+    Promised(usize),
+    Nothing,
+}
+
 /// Tasks that found no room.
 #[derive(Debug)]
 pub(super) struct Unplaced {
@@ -450,86 +470,31 @@
                 job: id.clone(),
                 index: *task,
             };
-            let bound = self.migration_targets.remove(&task_ref).and_then(|to| {
-                rooms
-                    .iter()
-                    .position(|r| r.id == to && may_stand(&spec, &zones, &r.offer))
-            });
-            let soon = |i: &usize| now.wall < deadline && rooms[*i].soon_free().holds(&need);
-            let mut best = bound.filter(|i| rooms[*i].free.holds(&need));
-            // Room that is being made for it is worth waiting for while its
-            // aim can still be met.
-            let mut held = match best {
-                None => bound.filter(soon),
-                Some(_) => None,
-            };
-            if let Some(index) = held {
-                rooms[index].free.take(&need);
-            } else if best.is_none() {
-                best = self.best_room(&need, &zones, rooms, id, &mut ranked);
-                let cold = best.filter(|i| !probing && !self.has_image(&rooms[*i].id, &spec.image));
-                held =
-                    cold.and_then(|cold| self.exchange(now, &spec, deadline, &zones, cold, rooms));
-            }
-            if let Some(index) = held {
-                let room = &rooms[index];
-                self.migration_targets.insert(task_ref, room.id.clone());
-                zones.add(&room.offer.zone);
-                team.add(&need);
-                promised += 1;
-                continue;
-            }
-            if best.is_none() && !probing && self.settings.start_aim_ms(&spec).is_some() {
-                // What waits now goes before what is only expected.
-                best = release_kept(&spec, &need, &zones, rooms);
-            }
-            let Some(index) = best else {
-                break;
-            };
-            let room = &mut rooms[index];
-            let (Some(job), Some(machine)) = (self.jobs.get_mut(id), self.fleet.get_mut(&room.id))
-            else {
-                break;
-            };
-            let Some(attempt) = shared.or_else(|| job.next_attempt(*task)) else {
-                break;
+            let wanted = Wanted {
+                spec: &spec,
+                need: &need,
+                zones: &zones,
+                deadline,
+                probing,
             };
-            log::debug!(
-                "place {id}/{task} attempt={attempt} on {} zone={} free_gpus={} cached={}",
-                room.id,
-                room.offer.zone,
-                room.free.gpus,
-                machine.has_image(&spec.image)
-            );
-            job.pending.remove(task);
-            job.assigns.insert(
-                *task,
-                Assign {
-                    attempt,
-                    machine: room.id.clone(),
-                    session: machine.session,
-                    zone: room.offer.zone.clone(),
-                    recorded: false,
-                    first_sent_ms: None,
-                    sent_ms: None,
-                    phase: None,
-                    running_since_ms: None,
-                    inherited: false,
-                    late: false,
-                    stop: None,
-                    absent_proof: None,
-                },
-            );
-            job.touch(*task, now.ms, true);
-            machine.assign(job.task(*task), &need);
-            room.free.take(&need);
-            if !machine.has_image(&spec.image) && !machine.fetching.contains_key(&spec.image) {
-                machine.fetching.insert(spec.image.clone(), 1);
-                room.fetches += 1;
+            match self.choose_room(now, &wanted, &task_ref, rooms, &mut ranked) {
+                Choice::Promised(index) => {
+                    let room = &rooms[index];
+                    self.migration_targets.insert(task_ref, room.id.clone());
+                    zones.add(&room.offer.zone);
+                    promised += 1;
+                }
+                Choice::Free(index) => {
+                    let room = &mut rooms[index];
+                    if self.bind(now, &task_ref, shared, room).is_none() {
+                        break;
+                    }
+                    zones.add(&room.offer.zone);
+                    placed += 1;
+                }
+                Choice::Nothing => break,
             }
-            zones.add(&room.offer.zone);
             team.add(&need);
-            placed += 1;
         }
         if probing {
             // Nothing is kept, rented or stopped for it.
@@ -546,6 +511,91 @@
         })
     }
 
+    /// Where one more task of a job goes. Promised room is taken already.
+    fn choose_room(
+        &mut self,
+        now: Now,
+        wanted: &Wanted,
+        task: &TaskRef,
+        rooms: &mut [Room],
+        ranked: &mut Option<Vec<Ranked>>,
+    ) -> Choice {
+        let &Wanted {
+            spec,
+            need,
+            zones,
+            deadline,
+            probing,
+        } = wanted;
+        let target = self.migration_targets.remove(task).and_then(|to| {
+            rooms
+                .iter()
+                .position(|r| r.id == to && may_stand(spec, zones, &r.offer))
+        });
+        if let Some(index) = target {
+            if rooms[index].free.holds(need) {
+                return Choice::Free(index);
+            }
+            // Room that is being made for it is worth waiting for while its
+            // aim can still be met.
+            if now.wall < deadline && rooms[index].soon_free().holds(need) {
+                rooms[index].free.take(need);
+                return Choice::Promised(index);
+            }
+        }
+        let best = self.best_room(need, zones, rooms, &task.job, ranked);
+        let cold = best.filter(|i| !probing && !self.has_image(&rooms[*i].id, &spec.image));
+        let warm = cold.and_then(|cold| self.exchange(now, spec, deadline, zones, cold, rooms));
+        if let Some(index) = warm {
+            return Choice::Promised(index);
+        }
+        if let Some(index) = best {
+            return Choice::Free(index);
+        }
+        if probing || self.settings.start_aim_ms(spec).is_none() {
+            return Choice::Nothing;
+        }
+        // What waits now goes before what is only expected.
+        match release_kept(spec, need, zones, rooms) {
+            Some(index) => Choice::Free(index),
+            None => Choice::Nothing,
+        }
+    }
+
+    /// Binds a waiting task to a room; `None`: that can't be done. It starts
+    /// once that is stored.
+    fn bind(
+        &mut self,
+        now: Now,
+        task: &TaskRef,
+        shared: Option<Attempt>,
+        room: &mut Room,
+    ) -> Option<()> {
+        let job = self.jobs.get_mut(&task.job)?;
+        let machine = self.fleet.get_mut(&room.id)?;
+        let attempt = shared.or_else(|| job.next_attempt(task.index))?;
+        let image = &job.spec.image;
+        log::debug!(
+            "place {task} attempt={attempt} on {} zone={} free_gpus={} cached={}",
+            room.id,
+            room.offer.zone,
+            room.free.gpus,
+            machine.has_image(image)
+        );
+        if !machine.has_image(image) && !machine.fetching.contains_key(image) {
+            machine.fetching.insert(image.clone(), 1);
+            room.fetches += 1;
+        }
+        let zone = room.offer.zone.clone();
+        let assign = Assign::new(attempt, room.id.clone(), machine.session, zone);
+        job.pending.remove(&task.index);
+        job.assigns.insert(task.index, assign);
+        job.touch(task.index, now.ms, true);
+        machine.assign(task.clone(), &job.need);
+        room.free.take(&job.need);
+        Some(())
+    }
+
     /// Whether all these tasks find room at once.
     fn whole_fits(
         &self,
