Count events, code time, calls and changes by purpose, logged each half minute

Cause: which messages take the processor on a 2% share wasn't known. The reactor times what the program's own code takes from an event to its effects, by what the node says it was for, and counts messages and connections; the state service's client counts calls and changes by urgency.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod settings;
 pub mod slackfit;
 pub mod store;
+pub mod usage;
 pub mod wire;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,6 +15,7 @@
 use crate::scheduler::{Scheduler, SchedulerCall, SchedulerOut, WorkerCall};
 use crate::settings::Settings;
 use crate::store::{self, Answer, StateCall, Store, Urgency};
+use crate::usage::Purpose;
 use crate::wire::{self, Catalog, Item, Report, ReportTo, Txn};
 use follower::proxy_answer;
 use std::collections::HashMap;
@@ -36,6 +37,20 @@
     Cancellations(CancellationsCall),
 }
 
+impl StateTag {
+    fn purpose(&self) -> Purpose {
+        match self {
+            StateTag::Election(_) => Purpose::Election,
+            StateTag::Gateway(_) => Purpose::UserCall,
+            StateTag::Scheduler(_, call) => call.purpose(),
+            StateTag::Cancellations(_) => Purpose::Changes,
+            StateTag::ReadCatalog | StateTag::WriteCatalog | StateTag::WriteProxied => {
+                Purpose::Other
+            }
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 enum CallTag {
     State(u64),
@@ -115,6 +130,8 @@
     proxied_stored: usize,
     /// When it last answered a worker in the leader's stead.
     proxied_lease_ms: Option<u64>,
+    /// What it last worked on.
+    purpose: Purpose,
 }
 
 impl Node {
@@ -197,6 +214,7 @@
             proxied_due_ms: 0,
             proxied_stored: 0,
             proxied_lease_ms: None,
+            purpose: Purpose::Other,
         };
         node.set_share(Now::default(), false);
         node
@@ -257,6 +275,7 @@
     ) {
         let path = request.path.split('?').next().unwrap_or("");
         if port == Port::Peer {
+            self.purpose = Purpose::Heartbeat;
             let reply = match (request.method.as_str(), path) {
                 ("POST", PEER_PATH) => self.on_heartbeat(now, &request.body, out),
                 _ => Reply::error(404, "unknown path"),
@@ -268,18 +287,21 @@
         let mut gateway = GatewayOut::default();
         let allowed = match path {
             wire::READY => {
+                self.purpose = Purpose::Probe;
                 if method == "GET" {
                     out.push(Effect::Reply(conn, self.ready(now)));
                 }
                 method == "GET"
             }
             wire::WORKER_REPORT => {
+                self.purpose = Purpose::Report;
                 if method == "POST" {
                     self.on_report(now, conn, &request.body, out);
                 }
                 method == "POST"
             }
             wire::USER_JOBS => {
+                self.purpose = Purpose::Submission;
                 if method == "POST" {
                     self.gateway.submit(now, conn, &request.body, &mut gateway);
                 }
@@ -287,12 +309,14 @@
             }
             _ => match job_path(path) {
                 Some((id, None)) => {
+                    self.purpose = Purpose::Query;
                     if method == "GET" {
                         self.gateway.show(now, conn, id, &mut gateway);
                     }
                     method == "GET"
                 }
                 Some((id, Some("abort"))) => {
+                    self.purpose = Purpose::Cancellation;
                     if method == "POST" {
                         self.gateway.cancel(now, conn, id, &mut gateway);
                     }
@@ -447,6 +471,9 @@
             let new = self.cancellations.heard(now, index, None, word);
             self.learned_cancelled(now, &new, &mut scheduler);
         }
+        if !heartbeat.reports.is_empty() {
+            self.purpose = Purpose::ForwardedReports;
+        }
         let unreachable = !heartbeat.reports.is_empty() && self.unreachable(now);
         let mut aside = false;
         for body in &heartbeat.reports {
@@ -909,35 +936,43 @@
         request: Request,
         out: &mut Vec<Effect>,
     ) {
+        self.purpose = Purpose::Other;
         self.notice_time(now, out);
         self.route(now, conn, port, request, out);
     }
 
     fn outcome(&mut self, now: Now, call: CallId, outcome: Outcome, out: &mut Vec<Effect>) {
+        self.purpose = Purpose::Other;
         self.notice_time(now, out);
         match self.calls.remove(&call) {
             Some(CallTag::State(id)) => {
                 if let Some((tag, answer)) = self.store.answered(now, id, outcome) {
+                    self.purpose = tag.purpose();
                     self.on_state(now, tag, answer, out);
                 }
             }
-            Some(CallTag::Cloud(tag)) => match self.cloud.answered(now, tag, outcome) {
-                Some(CloudEvent::Catalog(catalog)) => {
-                    if self.catalog.is_none() {
-                        self.catalog_stored = false;
+            Some(CallTag::Cloud(tag)) => {
+                self.purpose = Purpose::Cloud;
+                match self.cloud.answered(now, tag, outcome) {
+                    Some(CloudEvent::Catalog(catalog)) => {
+                        if self.catalog.is_none() {
+                            self.catalog_stored = false;
+                        }
+                        self.set_catalog(catalog);
                     }
-                    self.set_catalog(catalog);
+                    Some(event) => self.scheduler.cloud_event(now, event, &mut self.cloud),
+                    None => {}
                 }
-                Some(event) => self.scheduler.cloud_event(now, event, &mut self.cloud),
-                None => {}
-            },
+            }
             Some(CallTag::Worker(term, tag)) if term == self.scheduler.term() => {
+                self.purpose = Purpose::Command;
                 let mut scheduler = SchedulerOut::default();
                 self.scheduler
                     .worker_answered(now, tag, outcome, &mut scheduler);
                 self.take_scheduler(now, scheduler, out);
             }
             Some(CallTag::Peer(index, asked_ms)) => {
+                self.purpose = Purpose::Heartbeat;
                 if let (Ok((_, body)), Some(peer)) = (outcome, self.peers.get_mut(index)) {
                     peer.reached_ms = Some(now.ms);
                     let answer = peer::decode_answer(&body).unwrap_or_default();
@@ -961,6 +996,26 @@
 
     fn tick(&mut self, now: Now, out: &mut Vec<Effect>) -> u64 {
         self.notice_time(now, out);
-        self.dispatch(now, out)
+        let before = self.scheduler.activity();
+        let wake_ms = self.dispatch(now, out);
+        let after = self.scheduler.activity();
+        self.purpose = if after.rounds > before.rounds {
+            Purpose::Round
+        } else if after.checks > before.checks {
+            Purpose::MachineCheck
+        } else if after.commits > before.commits {
+            Purpose::Commit
+        } else {
+            Purpose::Other
+        };
+        wake_ms
+    }
+
+    fn purpose(&self) -> Purpose {
+        self.purpose
+    }
+
+    fn log_usage(&mut self) {
+        log::info!("state calls {}", self.store.take_sent());
     }
 }
--- a/src/reactor.rs
+++ b/src/reactor.rs
@@ -5,6 +5,7 @@
 use crate::msg::{
     Call, CallError, CallId, ConnId, Effect, Now, Outcome, Port, Reply, Request, Target,
 };
+use crate::usage::{Purpose, Usage, LOG_EVERY_MS};
 use polling::{Event, Events, PollMode, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -27,6 +28,12 @@
     fn outcome(&mut self, now: Now, call: CallId, outcome: Outcome, out: &mut Vec<Effect>);
     /// Called every turn; returns when it wants to be called at the latest.
     fn tick(&mut self, now: Now, out: &mut Vec<Effect>) -> u64;
+    /// What the last of the calls above was mostly for.
+    fn purpose(&self) -> Purpose {
+        Purpose::Other
+    }
+    /// Called now and then, to log counters of its own.
+    fn log_usage(&mut self) {}
 }
 
 /// The addresses of a controller and of the services that it uses.
@@ -118,6 +125,8 @@
     start: Instant,
     buffer: Vec<u8>,
     failed: Vec<(CallId, CallError)>,
+    usage: Usage,
+    usage_due_ms: u64,
 }
 
 fn max_open(target: &Target) -> usize {
@@ -179,6 +188,8 @@
             start: Instant::now(),
             buffer: vec![0; 32 * 1024],
             failed: Vec::new(),
+            usage: Usage::default(),
+            usage_due_ms: FIRST_MS + LOG_EVERY_MS,
         })
     }
 
@@ -187,9 +198,9 @@
         self.max_workers
     }
 
-    fn now(&self) -> Now {
+    fn at(&self, instant: Instant) -> Now {
         Now {
-            ms: self.start.elapsed().as_millis() as u64 + FIRST_MS,
+            ms: instant.duration_since(self.start).as_millis() as u64 + FIRST_MS,
             wall: SystemTime::now()
                 .duration_since(UNIX_EPOCH)
                 .map_or(0, |d| d.as_millis() as u64),
@@ -201,35 +212,75 @@
         let mut events = Events::new();
         let mut effects = Vec::new();
         loop {
-            let now = self.now();
+            let began = Instant::now();
+            let now = self.at(began);
             let wake_ms = handler.tick(now, &mut effects);
+            let purpose = handler.purpose();
             self.apply(now, &mut effects, handler);
-            let mut next = wake_ms;
-            if let Some((deadline, _)) = self.deadlines.first() {
-                next = next.min(*deadline);
-            }
-            if let Some(((deadline, _), _)) = self.queued.first_key_value() {
-                next = next.min(*deadline);
-            }
-            let timeout = Duration::from_millis(next.saturating_sub(self.now().ms).max(1));
+            self.usage.turns += 1;
+            let ended = Instant::now();
+            self.usage.add(purpose, ended - began);
+            let timeout_ms = self
+                .next_deadline_ms(wake_ms)
+                .saturating_sub(self.at(ended).ms);
             events.clear();
-            match self.poller.wait(&mut events, Some(timeout)) {
+            match self
+                .poller
+                .wait(&mut events, Some(Duration::from_millis(timeout_ms.max(1))))
+            {
                 Ok(_) => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 Err(e) => return Err(e),
             }
-            for event in events.iter() {
-                let now = self.now();
-                match event.key {
-                    CLIENT_KEY => self.accept(now, Port::Client),
-                    PEER_KEY => self.accept(now, Port::Peer),
-                    key => self.ready(now, key, event, handler, &mut effects),
+            self.usage.timer_turns += u64::from(events.is_empty());
+            self.take_events(&events, handler, &mut effects);
+        }
+    }
+
+    /// When the reactor has to wake up, whatever comes.
+    fn next_deadline_ms(&self, wake_ms: u64) -> u64 {
+        let connection = self.deadlines.first().map(|(deadline, _)| *deadline);
+        let queued = self
+            .queued
+            .first_key_value()
+            .map(|((deadline, _), _)| *deadline);
+        [connection, queued]
+            .into_iter()
+            .flatten()
+            .fold(wake_ms, u64::min)
+    }
+
+    fn take_events(
+        &mut self,
+        events: &Events,
+        handler: &mut dyn Handler,
+        effects: &mut Vec<Effect>,
+    ) {
+        let mut began = Instant::now();
+        for event in events.iter() {
+            let now = self.at(began);
+            let mut purpose = Purpose::Other;
+            match event.key {
+                CLIENT_KEY => self.accept(now, Port::Client),
+                PEER_KEY => self.accept(now, Port::Peer),
+                key => {
+                    self.ready(now, key, event, handler, effects);
+                    purpose = handler.purpose();
                 }
-                self.apply(now, &mut effects, handler);
             }
-            let now = self.now();
-            self.expire(now);
-            self.apply(now, &mut effects, handler);
+            self.apply(now, effects, handler);
+            let ended = Instant::now();
+            self.usage.add(purpose, ended - began);
+            began = ended;
+        }
+        let now = self.at(began);
+        self.expire(now);
+        self.apply(now, effects, handler);
+        if now.ms >= self.usage_due_ms {
+            self.usage_due_ms = now.ms + LOG_EVERY_MS;
+            log::info!("usage {}", self.usage);
+            self.usage = Usage::default();
+            handler.log_usage();
         }
     }
 
@@ -265,6 +316,7 @@
                     }
                     let _ = stream.set_nodelay(true);
                     self.servers += 1;
+                    self.usage.accepted += 1;
                     self.insert(stream, Role::Server(port), now.ms + IDLE_MS);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
@@ -424,6 +476,7 @@
         let Some(conn) = self.conns.get_mut(&key) else {
             return;
         };
+        self.usage.sent += 1;
         conn.busy = false;
         http::write_reply(&mut conn.output, reply, conn.close_after);
         self.set_deadline(key, now.ms + IDLE_MS);
@@ -514,6 +567,7 @@
         };
         conn.call = Some(waiting.id);
         conn.sent = false;
+        self.usage.sent += 1;
         http::write_request(
             &mut conn.output,
             waiting.call.method,
@@ -546,6 +600,7 @@
         }
         let stream: TcpStream = socket.into();
         let key = self.insert(stream, Role::Client(target.clone()), deadline_ms)?;
+        self.usage.connected += 1;
         self.pools.entry(target.clone()).or_default().open += 1;
         if matches!(target, Target::Worker(_)) {
             self.workers += 1;
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -80,6 +80,7 @@
         // leisure.
         let due = self.changed || now.ms >= self.leisure_due_ms;
         if self.batch.is_none() && now.ms >= self.commit_due_ms && due {
+            self.activity.commits += 1;
             let unwritten = self.unwritten(now);
             match self.most_changes(now, &unwritten, budget) {
                 Some(most) => {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -24,6 +24,7 @@
 use crate::placement::Resources;
 use crate::settings::Settings;
 use crate::store::{self, Answer, StateCall, Urgency, WriteBudget};
+use crate::usage::Purpose;
 use crate::wire::{
     Catalog, Command, DirectCommands, Item, Items, ListedMachine, ListedState, Report, WatchAnswer,
     WORKER_COMMANDS,
@@ -62,6 +63,34 @@
     StoreLearned,
 }
 
+/// The leader's regular work, counted since the process began.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
+pub struct Activity {
+    /// Rounds of placing and renting.
+    pub rounds: u64,
+    /// Looks at every machine.
+    pub checks: u64,
+    /// Walks over all jobs for what there is to write.
+    pub commits: u64,
+}
+
+impl SchedulerCall {
+    /// What its answer is worked on for.
+    pub fn purpose(&self) -> Purpose {
+        match self {
+            SchedulerCall::ListJobs
+            | SchedulerCall::ListPlacements
+            | SchedulerCall::ListProxied
+            | SchedulerCall::ReadLearned => Purpose::Recovery,
+            SchedulerCall::Watch | SchedulerCall::ReadJob(_) => Purpose::Changes,
+            SchedulerCall::Commit
+            | SchedulerCall::CheckCommit
+            | SchedulerCall::Cleanup(_)
+            | SchedulerCall::StoreLearned => Purpose::Transaction,
+        }
+    }
+}
+
 /// What followers say of workers whose leases they renew for the leader.
 pub const PROXIED_PREFIX: &str = "h/";
 
@@ -160,6 +189,7 @@
     check_wanted: bool,
     /// Entries that rounds have examined, all together.
     examined: u64,
+    activity: Activity,
     /// Something may have to be written.
     changed: bool,
     /// Expected work, as of the last full round.
@@ -236,6 +266,7 @@
             checked_ms: 0,
             check_wanted: false,
             examined: 0,
+            activity: Activity::default(),
             changed: false,
             expected: Vec::new(),
             refused: HashMap::new(),
@@ -733,10 +764,12 @@
         let check_ms = self.checked_ms + every / CHECKS;
         if now.ms >= check_ms || std::mem::take(&mut self.check_wanted) {
             self.checked_ms = now.ms;
+            self.activity.checks += 1;
             self.check_machines(now, cloud);
         }
         if full || (self.round_wanted && now.ms >= self.round_ms + self.round_gap_ms) {
             self.round_wanted = false;
+            self.activity.rounds += 1;
             self.round_ms = now.ms;
             let before = self.examined;
             if full {
@@ -769,6 +802,11 @@
         (gap as u64).clamp(ROUND_GAP_MS, self.report_ms().max(ROUND_GAP_MS))
     }
 
+    /// How much of its regular work it has done so far.
+    pub fn activity(&self) -> Activity {
+        self.activity
+    }
+
     /// Entries that rounds have examined since the process began.
     pub fn examined(&self) -> u64 {
         self.examined
--- a/src/store.rs
+++ b/src/store.rs
@@ -5,6 +5,7 @@
 use crate::msg::{Call, CallError, Now, Outcome, Target};
 use crate::wire::{RevisionOnly, Txn};
 use std::collections::{HashMap, VecDeque};
+use std::fmt;
 
 /// Tokens that come at a steady rate, saved up for at most a second or so.
 #[derive(Clone, Debug)]
@@ -89,7 +90,32 @@
     Background,
 }
 
-const URGENCIES: usize = 5;
+const URGENCIES: usize = Urgency::Background as usize + 1;
+
+const URGENCY_NAMES: [&str; URGENCIES] = [
+    "leadership",
+    "cancel",
+    "submission",
+    "placement",
+    "background",
+];
+
+/// Calls sent to the state service and changes in them, by urgency.
+#[derive(Clone, Default, PartialEq, Eq, Debug)]
+pub struct Sent {
+    calls: [u64; URGENCIES],
+    changes: [u64; URGENCIES],
+}
+
+impl fmt::Display for Sent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (n, name) in URGENCY_NAMES.iter().enumerate() {
+            let gap = if n > 0 { " " } else { "" };
+            write!(f, "{gap}{name}={}/{}", self.calls[n], self.changes[n])?;
+        }
+        Ok(())
+    }
+}
 
 /// Over this time the use of the service is averaged.
 const USE_MS: f64 = 2000.0;
@@ -160,6 +186,7 @@
     /// Changes sent, faded over `USE_MS`, and when that was last worked out.
     used: (f64, u64),
     next: u64,
+    sent: Sent,
 }
 
 impl<T> Store<T> {
@@ -176,6 +203,7 @@
             last_fail_ms: None,
             used: (0.0, 0),
             next: 0,
+            sent: Sent::default(),
         }
     }
 
@@ -224,6 +252,11 @@
         self.last_ok_ms
     }
 
+    /// What was sent since this was last asked.
+    pub fn take_sent(&mut self) -> Sent {
+        std::mem::take(&mut self.sent)
+    }
+
     /// Whether calls wait to be sent.
     pub fn waiting(&self) -> bool {
         self.queues.iter().any(|q| !q.is_empty())
@@ -236,7 +269,7 @@
 
     /// Sends what the buckets allow and returns what was given up.
     pub fn dispatch(&mut self, now: Now, mut send: impl FnMut(u64, Call), given_up: &mut Vec<T>) {
-        for queue in &mut self.queues {
+        for (urgency, queue) in self.queues.iter_mut().enumerate() {
             while let Some(first) = queue.front() {
                 if now.ms >= first.give_up_ms {
                     given_up.extend(queue.pop_front().map(|c| c.tag));
@@ -260,6 +293,8 @@
                     let passed = now.ms.saturating_sub(self.used.1) as f64;
                     self.used = (self.used.0 * (-passed / USE_MS).exp() + writes, now.ms);
                 }
+                self.sent.calls[urgency] += 1;
+                self.sent.changes[urgency] += call.writes as u64;
                 self.next += 1;
                 send(self.next, call.call.clone());
                 self.in_flight.insert(self.next, call);
