Keep a worker that comes back from a follower which doesn't answer it

Cause: a follower that its zone's workers can't reach, while the leader hears its heartbeats, got them back from the leader for ever: four seconds of silence there, a second, the leader again. All machines of the zone were given up. Ruled out: calling the follower unreachable on one worker's word; other workers may reach it.

Test: a_worker_that_cannot_reach_the_follower_of_its_zone_is_kept_by_the_leader, red before (all six machines given up within 40 s).

--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -19,20 +19,17 @@
 impl Node {
     /// The follower that takes this zone's reports for us: one in the zone
     /// itself, so that a cut between zones parts no worker from its node.
-    pub(super) fn forwarder_for(&self, now: Now, zone: &str) -> Option<&str> {
+    pub(super) fn forwarder_for(&self, now: Now, zone: &str) -> Option<usize> {
         if zone == self.settings.zone {
             return None;
         }
         let recent = self.heartbeat_every_ms * 2;
-        self.peers
-            .iter()
-            .find(|p| {
-                // One that reaches neither us nor the state service would
-                // send the worker back, round and round.
-                let seen = |at: Option<u64>| at.is_some_and(|at| now.ms < at + recent);
-                p.zone == zone && !p.unreachable && seen(p.follows_ms) && seen(p.state_seen_ms)
-            })
-            .map(|p| p.name.as_str())
+        self.peers.iter().position(|p| {
+            // One that reaches neither us nor the state service would
+            // send the worker back, round and round.
+            let seen = |at: Option<u64>| at.is_some_and(|at| now.ms < at + recent);
+            p.zone == zone && !p.unreachable && seen(p.follows_ms) && seen(p.state_seen_ms)
+        })
     }
 
     /// Whether this follower takes a zone's reports for the leader, and that
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod follower;
 mod forwarding;
+mod routes;
 
 use crate::cancellations::{self, Cancellations, CancellationsCall};
 use crate::cloud::{Cloud, CloudCall, CloudEvent};
@@ -20,6 +21,7 @@
 use crate::wire::{self, Catalog, Item, Report, ReportTo, Txn};
 use follower::proxy_answer;
 use forwarding::Forwarding;
+use routes::Routes;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -126,6 +128,7 @@
     proxied: HashMap<String, (u64, Session)>,
     /// Reports answered here and not yet passed on to the leader.
     forwarding: Forwarding,
+    routes: Routes,
     proxied_due_ms: u64,
     /// How many records of them are stored.
     proxied_stored: usize,
@@ -185,6 +188,7 @@
         );
         let leader_share = options.leader_share;
         let forwarding = Forwarding::new(workers.report_s);
+        let routes = Routes::new((workers.lease_s * 1000.0) as u64);
         let mut node = Node {
             gateway: Gateway::new(settings.clone()),
             scheduler: Scheduler::new(settings.clone(), options),
@@ -212,6 +216,7 @@
             unreached: false,
             proxied: HashMap::new(),
             forwarding,
+            routes,
             proxied_due_ms: 0,
             proxied_stored: 0,
             proxied_lease_ms: None,
@@ -377,8 +382,12 @@
                 out.push(Effect::Reply(conn, Reply::later(503, "cut off", 1)));
                 return;
             }
-            if let Some(node) = self.forwarder_for(now, &report.zone) {
-                let reply = Reply::json(421, &ReportTo { node: Some(node) });
+            if let Some(peer) = self
+                .forwarder_for(now, &report.zone)
+                .filter(|peer| self.routes.send_to(now.ms, &report.machine, *peer))
+            {
+                let node = Some(self.peers[peer].name.as_str());
+                let reply = Reply::json(421, &ReportTo { node });
                 out.push(Effect::Reply(conn, reply));
                 return;
             }
@@ -481,6 +490,9 @@
             if let Ok(report) = serde_json::from_slice::<Report>(body) {
                 // Machines that merely fail together reach nobody.
                 aside |= unreachable && self.forwarder_for(now, &report.zone).is_none();
+                if let Some(index) = index {
+                    self.routes.passed_on(now.ms, &report.machine, index);
+                }
                 self.scheduler.forwarded(now, &report, &mut scheduler);
             }
         }
@@ -565,6 +577,7 @@
         if now.ms >= self.heartbeat_due_ms {
             self.heartbeat_due_ms = now.ms + self.heartbeat_every_ms;
             self.share_writes(now);
+            self.routes.forget_old(now.ms);
             self.check_successor(now, out);
         }
         let leader = match &self.election.role {
@@ -723,6 +736,7 @@
         match change {
             Change::Elected { term, key_version } => {
                 self.led_since_ms = Some(now.ms);
+                self.routes.clear();
                 self.set_share(now, true);
                 self.sent_counts.clear();
                 self.cloud.lead(now, true);
--- a/tests/leadership.rs
+++ b/tests/leadership.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use std::cell::Cell;
 use std::rc::Rc;
-use world::scenes::{cut_off, full_zone, heal, up};
+use world::scenes::{cut_off, full_zone, gone, heal, up};
 use world::{array, service, Fate, World};
 
 /// A claim carried out late, when its author had given it up and made another
@@ -240,3 +240,20 @@
     assert!(alone_ms < 500, "nobody led for {alone_ms} ms");
     assert_eq!(w.on_machines("run-1"), 16);
 }
+
+/// A follower that its zone's workers can't reach, while the leader hears it: the
+/// leader keeps a worker that comes back from there.
+#[test]
+fn a_worker_that_cannot_reach_the_follower_of_its_zone_is_kept_by_the_leader() {
+    let (mut w, names) = full_zone(3);
+    assert_ne!(w.leader(), Some(1));
+    w.cuts = vec![(1, "b".into())];
+    w.run_for(40_000);
+    assert_eq!(w.trace.len(), 56, "no task ends: {:?}", w.trace);
+    assert!(gone(&w, &names).is_empty(), "none is given up");
+    let late = w
+        .redirects
+        .iter()
+        .filter(|(at, _, to)| *to == 1 && *at > w.now - 15_000);
+    assert!(late.count() <= names.len(), "none is sent to and fro");
+}
