--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -2,7 +2,7 @@
 //! reports are taken, passes reports on, and renews leases in the leader's
 //! stead when that can't be heard. It never starts anything.
 
-use super::{routes, CallTag, Node, Peer, StateTag};
+use super::{CallTag, Node, StateTag};
 use crate::election::Role;
 use crate::ids::{Session, Term, Token};
 use crate::msg::{Call, Effect, Now, Reply, Target};
@@ -17,32 +17,24 @@
 const PROXIED_ROW_BYTES: usize = 28;
 
 impl Node {
-    /// The follower that takes this machine's reports for us: one in its zone, so
-    /// that a cut between zones parts no worker from its node. The zone's
-    /// controllers, this one included, share its machines evenly.
-    pub(super) fn forwarder_for(&self, now: Now, machine: &str, zone: &str) -> Option<usize> {
+    /// The follower that takes this zone's reports for us: one in the zone
+    /// itself, so that a cut between zones parts no worker from its node.
+    pub(super) fn forwarder_for(&self, now: Now, zone: &str) -> Option<usize> {
+        if zone == self.settings.zone {
+            return None;
+        }
         let recent = self.heartbeat_every_ms * 2;
-        let serves = |p: &Peer| {
+        self.peers.iter().position(|p| {
             // One that reaches neither us nor the state service would
             // send the worker back, round and round.
             let seen = |at: Option<u64>| at.is_some_and(|at| now.ms < at + recent);
             p.zone == zone && !p.unreachable && seen(p.follows_ms) && seen(p.state_seen_ms)
-        };
-        let ours = (zone == self.settings.zone && !self.unreached)
-            .then(|| (routes::affinity(&self.settings.node_name, machine), None));
-        self.peers
-            .iter()
-            .enumerate()
-            .filter(|(_, p)| serves(p))
-            .map(|(index, p)| (routes::affinity(&p.name, machine), Some(index)))
-            .chain(ours)
-            .max()
-            .and_then(|(_, peer)| peer)
+        })
     }
 
     /// Whether this follower takes a zone's reports for the leader, and that
-    /// leader's term: its own zone's, and anybody's for a leader that says that
-    /// no worker reaches it.
+    /// leader's term: its own zone's for one in another zone, and anybody's
+    /// for one that says that no worker reaches it.
     pub(super) fn forwards(&self, now: Now, zone: &str) -> Option<Term> {
         let quiet = self.quiet_ms();
         let reach = quiet + self.heartbeat_every_ms;
@@ -50,7 +42,7 @@
             .iter()
             .filter(|p| p.leads_ms.is_some_and(|at| now.ms < at + quiet))
             .max_by_key(|p| p.leads_term)
-            .filter(|p| p.unreachable || zone == self.settings.zone)
+            .filter(|p| p.unreachable || (zone == self.settings.zone && p.zone != zone))
             // To hear it is not enough: what it can't be told is lost on it. Its
             // heartbeats and the answers to ours come apart by up to an interval.
             // When both end in a cut, reports were once neither passed on nor
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -383,7 +383,7 @@
                 return;
             }
             if let Some(peer) = self
-                .forwarder_for(now, &report.machine, &report.zone)
+                .forwarder_for(now, &report.zone)
                 .filter(|peer| self.routes.send_to(now.ms, &report.machine, *peer))
             {
                 let node = Some(self.peers[peer].name.as_str());
@@ -418,7 +418,7 @@
     /// Whether none of the workers that should report to this leader itself
     /// is heard. While it leads on, nobody else may serve them.
     fn unreachable(&self, now: Now) -> bool {
-        let to_us = |machine: &str, zone: &str| self.forwarder_for(now, machine, zone).is_none();
+        let to_us = |zone: &str| self.forwarder_for(now, zone).is_none();
         self.scheduler.hears_no_worker(now, to_us)
     }
 
@@ -489,10 +489,7 @@
         for body in &heartbeat.reports {
             if let Ok(report) = serde_json::from_slice::<Report>(body) {
                 // Machines that merely fail together reach nobody.
-                aside |= unreachable
-                    && self
-                        .forwarder_for(now, &report.machine, &report.zone)
-                        .is_none();
+                aside |= unreachable && self.forwarder_for(now, &report.zone).is_none();
                 if let Some(index) = index {
                     self.routes.passed_on(now.ms, &report.machine, index);
                 }
--- a/src/node/routes.rs
+++ b/src/node/routes.rs
@@ -2,21 +2,11 @@
 //! follower that answers them and passes them on.
 
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// A machine that a follower doesn't serve stays with the leader for so many
 /// leases before it is sent there again: the attempt costs it most of a lease.
 const RETRY_LEASES: u64 = 6;
 
-/// How much a machine belongs to a controller; it reports to the one to which it
-/// belongs most. When controllers come or go, only the machines of these move.
-pub(super) fn affinity(node: &str, machine: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    node.hash(&mut hasher);
-    machine.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// What the leader knows of one machine's way.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Route {
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -660,8 +660,8 @@
     }
 
     /// Whether none of the workers is heard that report to this leader itself
-    /// (`to_us`, by machine and zone). Those that are new to it may be on their way.
-    pub fn hears_no_worker(&self, now: Now, to_us: impl Fn(&str, &str) -> bool) -> bool {
+    /// (`to_us`, by zone). Those that are new to it may be on their way.
+    pub fn hears_no_worker(&self, now: Now, to_us: impl Fn(&str) -> bool) -> bool {
         let patience_ms = (self.report_ms() as f64 * UNREACHABLE_REPORTS) as u64;
         // Nobody can be heard by a process that stands still.
         let listening_since_ms = self.elected_ms.max(self.stood_still_ms);
@@ -672,7 +672,7 @@
             .fleet
             .machines
             .values()
-            .filter(|m| m.phase == Phase::Up && to_us(m.id.as_str(), &m.offer.zone))
+            .filter(|m| m.phase == Phase::Up && to_us(&m.offer.zone))
             .peekable();
         ours.peek().is_some() && ours.all(|m| now.ms > m.heard_ms + patience_ms)
     }
