Bound what users' unfinished requests hold, and refuse settings that can't hold

Above an eighth of ram_mb a connection that holds more than its even part of that is refused with 503 and Retry-After at once, so that requests never hold more than a quarter; small requests and other controllers' messages aren't touched. After its last answer a connection isn't read any more.

Settings with fewer sockets than are reserved for calls and one worker, or under 8 MB, end the program with status 2 and one line.

Tests: large_unfinished_requests_are_refused_when_memory_is_short (red before: none was refused), settings_and_options_say_what_is_wrong.

--- a/src/main.rs
+++ b/src/main.rs
@@ -70,11 +70,11 @@
         state: settings.services.state,
         cloud: settings.services.cloud,
     };
-    let max_connections = settings.site.limits.max_connections;
+    let bounds = settings.site.limits.bounds();
     let peers = settings.peers.len();
     let name = settings.node_name.clone();
     let mut node = Node::new(settings, options, fastrand::u64(1..1 << 50));
-    let reactor = match Reactor::new(endpoints, max_connections, peers) {
+    let reactor = match Reactor::new(endpoints, bounds, peers) {
         Ok(reactor) => reactor,
         Err(e) => {
             eprintln!("lilacfork: can't listen: {e}");
--- a/src/reactor.rs
+++ b/src/reactor.rs
@@ -1,7 +1,7 @@
 //! The one thread of I/O: listeners, connections, timers. It knows HTTP and
 //! sockets, and nothing of jobs.
 
-use crate::http::{self, HttpError};
+use crate::http;
 use crate::msg::{
     Call, CallError, CallId, ConnId, Effect, Now, Outcome, Port, Reply, Request, Target,
 };
@@ -58,6 +58,13 @@
 /// Idle outgoing connections are closed after this time.
 const POOL_IDLE_MS: u64 = 30_000;
 
+/// Share of the memory that users' and workers' unfinished requests may take
+/// together. Above it every connection keeps its even part of that share, so that
+/// they never hold more than twice as much.
+const REQUESTS_SHARE: f64 = 1.0 / 8.0;
+/// When a user or worker may come back whose request didn't fit into memory.
+const CROWDED_RETRY_S: u64 = 2;
+
 const PEER_CONNECTIONS: usize = 2;
 /// What the steady clock shows at the start: a year, so that what is older than
 /// the process has a time of its own, too. With a clock that began at nothing,
@@ -65,6 +72,39 @@
 /// process was young, and work waited for ones that had died.
 const FIRST_MS: u64 = 365 * 24 * 3600 * 1000;
 
+/// What a reactor may take of its machine.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Bounds {
+    /// Sockets.
+    pub max_connections: usize,
+    /// Memory, in megabytes.
+    pub ram_mb: f64,
+}
+
+impl Bounds {
+    /// How many connections to workers may be open at once. `None`: not even one
+    /// is left beside those reserved for state service, cloud and peers.
+    pub fn worker_connections(&self, peers: usize) -> Option<usize> {
+        let reserved: usize = [Target::State, Target::StateWatch, Target::Cloud]
+            .iter()
+            .map(max_open)
+            .sum();
+        (self.max_connections - self.server_connections())
+            .checked_sub(reserved + peers * PEER_CONNECTIONS)
+            .filter(|left| *left > 0)
+    }
+
+    /// How many connections of others may be open at once. A quarter is for calls.
+    fn server_connections(&self) -> usize {
+        self.max_connections * 3 / 4
+    }
+
+    /// How many bytes of unfinished requests are held before large ones are refused.
+    fn request_bytes(&self) -> usize {
+        (self.ram_mb * 1e6 * REQUESTS_SHARE) as usize
+    }
+}
+
 #[derive(PartialEq, Eq)]
 enum Role {
     Server(Port),
@@ -119,6 +159,10 @@
     /// call (idlest first), and workers whose calls wait for one to be free.
     max_workers: usize,
     workers: usize,
+    /// What is held of users' and workers' unfinished requests, and how much
+    /// that may be before large ones are refused.
+    request_bytes: usize,
+    max_request_bytes: usize,
     idle_workers: BTreeSet<(u64, usize)>,
     starved: VecDeque<Target>,
     accepting: bool,
@@ -152,7 +196,8 @@
 
 impl Reactor {
     /// Opens the listeners.
-    pub fn new(endpoints: Endpoints, max_connections: usize, peers: usize) -> io::Result<Reactor> {
+    pub fn new(endpoints: Endpoints, bounds: Bounds, peers: usize) -> io::Result<Reactor> {
+        let max_connections = bounds.max_connections;
         let poller = Poller::new()?;
         let listeners = [
             listen(endpoints.client, max_connections)?,
@@ -162,11 +207,7 @@
             // Safety: the listeners live as long as the poller, in one struct.
             unsafe { poller.add_with_mode(listener, Event::readable(key), PollMode::Level)? };
         }
-        // A quarter is for calls. Those to state service, cloud and peers have
-        // theirs in any case; workers, of which there are many, share the rest.
-        let max_server = max_connections * 3 / 4;
-        let fixed = [Target::State, Target::StateWatch, Target::Cloud];
-        let reserved = fixed.iter().map(max_open).sum::<usize>() + peers * PEER_CONNECTIONS;
+        let max_server = bounds.server_connections();
         Ok(Reactor {
             poller,
             listeners,
@@ -178,9 +219,11 @@
             queued: BTreeMap::new(),
             max_server,
             servers: 0,
-            max_workers: (max_connections - max_server)
-                .saturating_sub(reserved)
-                .max(1),
+            // State service, cloud and peers have theirs in any case; workers,
+            // of which there are many, share the rest.
+            max_workers: bounds.worker_connections(peers).unwrap_or(1),
+            request_bytes: 0,
+            max_request_bytes: bounds.request_bytes(),
             workers: 0,
             idle_workers: BTreeSet::new(),
             starved: VecDeque::new(),
@@ -193,6 +236,11 @@
         })
     }
 
+    /// Where users and workers are taken.
+    pub fn client_address(&self) -> io::Result<SocketAddr> {
+        self.listeners[Port::Client as usize].local_addr()
+    }
+
     /// How many connections to workers may be open at once.
     pub fn max_workers(&self) -> usize {
         self.max_workers
@@ -415,6 +463,9 @@
         let Some(conn) = self.conns.remove(&key) else {
             return;
         };
+        if conn.role == Role::Server(Port::Client) {
+            self.request_bytes -= conn.input.len();
+        }
         self.deadlines.remove(&(conn.deadline_ms, key));
         let _ = self.poller.delete(&conn.stream);
         match conn.role {
@@ -653,7 +704,9 @@
         };
         // A server connection isn't read while its request is worked on:
         // nobody may pipeline, and the kernel's buffer bounds what waits.
-        let read = conn.connected && !(matches!(conn.role, Role::Server(_)) && conn.busy);
+        // Nor after its last answer, while that is on its way.
+        let last = conn.close_after && conn.written < conn.output.len();
+        let read = conn.connected && !(matches!(conn.role, Role::Server(_)) && (conn.busy || last));
         let write = !conn.connected || conn.written < conn.output.len();
         if conn.interest == (read, write) {
             return;
@@ -709,6 +762,7 @@
         let Some(conn) = self.conns.get_mut(&key) else {
             return false;
         };
+        let held_before = conn.input.len();
         let mut ended = false;
         // At most a few buffers a turn; level-triggered polling brings the rest.
         for _ in 0..8 {
@@ -731,12 +785,41 @@
                 }
             }
         }
+        if conn.role == Role::Server(Port::Client) {
+            self.request_bytes += conn.input.len() - held_before;
+            if self.is_crowded(key) {
+                self.refuse_crowded(key);
+                return true;
+            }
+        }
+        let Some(conn) = self.conns.get(&key) else {
+            return false;
+        };
         match conn.role {
             Role::Server(port) => self.read_request(now, key, port, ended, handler, effects),
             Role::Client(_) => self.read_response(now, key, ended, handler, effects),
         }
     }
 
+    /// Whether all requests together hold more than they may, and this connection
+    /// more than its even part.
+    fn is_crowded(&self, key: usize) -> bool {
+        let even_part = self.max_request_bytes / self.max_server.max(1);
+        self.request_bytes > self.max_request_bytes
+            && self
+                .conns
+                .get(&key)
+                .is_some_and(|conn| conn.input.len() > even_part)
+    }
+
+    /// Memory for unfinished requests is short: whoever sends a large one is told
+    /// at once to come back.
+    fn refuse_crowded(&mut self, key: usize) {
+        log::debug!("request refused: {} bytes held", self.request_bytes);
+        let reply = Reply::later(503, "too many large requests at once", CROWDED_RETRY_S);
+        self.refuse(key, &reply);
+    }
+
     fn read_request(
         &mut self,
         now: Now,
@@ -771,6 +854,9 @@
             }
             Ok(Some(parsed)) => {
                 conn.input.drain(..parsed.size);
+                if port == Port::Client {
+                    self.request_bytes -= parsed.size;
+                }
                 if conn.input.is_empty() && conn.input.capacity() > 8 * 1024 {
                     conn.input = Vec::new();
                 }
@@ -782,20 +868,24 @@
                 true
             }
             Err(error) => {
-                self.refuse(key, error);
+                let reply = Reply::error(error.status(), &error.to_string());
+                self.refuse(key, &reply);
                 true
             }
         }
     }
 
-    fn refuse(&mut self, key: usize, error: HttpError) {
+    /// Answers a request that isn't taken, and ends its connection.
+    fn refuse(&mut self, key: usize, reply: &Reply) {
         let Some(conn) = self.conns.get_mut(&key) else {
             return;
         };
         conn.close_after = true;
+        if conn.role == Role::Server(Port::Client) {
+            self.request_bytes -= conn.input.len();
+        }
         conn.input = Vec::new();
-        let reply = Reply::error(error.status(), &error.to_string());
-        http::write_reply(&mut conn.output, &reply, true);
+        http::write_reply(&mut conn.output, reply, true);
         self.flush(key);
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
 //! The platform's settings file (TOML). Unknown fields are ignored, since new
 //! ones may come; the known ones are checked.
 
+use crate::reactor::Bounds;
 use crate::wire::JobSpec;
 use serde::Deserialize;
 use std::net::SocketAddrV4;
@@ -30,6 +31,10 @@
     },
 }
 
+/// An idle controller takes 1 MB, one that leads 150 machines 2.5 MB, and
+/// requests up to a quarter of the whole.
+const LEAST_RAM_MB: f64 = 8.0;
+
 /// The platform's settings of one controller.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
@@ -179,6 +184,16 @@
     pub max_connections: usize,
 }
 
+impl Limits {
+    /// What the reactor may take of it.
+    pub fn bounds(&self) -> Bounds {
+        Bounds {
+            max_connections: self.max_connections,
+            ram_mb: self.ram_mb,
+        }
+    }
+}
+
 impl Settings {
     /// Reads and checks a file.
     pub fn load(path: &Path) -> Result<Settings, SettingsError> {
@@ -228,8 +243,15 @@
         if site.state.txn_ops < 4 {
             return Err(("settings.state.txn_ops", "must be at least 4"));
         }
-        if site.limits.max_connections < 16 {
-            return Err(("settings.limits.max_connections", "must be at least 16"));
+        let bounds = site.limits.bounds();
+        if bounds.worker_connections(self.peers.len()).is_none() {
+            return Err((
+                "settings.limits.max_connections",
+                "too few: a quarter is for calls to state service, cloud, peers and workers",
+            ));
+        }
+        if site.limits.ram_mb < LEAST_RAM_MB {
+            return Err(("settings.limits.ram_mb", "must be at least 8"));
         }
         if self.node_name.is_empty() {
             return Err(("node_name", "must not be empty"));
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -238,6 +238,23 @@
         error,
         "f.toml: settings.workers.lease_s: must be a number above 0"
     );
+    // Two peers: a quarter of 96 is what is reserved for all but workers.
+    for (from, to, says) in [
+        (
+            "max_connections = 500",
+            "max_connections = 96",
+            "f.toml: settings.limits.max_connections: too few: a quarter is for calls to state \
+             service, cloud, peers and workers",
+        ),
+        (
+            "ram_mb = 40.0",
+            "ram_mb = 7.9",
+            "f.toml: settings.limits.ram_mb: must be at least 8",
+        ),
+    ] {
+        let error = Settings::parse(&good.replace(from, to), "f.toml").unwrap_err();
+        assert_eq!(error.to_string(), says);
+    }
     let ini = |text: &str| Options::from_ini(&ini::Ini::load_from_str(text).unwrap(), "f.ini");
     assert_eq!(ini("[slackfit]\nheadroom = 2\n").unwrap().headroom, 2.0);
     // Every default may be written down: one once lay outside its own bounds.
--- a/tests/reactor.rs
+++ b/tests/reactor.rs
@@ -1,8 +1,8 @@
 //! The reactor's bounds, with real sockets on loopback: ports are the
 //! system's choice, and what is asserted doesn't depend on time.
 
-use lilacfork::msg::{Call, CallId, ConnId, Effect, Now, Outcome, Port, Request, Target};
-use lilacfork::reactor::{Endpoints, Handler, Reactor};
+use lilacfork::msg::{Call, CallId, ConnId, Effect, Now, Outcome, Port, Reply, Request, Target};
+use lilacfork::reactor::{Bounds, Endpoints, Handler, Reactor};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -60,6 +60,16 @@
     }
 }
 
+fn endpoints() -> Endpoints {
+    let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+    Endpoints {
+        client: any,
+        peer: any,
+        state: any,
+        cloud: any,
+    }
+}
+
 /// Answers every request of a connection until the other side closes it.
 fn serve(mut stream: TcpStream) {
     let mut buffer = [0; 4096];
@@ -85,16 +95,13 @@
             std::thread::spawn(move || serve(stream));
         }
     });
-    let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
-    let endpoints = Endpoints {
-        client: any,
-        peer: any,
-        state: any,
-        cloud: any,
-    };
     // A quarter of 128 for calls, less 20 for state service and cloud and two
     // for the one peer: ten for workers.
-    let reactor = Reactor::new(endpoints, 128, 1).expect("listens");
+    let bounds = Bounds {
+        max_connections: 128,
+        ram_mb: 40.0,
+    };
+    let reactor = Reactor::new(endpoints(), bounds, 1).expect("listens");
     assert_eq!(reactor.max_workers(), 10);
     let (done, answered) = channel();
     std::thread::spawn(move || {
@@ -114,3 +121,68 @@
     let least = WORKERS + (ROUNDS - 1) * (WORKERS - 10);
     assert!((least..=answered).contains(&opened), "opened: {opened}");
 }
+
+/// Answers whatever comes.
+struct Obliging;
+
+impl Handler for Obliging {
+    fn request(&mut self, _: Now, conn: ConnId, _: Port, request: Request, out: &mut Vec<Effect>) {
+        let reply = Reply::json(200, &request.body.len());
+        out.push(Effect::Reply(conn, reply));
+    }
+
+    fn outcome(&mut self, _: Now, _: CallId, _: Outcome, _: &mut Vec<Effect>) {}
+
+    fn tick(&mut self, now: Now, _: &mut Vec<Effect>) -> u64 {
+        now.ms + 1000
+    }
+}
+
+/// Reads an answer's head.
+fn status_of(stream: &mut TcpStream) -> String {
+    let mut head = [0; 12];
+    match stream.read_exact(&mut head) {
+        Ok(()) => String::from_utf8_lossy(&head).into_owned(),
+        Err(_) => String::new(),
+    }
+}
+
+/// All sockets busy with the largest requests allowed would once have taken more
+/// than a controller of 27 MB has. Those that don't fit are refused at once, and
+/// small ones are served all the while.
+#[test]
+fn large_unfinished_requests_are_refused_when_memory_is_short() {
+    // Two megabytes: 250 kB of requests, at an even part of 5.2 kB each.
+    let bounds = Bounds {
+        max_connections: 64,
+        ram_mb: 2.0,
+    };
+    let reactor = Reactor::new(endpoints(), bounds, 1).expect("listens");
+    let address = reactor.client_address().expect("bound");
+    std::thread::spawn(move || reactor.run(&mut Obliging));
+    let head = b"POST /x HTTP/1.1\r\nContent-Length: 60000\r\n\r\n";
+    let mut held = Vec::new();
+    let mut refused = 0;
+    for _ in 0..12 {
+        let mut stream = TcpStream::connect(address).expect("taken");
+        stream.write_all(head).expect("sent");
+        stream.write_all(&[b' '; 50_000]).expect("sent");
+        // A small request on another connection is answered after these bytes
+        // have been read, and whatever they take.
+        let mut small = TcpStream::connect(address).expect("taken");
+        small
+            .write_all(b"GET /ready HTTP/1.1\r\n\r\n")
+            .expect("sent");
+        assert_eq!(status_of(&mut small), "HTTP/1.1 200");
+        held.push(stream);
+    }
+    for mut stream in held {
+        // Whoever is held still can finish; the others have their answer.
+        let finished = stream.write_all(&[b' '; 10_000]).is_ok();
+        match status_of(&mut stream).as_str() {
+            "HTTP/1.1 200" => assert!(finished),
+            _ => refused += 1,
+        }
+    }
+    assert!((7..=9).contains(&refused), "refused: {refused}");
+}
