Read a reported task's name once, and keep what a report repeats

Cause: a report with nothing new took 41 allocations (2.8 kB): each task's name was kept as a string and parsed again up to three times, and the machine's type, zone and address were copied though they were known. Names that no task can have are passed over as before.

--- a/src/cancellations.rs
+++ b/src/cancellations.rs
@@ -21,7 +21,7 @@
 //! confirmed a second ago, so it moves nothing.
 
 use crate::gateway::JOB_PREFIX;
-use crate::ids::{JobId, Revision, TaskRef};
+use crate::ids::{JobId, Revision};
 use crate::msg::Now;
 use crate::peer::{Confirmations, Cursor};
 use crate::store::{self, Answer, StateCall, Urgency};
@@ -261,10 +261,11 @@
             .tasks
             .iter()
             .filter(|t| t.phase != TaskPhase::Ended)
-            .filter(|t| TaskRef::parse(&t.task).is_some_and(|task| self.contains(&task.job)))
-            .map(|t| Command::Stop {
-                task: t.task.clone(),
-                attempt: t.attempt,
+            .filter_map(|t| Some((t.task.as_ref()?, t.attempt)))
+            .filter(|(task, _)| self.contains(&task.job))
+            .map(|(task, attempt)| Command::Stop {
+                task: task.to_string(),
+                attempt,
                 grace_s: 0,
             })
             .collect()
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -78,6 +78,11 @@
 }
 
 impl Machine {
+    /// Whether its type and room are known: a stored assignment only names it.
+    pub fn is_described(&self) -> bool {
+        self.room != Resources::default()
+    }
+
     /// A machine that was just rented or heard of.
     pub fn new(
         id: MachineId,
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -1,7 +1,8 @@
 //! Newtypes for names and numbers, so that a session never passes for an
 //! attempt and a token never for a sequence.
 
-use serde::{Deserialize, Serialize};
+use serde::de::Visitor;
+use serde::{Deserialize, Deserializer, Serialize};
 use std::fmt;
 use std::rc::Rc;
 
@@ -122,6 +123,25 @@
     }
 }
 
+impl TaskRef {
+    /// Reads a name in a message; one that no task can have is `None`.
+    pub fn deserialize_name<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Option<TaskRef>, D::Error> {
+        struct Name;
+        impl Visitor<'_> for Name {
+            type Value = Option<TaskRef>;
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("a task's name")
+            }
+            fn visit_str<E>(self, name: &str) -> Result<Self::Value, E> {
+                Ok(TaskRef::parse(name))
+            }
+        }
+        deserializer.deserialize_str(Name)
+    }
+}
+
 impl fmt::Display for TaskRef {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}/{}", self.job, self.index)
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -912,7 +912,7 @@
             .machines
             .entry(id.clone())
             .or_insert_with(|| Machine::new(id, offer.clone(), room, cache, term, now.ms));
-        if machine.room == Resources::default() {
+        if !machine.is_described() {
             // A stub from a stored assignment learns what it is.
             machine.offer = offer;
             machine.room = room;
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -2,7 +2,7 @@
 
 use super::{Assign, Scheduler, SchedulerOut, StopPlan};
 use crate::cloud::{Cloud, Offer};
-use crate::fleet::Phase;
+use crate::fleet::{Machine, Phase};
 use crate::ids::{Attempt, JobId, MachineId, TaskRef, Token};
 use crate::msg::{ConnId, Now, Reply};
 use crate::wire::{Command, EndReason, Report, ReportAnswer, ReportTo, ReportedTask, TaskPhase};
@@ -103,13 +103,19 @@
         if self.fleet.is_gone(&id) {
             return false;
         }
-        let offer = Offer {
-            machine_type: Rc::from(report.machine_type.as_str()),
-            zone: Rc::from(report.zone.as_str()),
-            spot: report.spot,
-        };
         let term = self.term;
-        let machine = self.add_machine(now, id.clone(), offer, 0.0);
+        let described = self.fleet.get(&id).is_some_and(Machine::is_described);
+        if !described {
+            let offer = Offer {
+                machine_type: Rc::from(report.machine_type.as_str()),
+                zone: Rc::from(report.zone.as_str()),
+                spot: report.spot,
+            };
+            self.add_machine(now, id.clone(), offer, 0.0);
+        }
+        let Some(machine) = self.fleet.get_mut(&id) else {
+            return false;
+        };
         if (report.session, report.seq) <= (machine.session, machine.seq) {
             return false;
         }
@@ -118,7 +124,9 @@
         if via == Via::Report {
             machine.heard_ms = now.ms;
         }
-        machine.address = Some(report.address.clone()).filter(|a| !a.is_empty());
+        if machine.address.as_deref().unwrap_or_default() != report.address {
+            machine.address = Some(report.address.clone()).filter(|a| !a.is_empty());
+        }
         machine.token = machine.token.max(report.token);
         if machine.phase == Phase::Booting {
             machine.phase = Phase::Up;
@@ -164,29 +172,28 @@
     /// Compares what is assigned with what the worker has.
     fn reconcile(&mut self, now: Now, id: &MachineId, report: &Report, out: &mut SchedulerOut) {
         self.session_over(now, id, report.session);
-        let mut present: HashMap<(TaskRef, Attempt), &ReportedTask> = HashMap::new();
-        for task in &report.tasks {
-            if let Some(name) = TaskRef::parse(&task.task) {
-                present.insert((name, task.attempt), task);
-            }
-        }
+        let mut present: HashMap<(&TaskRef, Attempt), &ReportedTask> = report
+            .tasks
+            .iter()
+            .filter_map(|seen| Some(((seen.task.as_ref()?, seen.attempt), seen)))
+            .collect();
         let Some(machine) = self.fleet.get_mut(id) else {
             return;
         };
         let assigned: Vec<TaskRef> = machine.tasks.iter().cloned().collect();
         machine.fetching.clear();
         let mut unheeded = false;
-        for task in assigned {
-            let Some(attempt) = self.assigned_attempt(id, &task) else {
+        for task in &assigned {
+            let Some(attempt) = self.assigned_attempt(id, task) else {
                 continue;
             };
-            match present.remove(&(task.clone(), attempt)) {
+            match present.remove(&(task, attempt)) {
                 Some(seen) if seen.phase == TaskPhase::Ended => {
                     let reason = seen.reason.unwrap_or(EndReason::Other);
-                    self.ended(now, id, &task, reason);
+                    self.ended(now, id, task, reason);
                 }
-                Some(seen) => self.task_present(now, id, &task, seen.phase),
-                None => unheeded |= self.task_absent(now, id, &task, report.token, out),
+                Some(seen) => self.task_present(now, id, task, seen.phase),
+                None => unheeded |= self.task_absent(now, id, task, report.token, out),
             }
         }
         let strays = present.values().any(|t| t.phase != TaskPhase::Ended);
@@ -447,7 +454,7 @@
         };
         let mut forget = false;
         for seen in &report.tasks {
-            let Some(task) = TaskRef::parse(&seen.task) else {
+            let Some(task) = &seen.task else {
                 continue;
             };
             let job = self.jobs.get(&task.job);
@@ -464,13 +471,13 @@
                 if stored {
                     forget = true;
                     commands.push(Command::Forget {
-                        task: seen.task.clone(),
+                        task: task.to_string(),
                         attempt: seen.attempt,
                     });
                 }
             } else {
                 commands.push(Command::Stop {
-                    task: seen.task.clone(),
+                    task: task.to_string(),
                     attempt: seen.attempt,
                     grace_s: 0,
                 });
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,7 +1,7 @@
 //! The JSON of users, workers, cloud and state service. Field names are the
 //! field's English terms; the renames are what goes over the wire.
 
-use crate::ids::{Attempt, JobId, Session, Token};
+use crate::ids::{Attempt, JobId, Session, TaskRef, Token};
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 
@@ -244,9 +244,9 @@
 /// A task in a worker's report.
 #[derive(Clone, PartialEq, Eq, Hash, Debug, Deserialize)]
 pub struct ReportedTask {
-    /// Its name, `JOB/INDEX`.
-    #[serde(rename = "piece")]
-    pub task: String,
+    /// The task. `None`: its name is none that a task can have.
+    #[serde(rename = "piece", deserialize_with = "TaskRef::deserialize_name")]
+    pub task: Option<TaskRef>,
     /// Its attempt.
     #[serde(rename = "essai")]
     pub attempt: Attempt,
