Hold what a report with nothing new allocates by a count

a_report_with_nothing_new_allocates_little_whatever_the_fleet: 24 blocks at most for eight tasks, the same with five times the fleet; red on the untouched sources.

--- /dev/null
+++ b/tests/allocations.rs
@@ -0,0 +1,71 @@
+//! What the message that comes most often allocates. A binary of its own: the
+//! allocator counts for the whole process.
+
+mod world;
+
+use lilacfork::msg::{ConnId, Effect, Now, Port, Request};
+use lilacfork::reactor::Handler;
+use world::{service, World};
+
+#[global_allocator]
+static ALLOCATOR: dhat::Alloc = dhat::Alloc;
+
+/// Tasks of each machine.
+const TASKS: usize = 8;
+const REPORTS: u64 = 100;
+
+/// Blocks that a leader of a full fleet allocates for one report with nothing new.
+fn blocks_per_report(machines: usize) -> u64 {
+    let mut w = World::new(3);
+    w.capacity = 0;
+    w.run_ms = 600_000;
+    for n in 0..machines {
+        w.add_machine(&format!("vm-{n:04}"), "a", false, true);
+    }
+    w.run_until(5000);
+    for n in 0..machines * TASKS / 40 {
+        let mut spec = service(&format!("run-s{n}"), 40);
+        spec["gabarit"] = "help".into();
+        w.ask(n % 3, "POST", "/v2/runs", spec);
+        w.run_for(200);
+    }
+    w.run_for(8000);
+    assert_eq!(w.on_machines("run-"), machines * TASKS, "all are full");
+    let now = Now {
+        ms: w.now,
+        wall: 1_000_000 + w.now,
+    };
+    let mut report = w.worker_report("vm-0001");
+    let first = report["numero"].as_u64().unwrap();
+    let requests: Vec<Request> = (1..=REPORTS)
+        .map(|n| {
+            report["numero"] = (first + n).into();
+            Request {
+                method: "POST".into(),
+                path: "/agent/beat".into(),
+                body: report.to_string().into_bytes(),
+            }
+        })
+        .collect();
+    let leader = w.leader().unwrap();
+    let node = w.nodes[leader].as_mut().unwrap();
+    let mut effects = Vec::new();
+    let before = dhat::HeapStats::get().total_blocks;
+    for request in requests {
+        node.request(now, ConnId(1), Port::Client, request, &mut effects);
+        assert!(matches!(&effects[..], [Effect::Reply(_, reply)] if reply.status == 200));
+        effects.clear();
+    }
+    (dhat::HeapStats::get().total_blocks - before) / REPORTS
+}
+
+/// It was 41 blocks for eight tasks: names parsed up to three times, and copies
+/// of what was known.
+#[test]
+fn a_report_with_nothing_new_allocates_little_whatever_the_fleet() {
+    let _profiler = dhat::Profiler::builder().testing().build();
+    let small = blocks_per_report(20);
+    let large = blocks_per_report(100);
+    assert!(small <= 3 * TASKS as u64, "blocks per report: {small}");
+    assert!(large <= small + 1, "with five times the fleet: {large}");
+}
