--- a/src/reactor.rs
+++ b/src/reactor.rs
@@ -8,7 +8,7 @@
 use crate::usage::{Purpose, Usage, LOG_EVERY_MS};
 use polling::{Event, Events, PollMode, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -65,11 +65,6 @@
 /// When a user or worker may come back whose request didn't fit into memory.
 const CROWDED_RETRY_S: u64 = 2;
 
-/// Events of users and workers that are handled before state service, cloud, other
-/// controllers and timers have their turn again. On too small a share of a processor
-/// hundreds may be waiting, and the leader's lease must not wait for them.
-const EVENTS_PER_TURN: usize = 8;
-
 const PEER_CONNECTIONS: usize = 2;
 /// What the steady clock shows at the start: a year, so that what is older than
 /// the process has a time of its own, too. With a clock that began at nothing,
@@ -154,9 +149,6 @@
     endpoints: Endpoints,
     conns: HashMap<usize, Conn>,
     deadlines: BTreeSet<(u64, usize)>,
-    /// Users' and workers' connections on which something has come, in that order.
-    ready: VecDeque<Event>,
-    ready_keys: HashSet<usize>,
     pools: HashMap<Target, Pool>,
     /// Calls that wait for a connection, by when they are given up.
     queued: BTreeMap<(u64, CallId), Target>,
@@ -222,8 +214,6 @@
             endpoints,
             conns: HashMap::new(),
             deadlines: BTreeSet::new(),
-            ready: VecDeque::new(),
-            ready_keys: HashSet::new(),
             pools: HashMap::new(),
             next_key: FIRST_CONN,
             queued: BTreeMap::new(),
@@ -278,27 +268,23 @@
             self.usage.turns += 1;
             let ended = Instant::now();
             self.usage.add(purpose, ended - began);
-            let timeout = self.wait_time(wake_ms, self.at(ended));
+            let timeout_ms = self
+                .next_deadline_ms(wake_ms)
+                .saturating_sub(self.at(ended).ms);
             events.clear();
-            match self.poller.wait(&mut events, Some(timeout)) {
+            match self
+                .poller
+                .wait(&mut events, Some(Duration::from_millis(timeout_ms.max(1))))
+            {
                 Ok(_) => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 Err(e) => return Err(e),
             }
-            self.usage.timer_turns += u64::from(events.is_empty() && self.ready.is_empty());
+            self.usage.timer_turns += u64::from(events.is_empty());
             self.take_events(&events, handler, &mut effects);
         }
     }
 
-    /// How long to wait for events.
-    fn wait_time(&self, wake_ms: u64, now: Now) -> Duration {
-        if !self.ready.is_empty() {
-            return Duration::ZERO;
-        }
-        let wait_ms = self.next_deadline_ms(wake_ms).saturating_sub(now.ms);
-        Duration::from_millis(wait_ms.max(1))
-    }
-
     /// When the reactor has to wake up, whatever comes.
     fn next_deadline_ms(&self, wake_ms: u64) -> u64 {
         let connection = self.deadlines.first().map(|(deadline, _)| *deadline);
@@ -320,18 +306,20 @@
     ) {
         let mut began = Instant::now();
         for event in events.iter() {
-            if self.is_urgent(event.key) {
-                began = self.take_event(began, event, handler, effects);
-            } else if self.ready_keys.insert(event.key) {
-                self.ready.push_back(event);
+            let now = self.at(began);
+            let mut purpose = Purpose::Other;
+            match event.key {
+                CLIENT_KEY => self.accept(now, Port::Client),
+                PEER_KEY => self.accept(now, Port::Peer),
+                key => {
+                    self.ready(now, key, event, handler, effects);
+                    purpose = handler.purpose();
+                }
             }
-        }
-        for _ in 0..EVENTS_PER_TURN {
-            let Some(event) = self.ready.pop_front() else {
-                break;
-            };
-            self.ready_keys.remove(&event.key);
-            began = self.take_event(began, event, handler, effects);
+            self.apply(now, effects, handler);
+            let ended = Instant::now();
+            self.usage.add(purpose, ended - began);
+            began = ended;
         }
         let now = self.at(began);
         self.expire(now);
@@ -344,40 +332,6 @@
         }
     }
 
-    /// Whether others' leases and the leadership depend on it: the state service,
-    /// the cloud, other controllers.
-    fn is_urgent(&self, key: usize) -> bool {
-        match self.conns.get(&key).map(|conn| &conn.role) {
-            Some(Role::Client(Target::Worker(_)) | Role::Server(Port::Client)) => false,
-            Some(Role::Client(_) | Role::Server(Port::Peer)) => true,
-            None => key == PEER_KEY,
-        }
-    }
-
-    /// Handles what has come on one connection; tells when that was done.
-    fn take_event(
-        &mut self,
-        began: Instant,
-        event: Event,
-        handler: &mut dyn Handler,
-        effects: &mut Vec<Effect>,
-    ) -> Instant {
-        let now = self.at(began);
-        let mut purpose = Purpose::Other;
-        match event.key {
-            CLIENT_KEY => self.accept(now, Port::Client),
-            PEER_KEY => self.accept(now, Port::Peer),
-            key => {
-                self.ready(now, key, event, handler, effects);
-                purpose = handler.purpose();
-            }
-        }
-        self.apply(now, effects, handler);
-        let ended = Instant::now();
-        self.usage.add(purpose, ended - began);
-        ended
-    }
-
     /// Carries out effects, and those that their failures cause.
     fn apply(&mut self, now: Now, effects: &mut Vec<Effect>, handler: &mut dyn Handler) {
         loop {
