--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -402,13 +402,6 @@
         }
     }
 
-    /// A call that was given up before it was sent.
-    pub fn given_up(&mut self, number: GatewayCall, out: &mut GatewayOut) {
-        if let Some(task) = self.tasks.remove(&number) {
-            self.give_up(task, out);
-        }
-    }
-
     fn give_up(&mut self, task: Task, out: &mut GatewayOut) {
         let reply = Reply::later(503, "the state service can't be asked now", 1);
         out.replies.push((task.conn, reply));
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -3,7 +3,7 @@
 //! letter, until the state service says what became of it.
 
 use super::jobs::shard_key;
-use super::{Scheduler, SchedulerCall, SchedulerOut};
+use super::{Scheduler, SchedulerCall, SchedulerOut, CALL_TIMEOUT_MS};
 use crate::election::LEADER_KEY;
 use crate::gateway::{final_key, job_key, Final, FinalRecord};
 use crate::ids::{Attempt, JobId};
@@ -17,7 +17,6 @@
 const FINAL_CHANGES: usize = 2;
 /// When too few changes can be afforded, this long passes until the next look.
 const SAVE_UP_MS: u64 = 50;
-const TIMEOUT_MS: u64 = 1000;
 const RETRY_MS: u64 = 200;
 /// Longer than any call's patience.
 const OVER_MS: u64 = 60_000;
@@ -103,7 +102,7 @@
             return;
         };
         batch.sent = true;
-        let (call, writes) = store::txn(&batch.txn, TIMEOUT_MS);
+        let (call, writes) = store::txn(&batch.txn, CALL_TIMEOUT_MS);
         self.ask(
             now,
             Urgency::Placement,
@@ -275,7 +274,7 @@
                     .unwrap_or_default();
                 if batch.unclear {
                     // Perhaps an earlier copy of it went through.
-                    let call = store::get(&batch.witness, TIMEOUT_MS);
+                    let call = store::get(&batch.witness, CALL_TIMEOUT_MS);
                     self.ask(
                         now,
                         Urgency::Placement,
@@ -323,7 +322,7 @@
         } else if answer.status() == Some(404) {
             self.conflicted(now, out);
         } else {
-            let call = store::get(&batch.witness, TIMEOUT_MS);
+            let call = store::get(&batch.witness, CALL_TIMEOUT_MS);
             self.ask(
                 now,
                 Urgency::Placement,
@@ -424,14 +423,7 @@
             txn = txn.delete(key.clone());
         }
         self.cleaning = true;
-        let (call, writes) = store::txn(&txn, TIMEOUT_MS);
-        self.ask(
-            now,
-            Urgency::Background,
-            call,
-            writes,
-            SchedulerCall::Cleanup(keys),
-            out,
-        );
+        let tag = SchedulerCall::Cleanup(keys);
+        self.ask_transaction(now, Urgency::Background, &txn, tag, out);
     }
 }
--- a/src/scheduler/learned_record.rs
+++ b/src/scheduler/learned_record.rs
@@ -2,7 +2,7 @@
 //! begin with the catalog's figures. It is a hint: a record that is missing,
 //! old or unreadable costs nothing but the time to learn again.
 
-use super::{Scheduler, SchedulerCall, SchedulerOut};
+use super::{Scheduler, SchedulerCall, SchedulerOut, CALL_TIMEOUT_MS};
 use crate::election::LEADER_KEY;
 use crate::msg::Now;
 use crate::store::{self, Answer, Urgency};
@@ -25,8 +25,6 @@
 /// How far from where it began a stored value may lie, as a factor.
 const MOST_FACTOR: f64 = 100.0;
 
-const TIMEOUT_MS: u64 = 1000;
-
 /// One learned value, by the name of its machine type or class.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct LearnedValue {
@@ -87,7 +85,7 @@
     /// Asks for what the leader before has learned.
     pub(super) fn read_learned(&mut self, now: Now, out: &mut SchedulerOut) {
         self.learned_store.restart(now, self.report_ms());
-        let call = store::get(LEARNED_KEY, TIMEOUT_MS);
+        let call = store::get(LEARNED_KEY, CALL_TIMEOUT_MS);
         self.ask(
             now,
             Urgency::Background,
@@ -135,15 +133,8 @@
         let txn = Txn::default()
             .guard(LEADER_KEY, self.key_version)
             .put(LEARNED_KEY, value);
-        let (call, writes) = store::txn(&txn, TIMEOUT_MS);
-        self.ask(
-            now,
-            Urgency::Background,
-            call,
-            writes,
-            SchedulerCall::StoreLearned,
-            out,
-        );
+        let tag = SchedulerCall::StoreLearned;
+        self.ask_transaction(now, Urgency::Background, &txn, tag, out);
     }
 
     /// Whether it was stored or not, the next one will hold the same and more.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -26,8 +26,8 @@
 use crate::store::{self, Answer, StateCall, Urgency, WriteBudget};
 use crate::usage::Purpose;
 use crate::wire::{
-    Catalog, Command, DirectCommands, Item, Items, ListedMachine, ListedState, Report, WatchAnswer,
-    WORKER_COMMANDS,
+    Catalog, Command, DirectCommands, Item, Items, ListedMachine, ListedState, Report, Txn,
+    WatchAnswer, WORKER_COMMANDS,
 };
 use commit::Batch;
 use jobs::{shard_size, Assign, StopPlan};
@@ -63,6 +63,9 @@
     StoreLearned,
 }
 
+/// How long a call of the leader to the state service is waited for.
+const CALL_TIMEOUT_MS: u64 = 1000;
+
 /// The leader's regular work, counted since the process began.
 #[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
 pub struct Activity {
@@ -386,6 +389,19 @@
         });
     }
 
+    /// Sends a transaction to the state service.
+    fn ask_transaction(
+        &self,
+        now: Now,
+        urgency: Urgency,
+        txn: &Txn,
+        tag: SchedulerCall,
+        out: &mut SchedulerOut,
+    ) {
+        let (call, writes) = store::txn(txn, CALL_TIMEOUT_MS);
+        self.ask(now, urgency, call, writes, tag, out);
+    }
+
     fn list(&mut self, now: Now, out: &mut SchedulerOut) {
         let after = self.list_after.as_deref();
         let (prefix, tag) =
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -362,9 +362,12 @@
             return;
         };
         let last = job.assigns.is_empty();
+        let was_open = job.failures.is_open();
         job.failures.failed(now.ms, id, last, report_ms);
         if job.failures.is_open() {
-            log::info!("job {} fails wherever it runs", task.job);
+            if !was_open {
+                log::info!("job {} fails wherever it runs", task.job);
+            }
             self.forgive(&task.job);
             return;
         }
