Share the scenes that traces and benches set up alike

The cut of a zone and its controller from everything stood twice in tests/traces.rs, and the full fleet once in tests/allocations.rs and once in benches/events.rs: both are scenes now. No source of the program is touched.

--- a/benches/events.rs
+++ b/benches/events.rs
@@ -10,7 +10,8 @@
 use lilacfork::reactor::Handler;
 use serde_json::Value;
 use std::cell::RefCell;
-use world::{service, World};
+use world::scenes::full_fleet;
+use world::service;
 
 #[global_allocator]
 static ALLOC: AllocProfiler = AllocProfiler::system();
@@ -33,21 +34,7 @@
 
 impl Leader {
     fn new(machines: usize) -> Leader {
-        let mut w = World::new(3);
-        w.capacity = 0;
-        w.run_ms = 600_000;
-        for n in 0..machines {
-            w.add_machine(&format!("vm-{n:04}"), "a", false, true);
-        }
-        w.run_until(5000);
-        for n in 0..machines.div_ceil(5) {
-            let mut spec = service(&format!("run-s{n}"), 40);
-            spec["gabarit"] = "help".into();
-            w.ask(n % 3, "POST", "/v2/runs", spec);
-            w.run_for(200);
-        }
-        w.run_for(8000);
-        assert_eq!(w.on_machines("run-"), machines * 8, "all are full");
+        let mut w = full_fleet(machines);
         let leader = w.leader().expect("somebody leads");
         let report = w.worker_report("vm-0001");
         let now = Now {
--- a/tests/allocations.rs
+++ b/tests/allocations.rs
@@ -5,7 +5,7 @@
 
 use lilacfork::msg::{ConnId, Effect, Now, Port, Request};
 use lilacfork::reactor::Handler;
-use world::{service, World};
+use world::scenes::full_fleet;
 
 #[global_allocator]
 static ALLOCATOR: dhat::Alloc = dhat::Alloc;
@@ -16,21 +16,7 @@
 
 /// Blocks that a leader of a full fleet allocates for one report with nothing new.
 fn blocks_per_report(machines: usize) -> u64 {
-    let mut w = World::new(3);
-    w.capacity = 0;
-    w.run_ms = 600_000;
-    for n in 0..machines {
-        w.add_machine(&format!("vm-{n:04}"), "a", false, true);
-    }
-    w.run_until(5000);
-    for n in 0..machines * TASKS / 40 {
-        let mut spec = service(&format!("run-s{n}"), 40);
-        spec["gabarit"] = "help".into();
-        w.ask(n % 3, "POST", "/v2/runs", spec);
-        w.run_for(200);
-    }
-    w.run_for(8000);
-    assert_eq!(w.on_machines("run-"), machines * TASKS, "all are full");
+    let mut w = full_fleet(machines);
     let now = Now {
         ms: w.now,
         wall: 1_000_000 + w.now,
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -8,7 +8,10 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use world::scenes::{crosses, cut_between_zones, cut_zones, full_zone, gone, heal, set_silent, up};
+use world::scenes::{
+    crosses, cut_between_zones, cut_zone_from_everything, cut_zones, full_zone, gone, heal,
+    set_silent, up,
+};
 use world::{array, service, Fate, World};
 
 #[test]
@@ -496,12 +499,7 @@
             w.start(leader);
             w.run_for(4000);
         }
-        w.cuts = cut_zones();
-        w.hook = Box::new(move |_, node, call| match &call.target {
-            Target::Peer(addr) if crosses(node, addr) => Fate::LoseRequest,
-            Target::State | Target::StateWatch if node == 1 => Fate::LoseRequest,
-            _ => Fate::Pass,
-        });
+        cut_zone_from_everything(&mut w);
         w.run_for(22_000);
         heal(&mut w);
         w.run_for(10_000);
@@ -1325,12 +1323,7 @@
     for offset_ms in (0..1000).step_by(100) {
         let (mut w, names) = full_zone(3);
         w.run_for(offset_ms);
-        w.cuts = cut_zones();
-        w.hook = Box::new(move |_, node, call| match &call.target {
-            Target::Peer(addr) if crosses(node, addr) => Fate::LoseRequest,
-            Target::State | Target::StateWatch if node == 1 => Fate::LoseRequest,
-            _ => Fate::Pass,
-        });
+        cut_zone_from_everything(&mut w);
         w.run_for(22_000);
         heal(&mut w);
         w.run_for(10_000);
--- a/tests/world/scenes.rs
+++ b/tests/world/scenes.rs
@@ -1,6 +1,6 @@
 //! Where many traces begin, and troubles that many have.
 
-use super::{array, Fate, World};
+use super::{array, service, Fate, World};
 use lilacfork::msg::Target;
 use serde_json::json;
 
@@ -35,6 +35,37 @@
     });
 }
 
+/// The second node's zone is apart from the other one, and the node from the state
+/// service too.
+pub fn cut_zone_from_everything(w: &mut World) {
+    w.cuts = cut_zones();
+    w.hook = Box::new(|_, node, call| match &call.target {
+        Target::Peer(addr) if crosses(node, addr) => Fate::LoseRequest,
+        Target::State | Target::StateWatch if node == 1 => Fate::LoseRequest,
+        _ => Fate::Pass,
+    });
+}
+
+/// Three controllers and full machines of eight tasks, all in one zone.
+pub fn full_fleet(machines: usize) -> World {
+    let mut w = World::new(3);
+    w.capacity = 0;
+    w.run_ms = 600_000;
+    for n in 0..machines {
+        w.add_machine(&format!("vm-{n:04}"), "a", false, true);
+    }
+    w.run_until(5000);
+    for n in 0..machines / 5 {
+        let mut spec = service(&format!("run-s{n}"), 40);
+        spec["gabarit"] = json!("help");
+        w.ask(n % 3, "POST", "/v2/runs", spec);
+        w.run_for(200);
+    }
+    w.run_for(8000);
+    assert_eq!(w.on_machines("run-"), machines * 8, "all are full");
+    w
+}
+
 /// Whatever was cut or lost is heard again.
 pub fn heal(w: &mut World) {
     w.cuts.clear();
