Move names, time, amounts and circuit breakers to a package that depends on none

Need: replica groups get a package of their own, and so will what comes after it. What they share with the service must depend on neither.

Change: common/ holds ids, Now, Resources and faults; the service exports them as before. What a task takes is asked of its JobSpec, what a machine holds of its MachineType.

Ruled out: copies of the ids, and a package that depends on the service (a circle).

--- /dev/null
+++ b/common/src/lib.rs
@@ -0,0 +1,11 @@
+//! What lilacfork's packages share, and what depends on none of them: names and
+//! numbers, the time, amounts of a machine, and circuit breakers.
+
+#![deny(missing_docs)]
+#![warn(clippy::too_many_lines, clippy::cognitive_complexity)]
+#![warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+pub mod faults;
+pub mod ids;
+pub mod resources;
+pub mod time;
--- a/scale/src/workers.rs
+++ b/scale/src/workers.rs
@@ -402,7 +402,7 @@
             self.refuse(index, name, attempt, Reason::Unknown);
             return Ok(());
         };
-        let need = Resources::of_task(&spec);
+        let need = spec.need();
         let mut free = self.whole(index);
         free.take(&self.workers[index].used);
         if !free.holds(&need) {
@@ -538,7 +538,7 @@
         task.phase = Phase::Ended;
         task.reason = Some(reason);
         if let Some(spec) = task.spec.take() {
-            worker.used.take(&Resources::of_task(&spec));
+            worker.used.take(&spec.need());
         }
         if reason == Reason::Done {
             self.recorder.note(Event::Finished {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,15 +8,15 @@
 #![warn(clippy::too_many_lines, clippy::cognitive_complexity)]
 #![warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+pub use lilacfork_common::{faults, ids};
+
 pub mod bounded_map;
 pub mod cancellations;
 pub mod cloud;
 pub mod election;
-pub mod faults;
 pub mod fleet;
 pub mod gateway;
 pub mod http;
-pub mod ids;
 pub mod msg;
 pub mod node;
 pub mod options;
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -1,14 +1,6 @@
 //! What actors and the reactor say to each other.
 
-/// The two clocks, read once per turn by the reactor and passed in.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Now {
-    /// Steady clock, milliseconds.
-    pub ms: u64,
-    /// Time of day, milliseconds since 1970; shared between controllers up to
-    /// the bound in the settings.
-    pub wall: u64,
-}
+pub use lilacfork_common::time::Now;
 
 /// A connection on which somebody waits for an answer.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, PartialOrd, Ord)]
--- a/src/scheduler/forecasts.rs
+++ b/src/scheduler/forecasts.rs
@@ -5,7 +5,7 @@
 use super::Scheduler;
 use crate::ids::MachineId;
 use crate::msg::Now;
-use crate::placement::Resources;
+
 use crate::wire::JobSpec;
 use std::rc::Rc;
 
@@ -36,7 +36,7 @@
             .collect();
         // In the scarcest amount's terms one class can stand in for another.
         let weigh = |f: &Flow| {
-            let need = Resources::of_task(&f.spec);
+            let need = f.spec.need();
             let variance = 2.0 * f.jobs_per_s * slowest * f.tasks_squared;
             (variance, variance * need.gpus.max(need.cpus / 8.0).powi(2))
         };
@@ -81,7 +81,7 @@
     /// fullest machines, so that empty ones can be returned. Says how much
     /// found none.
     pub(super) fn reserve(&mut self, spec: &Rc<JobSpec>, count: u32, round: &mut Round) -> u32 {
-        let need = Resources::of_task(spec);
+        let need = spec.need();
         let mut left = count;
         while left > 0 {
             let Some((slot, has_image)) = self.rooms.fullest(spec, &need) else {
--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -231,7 +231,7 @@
     pub fn new(record: JobRecord, version: u64, shard_size: u32, now_ms: u64) -> Job {
         let tasks = record.spec.tasks;
         Job {
-            need: Resources::of_task(&record.spec),
+            need: record.spec.need(),
             submitted: record.submitted,
             cancelled: record.cancelled,
             version,
--- a/src/scheduler/machines.rs
+++ b/src/scheduler/machines.rs
@@ -145,9 +145,7 @@
             .catalog
             .as_ref()
             .and_then(|c| c.find(&offer.machine_type));
-        let (room, cache) = known.map_or((Resources::default(), 0.0), |t| {
-            (Resources::of_type(t), t.cache_gb)
-        });
+        let (room, cache) = known.map_or((Resources::default(), 0.0), |t| (t.room(), t.cache_gb));
         let term = self.term;
         let rented_ms = now.ms.saturating_sub((age_s * 1000.0) as u64);
         let machine = self.fleet.get_or_add(&id, || {
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -42,7 +42,7 @@
             return;
         }
         self.refresh(now);
-        let need = Resources::of_task(&waiting.spec);
+        let need = waiting.spec.need();
         let mut candidates = self.preemption_candidates(now, waiting);
         while waiting.count > 0 {
             self.count_scanned(candidates.len());
@@ -126,7 +126,7 @@
         }
         let fetch_s = self.missed_s(room, &waiting.spec)?;
         let slack_s = (waiting.deadline as f64 - now.wall as f64) / 1000.0;
-        let need = Resources::of_task(&waiting.spec);
+        let need = waiting.spec.need();
         let mut free = room.soon_free();
         let mut offer = PreemptionOffer {
             cost_s: fetch_s,
--- a/src/scheduler/renting.rs
+++ b/src/scheduler/renting.rs
@@ -11,7 +11,7 @@
 use crate::placement::{offers_for, Resources, ZoneUse};
 use crate::rooms::Room;
 use crate::slackfit::{self, Rung};
-use crate::wire::{Catalog, JobSpec, Kind};
+use crate::wire::{Catalog, JobSpec, Kind, MachineType};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -108,7 +108,7 @@
                 .catalog
                 .as_ref()
                 .and_then(|c| c.find(&offer.machine_type))
-                .map_or(Resources::default(), Resources::of_type);
+                .map_or(Resources::default(), MachineType::room);
             coming.add(offer, whole, count);
         }
         coming
@@ -120,7 +120,7 @@
             // It has ended since it was looked at.
             return;
         }
-        let need = Resources::of_task(&unplaced.spec);
+        let need = unplaced.spec.need();
         let mut zones = unplaced.zones.clone();
         let mut rungs: Option<Vec<Rung>> = None;
         for _ in 0..unplaced.count {
@@ -137,7 +137,7 @@
             let mut free = rentals
                 .catalog
                 .find(&rung.offer.machine_type)
-                .map_or(Resources::default(), Resources::of_type);
+                .map_or(Resources::default(), MachineType::room);
             free.take(&need);
             let zone = rung.offer.zone.clone();
             zones.add(&zone);
@@ -187,7 +187,7 @@
     /// The rentals that could hold a task of the job and weren't refused
     /// lately.
     fn rungs(&self, now: Now, spec: &JobSpec, catalog: &Catalog) -> Vec<Rung> {
-        let need = Resources::of_task(spec);
+        let need = spec.need();
         let run_s = spec.estimate_s * self.learning.bias(&spec.class);
         offers_for(spec, catalog)
             .into_iter()
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,6 +2,7 @@
 //! field's English terms; the renames are what goes over the wire.
 
 use crate::ids::{Attempt, JobId, Session, TaskRef, Token};
+use crate::placement::Resources;
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 
@@ -110,6 +111,15 @@
 const MAX_TASKS: u32 = 100_000;
 
 impl JobSpec {
+    /// What one task takes of its machine.
+    pub fn need(&self) -> Resources {
+        Resources {
+            cpus: self.cpus,
+            gpus: self.gpus,
+            memory_gb: self.memory_gb,
+        }
+    }
+
     /// Reads and checks a submission. Everything wrong with it is a 400.
     pub fn parse(body: &[u8]) -> Result<JobSpec, String> {
         let spec: JobSpec = serde_json::from_slice(body).map_err(|e| e.to_string())?;
@@ -402,6 +412,17 @@
     pub zones: Vec<Rc<str>>,
 }
 
+impl MachineType {
+    /// What a machine of the type holds.
+    pub fn room(&self) -> Resources {
+        Resources {
+            cpus: self.cpus,
+            gpus: self.gpus,
+            memory_gb: self.memory_gb,
+        }
+    }
+}
+
 /// The cloud's machine types.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Catalog {
--- a/tests/rooms.rs
+++ b/tests/rooms.rs
@@ -257,7 +257,7 @@
 /// the same room, or to one of equal rank.
 fn place_alike(rooms: &mut Rooms, plain: &mut Plain, job: &DrawnJob) -> Result<(), TestCaseError> {
     let spec = job.spec();
-    let need = Resources::of_task(&spec);
+    let need = spec.need();
     let mut zones = ZoneUse::default();
     let mut siblings = BTreeMap::new();
     let failed: BTreeSet<MachineId> = job.failed.iter().map(|n| machine(*n)).collect();
@@ -316,7 +316,7 @@
     let verdict = runner(300).run(&(fleet, drawn_job()), |(machines, job)| {
         let (rooms, plain) = index(&machines);
         let spec = job.spec();
-        let need = Resources::of_task(&spec);
+        let need = spec.need();
         let found: BTreeSet<MachineId> = rooms
             .holding(&spec, &need)
             .map(|(_, r)| r.id.clone())
@@ -340,7 +340,7 @@
     let verdict = runner(300).run(&(fleet, drawn_job()), |(machines, job)| {
         let (rooms, plain) = index(&machines);
         let spec = job.spec();
-        let need = Resources::of_task(&spec);
+        let need = spec.need();
         let share = |drawn: &Drawn| {
             let state = drawn.state();
             let takes = drawn.open && !drawn.silent && state.unassigned.holds(&need);
@@ -471,7 +471,7 @@
     let spec = job.spec();
     let demand = Demand {
         spec: &spec,
-        need: &Resources::of_task(&spec),
+        need: &spec.need(),
         zones: &ZoneUse::default(),
         siblings: &BTreeMap::new(),
         failed_on: &|_| false,
