--- /dev/null
+++ b/replicas/src/groups.rs
@@ -0,0 +1,259 @@
+//! All groups of all jobs, and which of them have to be looked at again.
+
+use crate::figures::{Figures, StateCounts};
+use crate::group::{Action, Group, Note, Timing};
+use crate::record::{GroupRecord, MoveIntent};
+use crate::shape::{Replica, Shape};
+use crate::view::Part;
+use lilacfork_common::ids::JobId;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// The groups of one job.
+#[derive(Debug)]
+pub struct JobGroups {
+    shape: Shape,
+    groups: Vec<Group>,
+}
+
+impl JobGroups {
+    fn new(shape: Shape) -> JobGroups {
+        let groups = (0..shape.replicas()).map(|n| Group::new(Replica(n)));
+        JobGroups {
+            shape,
+            groups: groups.collect(),
+        }
+    }
+
+    /// How the job's tasks form them.
+    pub fn shape(&self) -> Shape {
+        self.shape
+    }
+
+    /// The groups, in order.
+    pub fn iter(&self) -> impl Iterator<Item = &Group> {
+        self.groups.iter()
+    }
+
+    /// A group.
+    pub fn get(&self, replica: Replica) -> Option<&Group> {
+        self.groups.get(replica.0 as usize)
+    }
+
+    /// A group, to be told something.
+    pub fn get_mut(&mut self, replica: Replica) -> Option<&mut Group> {
+        self.groups.get_mut(replica.0 as usize)
+    }
+
+    /// The group that a task is a part of.
+    pub fn of_task(&mut self, task: u32) -> Option<&mut Group> {
+        self.get_mut(self.shape.replica_of(task))
+    }
+
+    /// Whether the task is a part of a group that serves.
+    pub fn serves(&self, task: u32) -> bool {
+        let group = self.get(self.shape.replica_of(task));
+        group.is_some_and(Group::serves)
+    }
+
+    /// Whether groups wait for a place that they may have now, and if so, whether
+    /// all of those fail wherever they run.
+    pub fn only_failing_wait(&self, now_ms: u64) -> Option<bool> {
+        let mut waiting = self.groups.iter().filter(|g| g.wants_place(now_ms));
+        let first = waiting.next()?;
+        let failing = |group: &Group| group.failures().is_open();
+        Some(failing(first) && waiting.all(failing))
+    }
+
+    /// The rows of a range of tasks in its placement record.
+    pub fn records(&self, tasks: std::ops::Range<u32>) -> Vec<GroupRecord> {
+        let within = |group: &&Group| tasks.contains(&self.shape.tasks_of(group.replica()).start);
+        let groups = self.groups.iter().filter(within);
+        groups.filter_map(Group::to_record).collect()
+    }
+}
+
+/// One group of all.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct GroupId {
+    /// Its job.
+    pub job: JobId,
+    /// Which replica of it.
+    pub replica: Replica,
+}
+
+impl fmt::Display for GroupId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.job, self.replica.0)
+    }
+}
+
+/// All groups.
+pub struct Groups {
+    timing: Timing,
+    jobs: BTreeMap<JobId, JobGroups>,
+    touched: BTreeSet<JobId>,
+    /// Those for which room may be held.
+    holding: BTreeSet<GroupId>,
+    figures: Figures,
+}
+
+impl Groups {
+    /// There are none yet.
+    pub fn new(timing: Timing) -> Groups {
+        Groups {
+            timing,
+            jobs: BTreeMap::new(),
+            touched: BTreeSet::new(),
+            holding: BTreeSet::new(),
+            figures: Figures::default(),
+        }
+    }
+
+    /// Forgets everything: the leader leads no longer.
+    pub fn clear(&mut self) {
+        *self = Groups::new(self.timing);
+    }
+
+    /// The times that decide.
+    pub fn timing(&self) -> Timing {
+        self.timing
+    }
+
+    /// A job whose tasks form groups is known.
+    pub fn add(&mut self, job: &JobId, shape: Shape) {
+        self.jobs.insert(job.clone(), JobGroups::new(shape));
+        self.touch(job);
+    }
+
+    /// A job is over.
+    pub fn remove(&mut self, job: &JobId) {
+        self.jobs.remove(job);
+        self.touched.remove(job);
+        self.holding.retain(|id| id.job != *job);
+    }
+
+    /// A group.
+    pub fn group(&self, id: &GroupId) -> Option<&Group> {
+        self.jobs.get(&id.job)?.get(id.replica)
+    }
+
+    /// A group, to be told something.
+    pub fn group_mut(&mut self, id: &GroupId) -> Option<&mut Group> {
+        self.jobs.get_mut(&id.job)?.get_mut(id.replica)
+    }
+
+    /// The groups for which room is held.
+    pub fn holding(&self, now_ms: u64) -> Vec<GroupId> {
+        let holds = |id: &&GroupId| self.group(id).is_some_and(|g| !g.held(now_ms).is_empty());
+        self.holding.iter().filter(holds).cloned().collect()
+    }
+
+    /// The groups of a job; `None`: its tasks form none.
+    pub fn get(&self, job: &JobId) -> Option<&JobGroups> {
+        self.jobs.get(job)
+    }
+
+    /// The groups of a job, to be told something.
+    pub fn get_mut(&mut self, job: &JobId) -> Option<&mut JobGroups> {
+        self.jobs.get_mut(job)
+    }
+
+    /// Something of the job's parts may have changed.
+    pub fn touch(&mut self, job: &JobId) {
+        if self.jobs.contains_key(job) {
+            self.touched.insert(job.clone());
+        }
+    }
+
+    /// Time has passed: machines may be silent, and times be over.
+    pub fn touch_all(&mut self) {
+        self.touched = self.jobs.keys().cloned().collect();
+    }
+
+    /// Whether the job's groups have to be looked at.
+    pub fn is_touched(&self, job: &JobId) -> bool {
+        self.touched.contains(job)
+    }
+
+    /// The jobs that have to be looked at, once.
+    pub fn take_touched(&mut self) -> BTreeSet<JobId> {
+        std::mem::take(&mut self.touched)
+    }
+
+    /// Judges a group by its parts; see [`Group::observe`].
+    pub fn observe(
+        &mut self,
+        now_ms: u64,
+        id: &GroupId,
+        parts: &[Part],
+        targets_open: bool,
+    ) -> Vec<Action> {
+        let timing = self.timing;
+        let Some(group) = self.group_mut(id) else {
+            return Vec::new();
+        };
+        let actions = group.observe(now_ms, &timing, parts, targets_open);
+        let holds = !group.held(now_ms).is_empty();
+        if holds {
+            self.holding.insert(id.clone());
+        } else {
+            self.holding.remove(id);
+        }
+        for action in &actions {
+            if let Action::Note(note) = action {
+                self.note(*note);
+            }
+        }
+        actions
+    }
+
+    /// Room was found for a group's move; see [`Group::begin_move`].
+    pub fn begin_move(&mut self, now_ms: u64, id: &GroupId, intent: MoveIntent) {
+        let timing = self.timing;
+        if let Some(group) = self.group_mut(id) {
+            group.begin_move(now_ms, &timing, intent);
+            self.holding.insert(id.clone());
+        }
+    }
+
+    /// All parts of a group were bound. Tells whether it has moved by that.
+    pub fn placed(&mut self, id: &GroupId) -> Option<Note> {
+        self.holding.remove(id);
+        self.touch(&id.job);
+        let note = self.group_mut(id)?.placed()?;
+        self.note(note);
+        Some(note)
+    }
+
+    fn note(&mut self, note: Note) {
+        match note {
+            Note::Repaired { took_ms } => self.figures.repaired(took_ms),
+            Note::Interrupted => self.figures.interrupted += 1,
+            Note::Moved => self.figures.moved += 1,
+            Note::MoveAbandoned(_) => self.figures.abandoned += 1,
+            Note::MoveResumed => {}
+        }
+    }
+
+    /// All jobs that have groups.
+    pub fn iter(&self) -> impl Iterator<Item = (&JobId, &JobGroups)> {
+        self.jobs.iter()
+    }
+
+    /// Groups by state.
+    pub fn counts(&self) -> StateCounts {
+        let mut counts = StateCounts::default();
+        for group in self.jobs.values().flat_map(JobGroups::iter) {
+            counts.add(group.state());
+            counts.moving += usize::from(group.moving().is_some());
+            counts.failing += usize::from(group.failures().is_open());
+        }
+        counts
+    }
+
+    /// What has happened since the leader was elected.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,11 +5,14 @@
 use crate::cancellations::Standing;
 use crate::ids::JobId;
 use crate::msg::{ConnId, Now, Reply};
+use crate::scheduler::tasks_per_record;
 use crate::settings::Settings;
 use crate::store::{self, Answer, StateCall, Urgency};
 use crate::wire::{
     self, Catalog, Item, JobSpec, JobState, Kind, MachineType, RevisionOnly, Txn, UserState,
 };
+use lilacfork_replicas::classes::{Asked, Classes};
+use lilacfork_replicas::shape::Shape;
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
@@ -40,6 +43,10 @@
     /// Time of day of the cancellation.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
     pub cancelled: Option<u64>,
+    /// Parts of a replica, if its replicas span machines. It was settled when the
+    /// job was accepted, and is never judged again.
+    #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
+    pub replica_parts: Option<u32>,
 }
 
 /// How a job ended.
@@ -87,9 +94,17 @@
     Over(FinalRecord),
 }
 
+/// A job that a user wants taken.
+#[derive(Debug)]
+struct Submission {
+    spec: JobSpec,
+    /// How its tasks form replicas that span machines.
+    shape: Option<Shape>,
+}
+
 #[derive(Debug)]
 enum Goal {
-    Submit(Box<JobSpec>),
+    Submit(Box<Submission>),
     /// A submission that is refused unless the job is known already.
     Refuse(Reply),
     Show,
@@ -163,6 +178,8 @@
 /// Users' requests in work, and what is known of jobs for good.
 pub struct Gateway {
     settings: Rc<Settings>,
+    /// Which new jobs span machines.
+    replica_classes: Classes,
     catalog: Option<Rc<Catalog>>,
     facts: BoundedMap<JobId, Fact>,
     /// Counts for display, hints from the leader.
@@ -177,9 +194,10 @@
 
 impl Gateway {
     /// Knows nothing yet.
-    pub fn new(settings: Rc<Settings>) -> Self {
+    pub fn new(settings: Rc<Settings>, replica_classes: Classes) -> Self {
         Gateway {
             settings,
+            replica_classes,
             catalog: None,
             facts: BoundedMap::new(REMEMBERED),
             counts: BoundedMap::new(REMEMBERED),
@@ -204,14 +222,14 @@
     pub fn submit(&mut self, now: Now, conn: ConnId, body: &[u8], out: &mut GatewayOut) {
         let goal = match JobSpec::parse(body) {
             Ok(spec) => match self.can_ever_run(&spec) {
-                Some(Ok(())) => Goal::Submit(Box::new(spec)),
-                Some(Err(why)) => Goal::Refuse(Reply::error(422, why)),
+                Some(Ok(shape)) => Goal::Submit(Box::new(Submission { spec, shape })),
+                Some(Err(why)) => Goal::Refuse(Reply::error(422, &why)),
                 None => Goal::Refuse(Reply::later(503, "machine types unknown yet", 1)),
             },
             Err(why) => Goal::Refuse(Reply::error(400, &why)),
         };
         let id = match &goal {
-            Goal::Submit(spec) => Some(spec.id.clone()),
+            Goal::Submit(submission) => Some(submission.spec.id.clone()),
             // A known job gets its 200 whatever else is wrong with the retry.
             _ => wire::peek_job_id(body),
         };
@@ -271,8 +289,8 @@
         };
         let number = self.next;
         match &task.goal {
-            Goal::Submit(spec) if step == Step::Write => {
-                let txn = create_txn(spec, now);
+            Goal::Submit(submission) if step == Step::Write => {
+                let txn = create_txn(submission, now);
                 out.calls
                     .push(write_call(number, &task, Urgency::Submission, txn, now));
             }
@@ -350,10 +368,11 @@
         }
     }
 
-    /// `None`: machine types unknown, so nobody can tell.
-    fn can_ever_run(&self, spec: &JobSpec) -> Option<Result<(), &'static str>> {
+    /// How its tasks are grouped, if the job can ever run. `None`: machine types
+    /// unknown, so nobody can tell.
+    fn can_ever_run(&self, spec: &JobSpec) -> Option<Result<Option<Shape>, String>> {
         let Some(team) = self.settings.team(&spec.team) else {
-            return Some(Err("unknown team"));
+            return Some(Err("unknown team".into()));
         };
         let counted = match spec.kind {
             Kind::Array => 1.0,
@@ -361,16 +380,29 @@
         };
         let over = |need: f64, max: f64| max > 0.0 && need * counted > max + 1e-9;
         if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
-            return Some(Err("more than the team's limit"));
+            return Some(Err("more than the team's limit".into()));
         }
         let catalog = self.catalog.as_ref()?;
         Some(if catalog.types.iter().any(|t| fits_type(spec, t)) {
-            Ok(())
+            self.shape_of(spec)
         } else {
-            Err("a task fits no allowed machine type")
+            Err("a task fits no allowed machine type".into())
         })
     }
 
+    /// How a new job's tasks form replicas that span machines.
+    fn shape_of(&self, spec: &JobSpec) -> Result<Option<Shape>, String> {
+        let asked = Asked {
+            class: &spec.class,
+            gang: spec.kind == Kind::Group,
+            service: spec.kind == Kind::Service,
+            tasks: spec.tasks,
+        };
+        let most = tasks_per_record(self.settings.site.state.value_kb);
+        let shape = self.replica_classes.shape(asked, most);
+        shape.map_err(|why| why.to_string())
+    }
+
     /// The answer to one of our calls.
     pub fn answered(
         &mut self,
@@ -521,7 +553,7 @@
                     }
                     _ => {
                         let class = match &task.goal {
-                            Goal::Submit(spec) => spec.class.clone(),
+                            Goal::Submit(submission) => submission.spec.class.clone(),
                             _ => "".into(),
                         };
                         log::info!(
@@ -575,11 +607,13 @@
     Reply::json(200, &body)
 }
 
-fn create_txn(spec: &JobSpec, now: Now) -> Txn {
+fn create_txn(submission: &Submission, now: Now) -> Txn {
+    let spec = &submission.spec;
     let record = JobRecord {
         spec: spec.clone(),
         submitted: now.wall,
         cancelled: None,
+        replica_parts: submission.shape.map(|shape| shape.parts()),
     };
     Txn::default()
         .guard(job_key(&spec.id), 0)
--- a/src/main.rs
+++ b/src/main.rs
@@ -42,6 +42,11 @@
         return Ok(None);
     };
     let settings = Settings::load(config).map_err(|e| e.to_string())?;
+    if let Some(path) = &args.ini {
+        let file = path.display().to_string();
+        let checked = options.check(&settings.site, &file);
+        checked.map_err(|e| e.to_string())?;
+    }
     Ok(Some((settings, options)))
 }
 
@@ -49,6 +54,7 @@
     let args = Args::parse();
     if args.keys {
         print!("{}", Options::describe());
+        println!("# [replica_parts] CLASS = PARTS, for each class whose replicas span machines");
         return ExitCode::SUCCESS;
     }
     init_logging();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -190,7 +190,7 @@
         let forwarding = Forwarding::new(workers.report_s);
         let routes = Routes::new((workers.lease_s * 1000.0) as u64);
         let mut node = Node {
-            gateway: Gateway::new(settings.clone()),
+            gateway: Gateway::new(settings.clone(), options.replica_classes.clone()),
             scheduler: Scheduler::new(settings.clone(), options),
             settings,
             election,
@@ -1057,6 +1057,9 @@
         log::info!("state calls {}", self.store.take_sent());
         if self.scheduler.active() {
             log::info!("rounds {}", self.scheduler.take_round_figures());
+            if let Some(figures) = self.scheduler.replica_figures() {
+                log::info!("replicas {figures}");
+            }
         }
     }
 }
--- a/src/options.rs
+++ b/src/options.rs
@@ -2,6 +2,9 @@
 //! platform's file, so that one file suits every deployment. An unknown key is
 //! an error: a misspelt one must not pass for a default.
 
+use crate::scheduler::tasks_per_record;
+use crate::settings::Site;
+use lilacfork_replicas::classes::Classes;
 use std::path::Path;
 use thiserror::Error;
 
@@ -32,10 +35,16 @@
     ($($(#[$doc:meta])* $section:literal $key:ident = $default:literal in $low:literal .. $high:literal;)*) => {
         #[derive(Clone, Debug, PartialEq)]
         /// The operators' settings, checked.
-        pub struct Options { $($(#[$doc])* pub $key: f64,)* }
+        pub struct Options {
+            $($(#[$doc])* pub $key: f64,)*
+            /// Which jobs span machines.
+            pub replica_classes: Classes,
+        }
 
         impl Default for Options {
-            fn default() -> Self { Options { $($key: $default,)* } }
+            fn default() -> Self {
+                Options { $($key: $default,)* replica_classes: Classes::default() }
+            }
         }
 
         impl Options {
@@ -82,8 +91,17 @@
     "fleet" late_boots = 3.0 in 1.5 .. 20.0;
     /// Share of cancel_s after which an unconfirmed machine is returned.
     "fleet" cancel_share = 0.6 in 0.1 .. 0.9;
+    /// 1: each gang is a replica group by itself. Those accepted before stay as
+    /// they are.
+    "replicas" gangs = 0.0 in 0.0 .. 1.0;
+    /// For so many worker leases the room of a replica group that has to start
+    /// again, or that moves, is held for it.
+    "replicas" hold_leases = 2.0 in 0.0 .. 20.0;
 }
 
+/// The section that names the classes whose replicas span machines.
+const REPLICA_PARTS: &str = "replica_parts";
+
 impl Options {
     /// Reads and checks a file.
     pub fn load(path: &Path) -> Result<Options, OptionsError> {
@@ -106,6 +124,10 @@
                     key: format!("[{section}] {key}"),
                     why,
                 };
+                if section == REPLICA_PARTS {
+                    options.replica_classes.set(key, value).map_err(fail)?;
+                    continue;
+                }
                 let number = value
                     .trim()
                     .parse()
@@ -113,6 +135,31 @@
                 options.set(section, key, number).map_err(fail)?;
             }
         }
+        options.replica_classes.set_gangs(options.gangs > 0.0);
         Ok(options)
     }
+
+    /// Checks what only makes sense together with the platform's settings.
+    pub fn check(&self, site: &Site, file: &str) -> Result<(), OptionsError> {
+        let most = tasks_per_record(site.state.value_kb);
+        for (class, parts) in self.replica_classes.iter() {
+            let known = site
+                .objectives
+                .iter()
+                .any(|o| o.class.as_deref() == Some(class));
+            let why = if !known {
+                "no objective of the platform's settings names this class".to_string()
+            } else if parts > most {
+                format!("more parts than a record of the state service holds, {most}")
+            } else {
+                continue;
+            };
+            return Err(OptionsError::Key {
+                file: file.to_string(),
+                key: format!("[{REPLICA_PARTS}] {class}"),
+                why,
+            });
+        }
+        Ok(())
+    }
 }
--- a/src/rooms/mod.rs
+++ b/src/rooms/mod.rs
@@ -9,7 +9,7 @@
 mod levels;
 mod search;
 
-pub use search::{Best, Demand};
+pub use search::{Apart, Best, Demand};
 
 use crate::cloud::Offer;
 use crate::ids::MachineId;
@@ -400,6 +400,11 @@
         });
     }
 
+    /// Takes back what was promised of a machine by [`Self::reserve`].
+    pub fn release(&mut self, slot: Slot, amount: &Resources) {
+        self.change(slot, |room| room.held.take(amount));
+    }
+
     /// Promises all that is free of a machine.
     pub fn reserve_all(&mut self, slot: Slot) {
         if let Some(free) = self.get(slot).map(Room::free) {
--- a/src/rooms/search.rs
+++ b/src/rooms/search.rs
@@ -27,6 +27,23 @@
     pub siblings: &'a BTreeMap<MachineId, u32>,
     /// Whether a task of the job has failed on a machine.
     pub failed_on: &'a dyn Fn(&MachineId) -> bool,
+    /// Which rooms are out of the question.
+    pub apart: Apart<'a>,
+}
+
+/// Which rooms are out of the question for a part of a replica that spans machines.
+#[derive(Clone, Copy, Default, Debug)]
+pub struct Apart<'a> {
+    /// All but those of this zone.
+    pub zone: Option<&'a str>,
+    /// Those of the replica's other parts.
+    pub taken: &'a [Slot],
+}
+
+impl Apart<'_> {
+    fn allows_zone(&self, zone: &str) -> bool {
+        self.zone.is_none_or(|only| only == zone)
+    }
 }
 
 /// The best room for a task.
@@ -55,7 +72,9 @@
         let allowed = room.filed.is_some()
             && self.is_fresh(room)
             && allows_offer(demand.spec, &room.state.offer)
-            && demand.zones.allows(demand.spec, &room.state.offer.zone);
+            && demand.zones.allows(demand.spec, &room.state.offer.zone)
+            && demand.apart.allows_zone(&room.state.offer.zone)
+            && !demand.apart.taken.contains(&slot);
         allowed.then(|| rank(room, demand)).flatten()
     }
 
@@ -65,7 +84,9 @@
         for group in &self.groups {
             count(&self.examined, 1);
             let (spec, offer) = (demand.spec, &group.offer);
-            if !allows_offer(spec, offer) || !demand.zones.allows(spec, &offer.zone) {
+            let zone_allowed =
+                demand.zones.allows(spec, &offer.zone) && demand.apart.allows_zone(&offer.zone);
+            if !allows_offer(spec, offer) || !zone_allowed {
                 continue;
             }
             let fit = Fit {
@@ -149,6 +170,9 @@
                 return;
             }
             count(&self.examined, 1);
+            if search.demand.apart.taken.contains(slot) {
+                continue;
+            }
             let Some(room) = self.get(*slot).filter(|room| self.is_fresh(room)) else {
                 continue;
             };
--- a/src/scheduler/books.rs
+++ b/src/scheduler/books.rs
@@ -72,6 +72,7 @@
                 return Err(format!("{} is filed as it was before", machine.id));
             }
         }
+        self.check_groups()?;
         self.rooms.check()
     }
 
--- a/src/scheduler/changes.rs
+++ b/src/scheduler/changes.rs
@@ -51,6 +51,9 @@
                     let at = if fresh { now.wall } else { job.submitted };
                     self.learning.arrived(at, &job.spec);
                 }
+                if let Some(shape) = job.shape {
+                    self.groups.add(&id, shape);
+                }
                 self.jobs.insert(id.clone(), job);
             }
         }
@@ -81,6 +84,7 @@
                 self.push.insert(assign.machine.clone());
             }
         }
+        self.groups.touch(id);
     }
 
     pub(super) fn watch(&mut self, now: Now, out: &mut SchedulerOut) {
--- a/src/scheduler/coming.rs
+++ b/src/scheduler/coming.rs
@@ -3,7 +3,7 @@
 //! costs follows from the kinds, and not from how many machines are coming.
 
 use crate::cloud::Offer;
-use crate::placement::{may_stand, Resources, ZoneUse};
+use crate::placement::{allows_offer, may_stand, Resources, ZoneUse};
 use crate::wire::JobSpec;
 use std::cmp::Ordering;
 use std::rc::Rc;
@@ -73,6 +73,43 @@
         Some(offer.zone)
     }
 
+    /// How many machines that are coming to a zone each hold a task of the job.
+    pub(super) fn fitting(&self, spec: &JobSpec, need: &Resources, zone: &str) -> u32 {
+        let fits = |kind: &&Alike| {
+            kind.free.holds(need) && *kind.offer.zone == *zone && allows_offer(spec, &kind.offer)
+        };
+        self.kinds.iter().filter(fits).map(|kind| kind.count).sum()
+    }
+
+    /// Takes room for a task each on up to so many different machines that are
+    /// coming to a zone. Tells how many there were.
+    pub(super) fn take_apart(
+        &mut self,
+        spec: &JobSpec,
+        need: &Resources,
+        zone: &str,
+        most: u32,
+    ) -> u32 {
+        let mut left = most;
+        let mut taken = Vec::new();
+        for kind in &mut self.kinds {
+            let fits = kind.free.holds(need)
+                && *kind.offer.zone == *zone
+                && allows_offer(spec, &kind.offer);
+            if fits {
+                let count = kind.count.min(left);
+                kind.count -= count;
+                left -= count;
+                taken.push((kind.offer.clone(), kind.free, count));
+            }
+        }
+        for (offer, mut free, count) in taken {
+            free.take(need);
+            self.add(&offer, free, count);
+        }
+        most - left
+    }
+
     /// How many kinds there are.
     pub(super) fn len(&self) -> usize {
         self.kinds.len()
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -10,6 +10,7 @@
 use crate::msg::Now;
 use crate::store::{self, Answer, Urgency, WriteBudget};
 use crate::wire::{Item, RevisionOnly, Txn};
+use lilacfork_replicas::record::GroupRecord;
 
 /// Room for headers and guards below the protocol's 64 KiB.
 const TXN_BYTES: usize = 52 * 1024;
@@ -40,6 +41,7 @@
     shard: u32,
     assigned: Vec<(u32, Attempt)>,
     ended: Vec<(u32, Attempt)>,
+    groups: Vec<GroupRecord>,
 }
 
 #[derive(Debug)]
@@ -213,8 +215,10 @@
                     continue;
                 }
                 let key = shard_key(&id, n);
-                let record = job.record(n, write, &self.settings.site.zones);
+                let mut record = job.record(n, write, &self.settings.site.zones);
                 let range = n * job.shard_size..(n + 1) * job.shard_size;
+                let groups = self.groups.get(&id).map(|g| g.records(range.clone()));
+                record.groups = groups.unwrap_or_default();
                 batch.shards.push(ShardWrite {
                     job: id.clone(),
                     shard: n,
@@ -225,8 +229,11 @@
                         .filter(|(task, _)| range.contains(task))
                         .copied()
                         .collect(),
+                    groups: record.groups.clone(),
                 });
-                bytes += 100 + record.done.len() + 60 * record.assigned.len();
+                let targets = record.groups.iter().flat_map(|g| &g.intent);
+                let targets: usize = targets.map(|i| i.targets.len()).sum();
+                bytes += 100 + record.done.len() + 60 * (record.assigned.len() + targets);
                 let mut txn = std::mem::take(&mut batch.txn);
                 if !guarded {
                     // Whoever cancelled the job meanwhile wins.
@@ -346,11 +353,13 @@
             for ended in write.ended {
                 job.unstored.remove(&ended);
             }
+            self.group_records_stored(&write.job, &write.groups);
         }
         self.cleanup.extend(batch.litter);
         for (id, state) in batch.finished {
             self.over.insert(id.clone(), now.ms + OVER_MS);
             self.forgive_unless_succeeded(&id);
+            self.groups.remove(&id);
             if let Some(job) = self.jobs.remove(&id) {
                 log::info!(
                     "job {id} over state={state:?} class={} after_ms={}",
--- a/src/scheduler/deadlines.rs
+++ b/src/scheduler/deadlines.rs
@@ -87,10 +87,14 @@
         {
             return None;
         }
+        let failing = match self.groups.get(id) {
+            Some(groups) => groups.only_failing_wait(now.ms)?,
+            None => job.failures.is_open(),
+        };
         let is_moving = moving.contains(id);
         let priority = if is_moving {
             Priority::Critical
-        } else if job.failures.is_open() {
+        } else if failing {
             // A probe goes after all that can succeed.
             Priority::Idle
         } else {
--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -7,6 +7,8 @@
 use crate::msg::Now;
 use crate::placement::{Resources, ZoneUse};
 use crate::wire::{JobSpec, Kind, TaskPhase};
+use lilacfork_replicas::record::GroupRecord;
+use lilacfork_replicas::shape::Shape;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -34,7 +36,7 @@
 const ROW_BYTES: f64 = 80.0;
 
 /// Tasks per stored record, so that a full one stays under `value_kb`.
-pub fn shard_size(value_kb: f64) -> u32 {
+pub fn tasks_per_record(value_kb: f64) -> u32 {
     ((value_kb * 1024.0 / ROW_BYTES) as u32).clamp(16, 4096)
 }
 
@@ -59,6 +61,9 @@
     /// Failed probes of a job that fails everywhere, plus one; 0: it doesn't.
     #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
     pub failures: u32,
+    /// Replica groups of which more has to be said than where their parts are.
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+    pub groups: Vec<GroupRecord>,
 }
 
 fn is_zero(count: &u32) -> bool {
@@ -197,6 +202,8 @@
     pub cancelled: Option<u64>,
     /// The revision of its record.
     pub version: u64,
+    /// How its tasks form replicas that span machines; `None`: they don't.
+    pub shape: Option<Shape>,
     /// Tasks per placement record.
     pub shard_size: u32,
     /// Its placement records.
@@ -230,7 +237,21 @@
     /// A job whose placements aren't known yet.
     pub fn new(record: JobRecord, version: u64, shard_size: u32, now_ms: u64) -> Job {
         let tasks = record.spec.tasks;
+        let shape = record
+            .replica_parts
+            .and_then(|parts| Shape::new(parts, tasks));
+        // A group lies in one record, so that its parts are bound by one write.
+        let whole = shape.map(|shape| shape.whole_replicas(shard_size));
+        if whole == Some(None) {
+            log::error!(
+                "job {}: a record holds no whole replica here, its tasks are placed one by one",
+                record.spec.id
+            );
+        }
+        let shape = shape.filter(|_| whole.flatten().is_some());
+        let shard_size = whole.flatten().unwrap_or(shard_size);
         Job {
+            shape,
             need: record.spec.need(),
             submitted: record.submitted,
             cancelled: record.cancelled,
@@ -355,6 +376,7 @@
                 })
                 .collect(),
             failures: self.failures.to_record(),
+            groups: Vec::new(),
         }
     }
 
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -10,6 +10,8 @@
 mod deadlines;
 mod exchange;
 mod forecasts;
+mod group_placing;
+mod group_room;
 mod job_table;
 mod jobs;
 mod learn;
@@ -20,12 +22,14 @@
 mod preempt;
 mod recovery;
 mod renting;
+mod replica_groups;
 mod reports;
 mod rounds;
 mod teams;
 
 pub use jobs::{
-    parse_shard_key, read_ranges, shard_key, write_ranges, Job, ShardRecord, PLACEMENT_PREFIX,
+    parse_shard_key, read_ranges, shard_key, tasks_per_record, write_ranges, Job, ShardRecord,
+    PLACEMENT_PREFIX,
 };
 
 use crate::cloud::{Cloud, Offer};
@@ -42,12 +46,13 @@
 use commit::Batch;
 use forecasts::Expected;
 use job_table::JobTable;
-use jobs::{shard_size, Assign, StopPlan};
+use jobs::{Assign, StopPlan};
 use learn::Learning;
 use learned_record::LearnedStore;
+use lilacfork_replicas::groups::{GroupId, Groups};
 use rounds::Round;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 use std::rc::Rc;
 
@@ -203,6 +208,11 @@
     key_version: u64,
     elected_ms: u64,
     jobs: JobTable,
+    /// Replicas that span machines.
+    groups: Groups,
+    /// The machines of which the round under way has promised room to the next
+    /// generation of a group.
+    group_holds: BTreeMap<GroupId, Vec<MachineId>>,
     fleet: Fleet,
     rooms: Rooms,
     learning: Learning,
@@ -281,7 +291,8 @@
 impl Scheduler {
     /// Leads nothing yet.
     pub fn new(settings: Rc<Settings>, options: Options) -> Self {
-        let shard_size = shard_size(settings.site.state.value_kb);
+        let shard_size = tasks_per_record(settings.site.state.value_kb);
+        let groups = Groups::new(replica_groups::timing(&settings, &options));
         let window_ms = (settings.site.workers.lease_s * 9000.0) as u64;
         let learning = Learning::new(options.learning_rate, window_ms);
         Scheduler {
@@ -293,6 +304,8 @@
             key_version: 0,
             elected_ms: 0,
             jobs: JobTable::default(),
+            groups,
+            group_holds: BTreeMap::new(),
             fleet: Fleet::default(),
             rooms: Rooms::default(),
             learning,
@@ -396,6 +409,8 @@
         }
         self.stage = Stage::Idle;
         self.jobs.clear();
+        self.groups.clear();
+        self.group_holds.clear();
         self.fleet.clear();
         self.rooms.clear();
         self.round = None;
@@ -517,7 +532,10 @@
             self.checked_ms = now.ms;
             self.activity.checks += 1;
             self.check_machines(now, cloud);
+            // Silence and held room have no event of their own.
+            self.groups.touch_all();
         }
+        self.observe_groups(now);
         let wanted = self.round_wanted && now.ms >= self.round_ms + self.round_gap_ms;
         if self.round.is_none() && (full || wanted) {
             self.round_wanted = false;
@@ -603,7 +621,7 @@
         self.jobs.iter().map(|(id, job)| {
             let counts = TaskCounts {
                 done: job.done.len() as u32,
-                running: job.running(),
+                running: self.running_for_display(id, job),
             };
             (id, counts)
         })
--- a/src/scheduler/moves.rs
+++ b/src/scheduler/moves.rs
@@ -7,6 +7,7 @@
 use crate::ids::{MachineId, TaskRef};
 use crate::msg::Now;
 use crate::placement::ZoneUse;
+use crate::settings::Settings;
 use crate::wire::JobSpec;
 
 /// A start counts for the users once it has lasted for this long (PROTOCOL,
@@ -19,6 +20,12 @@
 /// A replica moves to spread an image at most once in so many fetch times.
 const PREPLACEMENT_FETCHES: f64 = 10.0;
 
+/// How long a task has to run for its start to count for its users.
+pub(super) fn settled_ms(settings: &Settings) -> u64 {
+    let seen_s = settings.site.workers.report_s * SEEN_REPORTS;
+    ((START_COUNTS_S + seen_s) * 1000.0) as u64
+}
+
 impl Scheduler {
     /// Where a job's tasks will be once all that moves, or is planned to, has
     /// arrived. Replicas that move together may each fit where only one does.
@@ -56,8 +63,7 @@
 
     /// How long a task has to run for its start to count for its users.
     pub(super) fn settled_ms(&self) -> u64 {
-        let seen_s = self.settings.site.workers.report_s * SEEN_REPORTS;
-        ((START_COUNTS_S + seen_s) * 1000.0) as u64
+        settled_ms(&self.settings)
     }
 
     /// Whether a task may be moved: it has run long enough that its start
@@ -67,7 +73,9 @@
         let settled = |since_ms: u64| now.ms > since_ms + settled_ms;
         // A new leader can't know better than by the job's age.
         let old = assign.inherited && now.wall > job.submitted + settled_ms;
-        assign.stop.is_none()
+        // A replica that spans machines moves as a whole, for reasons of its own.
+        job.shape.is_none()
+            && assign.stop.is_none()
             && assign
                 .running_since_ms
                 .is_some_and(|at| old || assign.late || settled(at))
--- a/src/scheduler/placing.rs
+++ b/src/scheduler/placing.rs
@@ -7,13 +7,13 @@
 use crate::ids::{Attempt, JobId, MachineId, TaskRef};
 use crate::msg::Now;
 use crate::placement::{may_stand, Resources, ZoneUse};
-use crate::rooms::{Best, Demand, Room, Slot};
+use crate::rooms::{Apart, Best, Demand, Room, Slot};
 use crate::wire::{JobSpec, Kind};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// So many tasks of one job are examined in one round.
-const ROUND_TASKS: usize = 512;
+pub(super) const ROUND_TASKS: usize = 512;
 
 /// What the tasks of one job ask of a room, while they are placed.
 pub(super) struct Wanted {
@@ -25,7 +25,7 @@
     /// The job's breaker is open.
     probing: bool,
     /// How many of a service's replicas are on each machine.
-    siblings: BTreeMap<MachineId, u32>,
+    pub(super) siblings: BTreeMap<MachineId, u32>,
     /// The room of the task before.
     last: Option<Best>,
     /// No machine could make place for the task before.
@@ -51,7 +51,7 @@
 }
 
 impl Wanted {
-    fn new(job: &Job, deadline: u64) -> Wanted {
+    pub(super) fn new(job: &Job, deadline: u64) -> Wanted {
         let mut siblings = BTreeMap::new();
         if job.is_service() {
             for assign in job.assigns.values() {
@@ -75,6 +75,20 @@
         }
     }
 
+    /// Asks for the same, and stands nowhere yet.
+    pub(super) fn like(other: &Wanted) -> Wanted {
+        Wanted {
+            spec: other.spec.clone(),
+            need: other.need,
+            zones: ZoneUse::default(),
+            deadline: other.deadline,
+            probing: other.probing,
+            siblings: BTreeMap::new(),
+            last: None,
+            exchange_failed: false,
+        }
+    }
+
     fn unplaced(self, count: usize) -> Unplaced {
         Unplaced {
             spec: self.spec,
@@ -82,6 +96,7 @@
             deadline: self.deadline,
             zones: self.zones,
             forecast: false,
+            group: None,
         }
     }
 }
@@ -181,7 +196,7 @@
     }
 
     /// What a team's tasks may be using, with what it was promised in this round.
-    fn used_in(&self, team: &str, round: &Round) -> Resources {
+    pub(super) fn used_in(&self, team: &str, round: &Round) -> Resources {
         let mut used = self.jobs.used(team);
         if let Some(promised) = round.promised.get(team) {
             used.add(promised);
@@ -248,6 +263,7 @@
             zones: &wanted.zones,
             siblings: &wanted.siblings,
             failed_on: &failed_on,
+            apart: Apart::default(),
         };
         let again = wanted.last.filter(|_| !job.is_service()).and_then(|last| {
             self.examined += 1;
@@ -286,7 +302,7 @@
 
     /// Binds a waiting task to a room; `None`: that can't be done. It starts
     /// once that is stored.
-    fn bind(
+    pub(super) fn bind(
         &mut self,
         now: Now,
         task: &TaskRef,
--- a/src/scheduler/preempt.rs
+++ b/src/scheduler/preempt.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 
 /// A task that may be stopped for the waiting work.
-struct Victim {
+pub(super) struct Victim {
     task: TaskRef,
     need: Resources,
     /// Seconds of work that stopping it costs.
@@ -22,15 +22,15 @@
 }
 
 /// What making room on a machine would cost, in seconds.
-struct PreemptionOffer {
-    cost_s: f64,
+pub(super) struct PreemptionOffer {
+    pub(super) cost_s: f64,
     victims: Vec<Victim>,
 }
 
 /// A machine that could make room.
-struct Candidate {
-    slot: Slot,
-    offer: Option<PreemptionOffer>,
+pub(super) struct Candidate {
+    pub(super) slot: Slot,
+    pub(super) offer: Option<PreemptionOffer>,
 }
 
 impl Scheduler {
@@ -42,7 +42,10 @@
             return;
         }
         self.refresh(now);
-        let need = waiting.spec.need();
+        if let Some(demand) = waiting.group.clone() {
+            self.preempt_for_group(now, waiting, &demand);
+            return;
+        }
         let mut candidates = self.preemption_candidates(now, waiting);
         while waiting.count > 0 {
             self.count_scanned(candidates.len());
@@ -51,13 +54,8 @@
             };
             let candidate = &mut candidates[index];
             let slot = candidate.slot;
-            let victims = candidate.offer.take().map(|offer| offer.victims);
-            for victim in victims.into_iter().flatten() {
-                let Victim { task, saves, .. } = victim;
-                log::info!("task {task} gives way to {} saves={saves}", waiting.spec.id);
-                self.stop_task(now, &task, saves);
-            }
-            self.rooms.hold(slot, &need);
+            let offer = candidate.offer.take();
+            self.make_way(now, slot, offer, &waiting.spec);
             self.refresh(now);
             // Only the one that was chosen has to be examined again for the next
             // task of the job.
@@ -67,9 +65,26 @@
         }
     }
 
+    /// Stops what has to give way on a machine, and holds the room.
+    pub(super) fn make_way(
+        &mut self,
+        now: Now,
+        slot: Slot,
+        offer: Option<PreemptionOffer>,
+        spec: &JobSpec,
+    ) {
+        let victims = offer.map(|offer| offer.victims);
+        for victim in victims.into_iter().flatten() {
+            let Victim { task, saves, .. } = victim;
+            log::info!("task {task} gives way to {} saves={saves}", spec.id);
+            self.stop_task(now, &task, saves);
+        }
+        self.rooms.hold(slot, &spec.need());
+    }
+
     /// Machines that run something less important, those with the image first, and
     /// those on which something is being stopped anyway.
-    fn preemption_candidates(&mut self, now: Now, waiting: &Unplaced) -> Vec<Candidate> {
+    pub(super) fn preemption_candidates(&mut self, now: Now, waiting: &Unplaced) -> Vec<Candidate> {
         let spec = &waiting.spec;
         let less_important = |room: &Room| room.state.least_important > Some(spec.priority);
         let warm = self.rooms.with_image(spec, &waiting.zones, MOST_CANDIDATES);
@@ -182,10 +197,12 @@
         };
         let fresh = assign.running_since_ms.is_some() && ran_ms < self.settled_ms();
         let times = if fresh { 2.0 } else { 1.0 };
+        // With one part its whole replica stops.
+        let parts = job.shape.map_or(1.0, |shape| f64::from(shape.parts()));
         Victim {
             task: task.clone(),
             need: job.need,
-            cost_s: lost_s * times + 1.0,
+            cost_s: (lost_s * times + 1.0) * parts,
             saves,
         }
     }
--- a/src/scheduler/recovery.rs
+++ b/src/scheduler/recovery.rs
@@ -82,13 +82,14 @@
             self.cleanup.push(item.key);
             return;
         };
-        let record = match serde_json::from_value::<ShardRecord>(item.value) {
+        let mut record = match serde_json::from_value::<ShardRecord>(item.value) {
             Ok(record) => record,
             Err(e) => {
                 log::error!("placement record {} can't be read: {e}", item.key);
                 return;
             }
         };
+        let groups = std::mem::take(&mut record.groups);
         if !job.restore(shard, item.version, record, &self.settings.site.zones) {
             log::error!("placement record {} doesn't fit its job", item.key);
         }
@@ -99,6 +100,7 @@
             .map(|(task, a)| (job.task(*task), a.machine.clone(), a.zone.clone()))
             .collect();
         let need = job.need;
+        self.restore_groups(now, &id, groups);
         for (task, machine, zone) in tasks {
             // Until it reports or is listed, all that is known is its zone.
             let term = self.term;
--- a/src/scheduler/renting.rs
+++ b/src/scheduler/renting.rs
@@ -29,11 +29,11 @@
 /// What a round rents, while that is worked out.
 #[derive(Debug)]
 pub(super) struct Rentals {
-    catalog: Rc<Catalog>,
-    coming: ComingRooms,
+    pub(super) catalog: Rc<Catalog>,
+    pub(super) coming: ComingRooms,
     /// Machines in each zone, those to be rented included.
-    crowd: BTreeMap<Rc<str>, u32>,
-    wanted: BTreeMap<Offer, u32>,
+    pub(super) crowd: BTreeMap<Rc<str>, u32>,
+    pub(super) wanted: BTreeMap<Offer, u32>,
     /// The next in the list of what found no room.
     pub(super) next: usize,
 }
@@ -120,6 +120,11 @@
             // It has ended since it was looked at.
             return;
         }
+        if let Some(demand) = &unplaced.group {
+            if self.cover_group(now, unplaced, demand, rentals) {
+                return;
+            }
+        }
         let need = unplaced.spec.need();
         let mut zones = unplaced.zones.clone();
         let mut rungs: Option<Vec<Rung>> = None;
@@ -149,7 +154,7 @@
 
     /// The rung for one more task of the work, among those in zones where it may
     /// stand.
-    fn choose_rung(
+    pub(super) fn choose_rung(
         &self,
         now: Now,
         unplaced: &Unplaced,
@@ -186,7 +191,7 @@
 
     /// The rentals that could hold a task of the job and weren't refused
     /// lately.
-    fn rungs(&self, now: Now, spec: &JobSpec, catalog: &Catalog) -> Vec<Rung> {
+    pub(super) fn rungs(&self, now: Now, spec: &JobSpec, catalog: &Catalog) -> Vec<Rung> {
         let need = spec.need();
         let run_s = spec.estimate_s * self.learning.bias(&spec.class);
         offers_for(spec, catalog)
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -219,7 +219,7 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let is_service = job.is_service();
+        let (is_service, spans) = (job.is_service(), job.shape.is_some());
         let Some(assign) = job.assigns.get_mut(&task.index) else {
             return;
         };
@@ -235,9 +235,13 @@
                 assign.attempt,
             );
         }
-        assign.phase = Some(phase);
-        // A service has no end to succeed by.
+        if assign.phase.replace(phase) != Some(phase) {
+            self.groups.touch(&task.job);
+        }
+        // A service has no end to succeed by; a replica that spans machines succeeds
+        // as a whole.
         let settled = is_service
+            && !spans
             && phase == TaskPhase::Running
             && assign
                 .running_since_ms
@@ -273,7 +277,9 @@
         let Some(assign) = assign else {
             return false;
         };
-        assign.phase = None;
+        if assign.phase.take().is_some() {
+            self.groups.touch(&task.job);
+        }
         if assign.stop.is_none() {
             return assign
                 .first_sent_ms
@@ -306,8 +312,9 @@
         let Some(assign) = job.assigns.remove(&task.index) else {
             return;
         };
-        let need = job.need;
+        let (need, spans) = (job.need, job.shape.is_some());
         let cancelled = job.cancelled.is_some();
+        self.groups.touch(&task.job);
         // Of an inherited task only the end of its run was seen.
         let took_ms = assign
             .running_since_ms
@@ -348,8 +355,10 @@
         job.pending.insert(task.index);
         job.touch(task.index, now.ms, false);
         match reason {
+            EndReason::Error if spans => self.part_failed(now, id, task, assign.attempt),
             EndReason::Error => self.failed(now, id, task),
             EndReason::Stopped => {}
+            _ if spans => self.delay_group(task, now.ms + PAUSE_MS),
             _ => job.failures.delay_until(now.ms + PAUSE_MS),
         }
     }
@@ -405,7 +414,7 @@
 
     /// A task of the job has succeeded: those that failed did so by the fault
     /// of their machines.
-    fn succeeded(&mut self, job_id: &JobId) {
+    pub(super) fn succeeded(&mut self, job_id: &JobId) {
         let Some(job) = self.jobs.get_mut(job_id) else {
             return;
         };
@@ -715,7 +724,10 @@
     pub(super) fn drain(&mut self, now: Now, id: &MachineId) {
         let tasks = self.fleet.get(id).map(|m| m.tasks.clone());
         for task in tasks.into_iter().flatten() {
-            self.stop_task(now, &task, true);
+            // A replica that spans machines decides as a whole.
+            if self.groups.get(&task.job).is_none() {
+                self.stop_task(now, &task, true);
+            }
         }
     }
 
@@ -736,6 +748,7 @@
                     since_ms: now.ms,
                 });
                 assign.sent_ms = None;
+                self.groups.touch(&task.job);
                 let id = assign.machine.clone();
                 // Its room is about to be free.
                 self.fleet.get_mut(&id);
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -13,6 +13,7 @@
 use crate::msg::Now;
 use crate::placement::{Resources, ZoneUse};
 use crate::wire::JobSpec;
+use lilacfork_replicas::groups::GroupId;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
@@ -29,6 +30,18 @@
     pub(super) deadline: u64,
     pub(super) zones: ZoneUse,
     pub(super) forecast: bool,
+    /// They are parts of one replica that spans machines: so many machines, all of
+    /// them or none.
+    pub(super) group: Option<GroupDemand>,
+}
+
+/// What a replica that spans machines asks of them beside room.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct GroupDemand {
+    /// The replica.
+    pub(super) id: GroupId,
+    /// The zone in which the rest of it has its room.
+    pub(super) zone: Option<Rc<str>>,
 }
 
 /// How far a round has got.
@@ -92,6 +105,7 @@
         let examined_before = self.examined();
         self.refresh(now);
         self.rooms.begin_round();
+        self.hold_for_groups(now);
         let jobs = &self.jobs;
         self.migration_targets.retain(|task, _| {
             jobs.get(&task.job).is_some_and(|j| {
@@ -222,8 +236,12 @@
     fn serve(&mut self, now: Now, key: &QueueKey, work: Work, round: &mut Round) {
         match work {
             Work::Job(id) => {
-                let left = self.place_job(now, &id, key.deadline, round);
-                round.unplaced.extend(left);
+                if self.groups.get(&id).is_some() {
+                    self.place_groups(now, &id, key.deadline, round);
+                } else {
+                    let left = self.place_job(now, &id, key.deadline, round);
+                    round.unplaced.extend(left);
+                }
                 self.refresh(now);
             }
             Work::Forecast(spec, count) => {
@@ -235,6 +253,7 @@
                         deadline: key.deadline,
                         zones: ZoneUse::default(),
                         forecast: true,
+                        group: None,
                     });
                 }
             }
--- a/tests/rooms.rs
+++ b/tests/rooms.rs
@@ -4,7 +4,7 @@
 use lilacfork::cloud::Offer;
 use lilacfork::ids::MachineId;
 use lilacfork::placement::{allows_offer, may_stand, Fit, Resources, ZoneUse};
-use lilacfork::rooms::{Demand, RoomState, Rooms};
+use lilacfork::rooms::{Apart, Demand, RoomState, Rooms};
 use lilacfork::wire::{JobSpec, Kind, Priority};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, TestRunner};
@@ -269,6 +269,7 @@
             zones: &zones,
             siblings: &siblings,
             failed_on: &failed_on,
+            apart: Apart::default(),
         };
         let found = rooms.best(&demand);
         let expected = plain.best(&demand);
@@ -475,6 +476,7 @@
         zones: &ZoneUse::default(),
         siblings: &BTreeMap::new(),
         failed_on: &|_| false,
+        apart: Apart::default(),
     };
     let before = rooms.examined();
     assert!(rooms.best(&demand).is_some());
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -7,6 +7,7 @@
 #![allow(dead_code)]
 
 pub mod observer;
+pub mod replicas;
 pub mod scenes;
 
 use lilacfork::msg::{
@@ -159,6 +160,12 @@
         task: String,
         attempt: u64,
     },
+    Fetched {
+        machine: String,
+        task: String,
+        attempt: u64,
+        session: u64,
+    },
     Boot(String),
     Recheck,
 }
@@ -201,6 +208,10 @@
     pub sick: bool,
     /// How many times as long as usual its tasks run.
     pub slowness: u64,
+    /// What it says of being taken away.
+    pub notice_s: Option<f64>,
+    /// Never gets an image.
+    pub stuck: bool,
 }
 
 impl Worker {
@@ -289,7 +300,10 @@
     /// Starts carried out, as people read them: time, machine, task, attempt.
     pub trace: Vec<String>,
     pub run_ms: u64,
-    /// Jobs that were submitted with a mistake: their tasks fail everywhere.
+    /// How long an image is fetched.
+    pub fetch_ms: u64,
+    options: Options,
+    /// Jobs, or tasks of them, that were submitted with a mistake: their tasks fail everywhere.
     pub broken: BTreeSet<String>,
     /// Nodes that stand still, and until when.
     pub frozen: BTreeMap<usize, u64>,
@@ -306,6 +320,8 @@
     cores: f64,
     /// Events at which the books could have been counted anew.
     recounts: u64,
+    /// Jobs whose replicas span machines.
+    pub watched: BTreeMap<String, replicas::Watched>,
 }
 
 impl World {
@@ -316,9 +332,19 @@
     /// Controllers that are told that they have this share of a core: with very
     /// little their rounds take many slices.
     pub fn with_cores(nodes: usize, cores: f64) -> World {
+        World::with(nodes, cores, Options::default())
+    }
+
+    /// Controllers with settings of their operators.
+    pub fn with_options(nodes: usize, options: Options) -> World {
+        World::with(nodes, CORES, options)
+    }
+
+    fn with(nodes: usize, cores: f64, options: Options) -> World {
         let mut world = World {
             cores,
             recounts: 0,
+            watched: BTreeMap::new(),
             now: 0,
             queue: BTreeMap::new(),
             order: 0,
@@ -342,6 +368,8 @@
             looked_ms: 0,
             trace: Vec::new(),
             run_ms: 3000,
+            fetch_ms: 0,
+            options,
             broken: BTreeSet::new(),
             frozen: BTreeMap::new(),
             answers_first: false,
@@ -362,10 +390,15 @@
         let incarnation = self.epochs[n] * 100 + n as u64 + 1;
         let mut settings = settings(&format!("n-{n}"), self.epochs.len());
         settings.site.limits.cores = self.cores;
-        self.nodes[n] = Some(Node::new(settings, Options::default(), incarnation));
+        self.nodes[n] = Some(Node::new(settings, self.options.clone(), incarnation));
         self.wake(n, self.now + 1);
     }
 
+    /// From now on nodes are started with these settings of their operators.
+    pub fn set_options(&mut self, options: Options) {
+        self.options = options;
+    }
+
     /// Kills a node without a word.
     pub fn kill(&mut self, n: usize) {
         self.nodes[n] = None;
@@ -554,6 +587,48 @@
             }
         }
         hold(self.observer.present(now, on_machines(&self.workers)));
+        self.look_at_replicas();
+    }
+
+    /// From now on the replicas of this job are watched.
+    pub fn watch_replicas(&mut self, job: &str, parts: u32, tasks: u32) {
+        self.watched
+            .insert(job.into(), replicas::Watched::new(parts, tasks));
+    }
+
+    fn look_at_replicas(&mut self) {
+        for (job, watched) in &mut self.watched {
+            let mut present = BTreeMap::new();
+            for (name, running) in self.workers.values().flat_map(|w| &w.tasks) {
+                let index = name
+                    .strip_prefix(job.as_str())
+                    .and_then(|n| n.strip_prefix('/'));
+                let index = index.and_then(|n| n.parse().ok());
+                if let Some(index) = index.filter(|_| running.state != "ended") {
+                    present.insert(index, running.state);
+                }
+            }
+            watched.look(self.now, &present);
+        }
+    }
+
+    /// How many tasks of a watched job a node says to be running. What it says must
+    /// be true, as far as it can know.
+    pub fn running_told(&mut self, node: usize, id: &str) -> u64 {
+        let user = self.ask(node, "GET", &format!("/v2/runs/{id}"), Value::Null);
+        self.wait(user, 2000);
+        let body = self.answers.get(&user).map(|reply| &reply.body);
+        let body: Value = body
+            .and_then(|body| serde_json::from_slice(body).ok())
+            .unwrap_or(Value::Null);
+        let running = body["running"].as_u64().unwrap_or(0);
+        let watched = &self.watched[id];
+        assert!(
+            watched.may_run(self.now, running),
+            "{running} tasks of {id} are said to run at {}: {watched:?}",
+            self.now
+        );
+        running
     }
 
     pub fn run_for(&mut self, ms: u64) {
@@ -654,6 +729,12 @@
                     t.why = Some("stopped");
                 }
             }
+            Action::Fetched {
+                machine,
+                task,
+                attempt,
+                session,
+            } => self.fetched(&machine, &task, attempt, session),
             Action::Boot(name) => {
                 let now = self.now;
                 if let Some(worker) = self.workers.get_mut(&name).filter(|w| !w.gone) {
@@ -1056,6 +1137,8 @@
             tasks: BTreeMap::new(),
             sick: false,
             slowness: 1,
+            notice_s: None,
+            stuck: false,
         };
         self.workers.insert(name.into(), worker);
         if up {
@@ -1144,7 +1227,7 @@
             .collect();
         json!({"banc": name, "address": format!("w/{name}"), "gamme": "g8", "secteur": w.zone,
             "occasion": w.spot, "quart": w.session, "numero": w.seq, "jeton": w.token,
-            "preavisS": null, "pieces": tasks})
+            "preavisS": w.notice_s, "pieces": tasks})
     }
 
     fn report(&mut self, name: &str) {
@@ -1291,17 +1374,27 @@
                         .spec(job)
                         .is_some_and(|s| s["genre"] == "service");
                     let fails = self.workers[name].sick || self.is_broken(&task);
+                    let fetches = self.fetch_ms > 0;
                     let running = Running {
                         attempt,
-                        state: "running",
+                        state: if fetches { "pulling" } else { "running" },
                         why: None,
                     };
                     if let Some(w) = self.workers.get_mut(name) {
                         w.tasks.insert(task.clone(), running);
                     }
+                    if fetches && !self.workers[name].stuck {
+                        let fetched = Action::Fetched {
+                            machine: name.into(),
+                            task: task.clone(),
+                            attempt,
+                            session: self.workers[name].session,
+                        };
+                        self.at(self.now + self.fetch_ms, fetched);
+                    }
                     if !service || fails {
                         let after = if fails {
-                            100
+                            self.fetch_ms + 100
                         } else {
                             self.run_ms * self.workers[name].slowness
                         };
@@ -1365,7 +1458,16 @@
 
     fn is_broken(&self, task: &str) -> bool {
         let job = task.split('/').next().unwrap_or("");
-        self.broken.contains(job)
+        self.broken.contains(job) || self.broken.contains(task)
+    }
+
+    fn fetched(&mut self, machine: &str, task: &str, attempt: u64, session: u64) {
+        let worker = self.workers.get_mut(machine);
+        let worker = worker.filter(|w| w.session == session);
+        let waits = worker.and_then(|w| w.tasks.get_mut(task));
+        if let Some(task) = waits.filter(|t| t.attempt == attempt && t.state == "pulling") {
+            task.state = "running";
+        }
     }
 
     /// Where a task is now, if anywhere.
--- /dev/null
+++ b/tests/world/replicas.rs
@@ -0,0 +1,147 @@
+//! Replicas that span machines, watched from outside: which are whole, what users
+//! are told of them, and how long an incomplete one has parts on machines.
+
+use super::{service, World};
+use ini::Ini;
+use lilacfork::options::Options;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+
+/// What the leader hears is so old at most, and what it says comes so late, in the
+/// traces' settings: three reports until silence is noticed, one more, and the
+/// controllers' messages.
+pub const LAG_MS: u64 = 6000;
+
+/// One replica, as it really is.
+#[derive(Clone, Debug, Default)]
+struct Truth {
+    whole_ms: Option<u64>,
+    /// Since when some of its parts run and others are nowhere.
+    incomplete_since_ms: Option<u64>,
+}
+
+/// Watches the replicas of a job.
+#[derive(Clone, Debug)]
+pub struct Watched {
+    parts: u32,
+    replicas: Vec<Truth>,
+    /// The longest time for which an incomplete replica had parts on machines.
+    pub longest_incomplete_ms: u64,
+}
+
+impl Watched {
+    pub fn new(parts: u32, tasks: u32) -> Watched {
+        Watched {
+            parts,
+            replicas: vec![Truth::default(); (tasks / parts) as usize],
+            longest_incomplete_ms: 0,
+        }
+    }
+
+    /// `present`: how each of the job's tasks is on the one machine that may have it.
+    pub fn look(&mut self, now: u64, present: &BTreeMap<u32, &'static str>) {
+        for (n, truth) in self.replicas.iter_mut().enumerate() {
+            let first = n as u32 * self.parts;
+            let states: Vec<Option<&&str>> = (first..first + self.parts)
+                .map(|task| present.get(&task))
+                .collect();
+            let running = states.iter().filter(|s| **s == Some(&"running")).count();
+            let there = states.iter().flatten().count();
+            if running == self.parts as usize {
+                truth.whole_ms = Some(now);
+            }
+            if running > 0 && there < self.parts as usize {
+                let since_ms = *truth.incomplete_since_ms.get_or_insert(now);
+                self.longest_incomplete_ms = self.longest_incomplete_ms.max(now - since_ms);
+            } else {
+                truth.incomplete_since_ms = None;
+            }
+        }
+    }
+
+    /// Whether users may be told that so many tasks run.
+    pub fn may_run(&self, now: u64, running: u64) -> bool {
+        let lately = |t: &&Truth| t.whole_ms.is_some_and(|at| now <= at + LAG_MS);
+        let whole = self.replicas.iter().filter(lately).count() as u64;
+        let parts = u64::from(self.parts);
+        running.is_multiple_of(parts) && running <= whole * parts
+    }
+}
+
+/// Settings of operators, as they would write them.
+pub fn options(text: &str) -> Options {
+    let ini = Ini::load_from_str(text).expect("an INI file");
+    Options::from_ini(&ini, "test.ini").expect("sound settings")
+}
+
+/// Replicas of the traces' services have two parts.
+pub fn pairs() -> Options {
+    options("[replica_parts]\nchat = 2\n[replicas]\ngangs = 1\n")
+}
+
+/// Controllers, and machines in zone `a`, one replica's part to a machine.
+pub fn machines(nodes: usize, names: &[&str]) -> World {
+    let mut w = World::with_options(nodes, pairs());
+    w.capacity = 0;
+    for name in names {
+        w.add_machine(name, "a", false, true);
+    }
+    w.run_until(5000);
+    assert!(w.leader().is_some(), "somebody leads");
+    w
+}
+
+/// A service whose parts take a whole machine each.
+pub fn wide(id: &str, tasks: u32) -> Value {
+    let mut spec = service(id, tasks);
+    spec["gpus"] = json!(8.0);
+    spec["cpus"] = json!(90.0);
+    spec
+}
+
+/// Submits a service and waits until all of it runs.
+pub fn started(w: &mut World, spec: &Value) {
+    let id = spec["id"].as_str().expect("an id").to_string();
+    let tasks = spec["pieces"].as_u64().expect("a number");
+    w.watch_replicas(&id, 2, tasks as u32);
+    let node = w.leader().expect("somebody leads");
+    assert_eq!(w.submit(node, spec), 201);
+    w.run_for(4000 + w.fetch_ms);
+    assert_eq!(shown(w, &id), tasks, "all replicas serve");
+}
+
+/// How many tasks users are told to be running, on any node.
+pub fn shown(w: &mut World, id: &str) -> u64 {
+    let up = |w: &World, n: &usize| w.nodes[*n].is_some();
+    let node = w.leader().or((0..w.nodes.len()).find(|n| up(w, n)));
+    w.running_told(node.expect("a node is up"), id)
+}
+
+/// Machines that have a task of the job, by task.
+pub fn places(w: &World, id: &str) -> BTreeMap<String, String> {
+    let prefix = format!("{id}/");
+    let mut places = BTreeMap::new();
+    for (name, worker) in &w.workers {
+        for (task, running) in &worker.tasks {
+            if task.starts_with(&prefix) && running.state != "ended" {
+                places.insert(task.clone(), name.clone());
+            }
+        }
+    }
+    places
+}
+
+/// The attempts of a job's tasks that are on machines, by task.
+pub fn attempts(w: &World, id: &str) -> BTreeMap<String, u64> {
+    let prefix = format!("{id}/");
+    let tasks = w.workers.values().flat_map(|worker| &worker.tasks);
+    tasks
+        .filter(|(task, running)| task.starts_with(&prefix) && running.state != "ended")
+        .map(|(task, running)| (task.clone(), running.attempt))
+        .collect()
+}
+
+/// The first write of this job's placements, or `None`.
+pub fn placement<'a>(w: &'a World, id: &str) -> Option<&'a Value> {
+    w.state.items.get(&format!("p/{id}/0")).map(|item| &item.0)
+}
