Take a leader's word that a replica serves only while it leads, trace the hard cases

Cause: a node went on telling users that a replica's parts run for as long as no leader told otherwise; a trace in which the leader ends in a move, its answers lost, showed parts as running 6 s after they were stopped.

Change: counts carry whether they are of replicas that span machines, and by whose term; they stand only as long as that leader is heard.

Ruled out: forgetting all counts at a change of leader; jobs that aren't grouped would show as pending for a moment.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -3,7 +3,7 @@
 
 use crate::bounded_map::BoundedMap;
 use crate::cancellations::Standing;
-use crate::ids::JobId;
+use crate::ids::{JobId, Term};
 use crate::msg::{ConnId, Now, Reply};
 use crate::scheduler::tasks_per_record;
 use crate::settings::Settings;
@@ -165,6 +165,23 @@
     pub done: u32,
     /// Tasks that run.
     pub running: u32,
+    /// They are parts of replicas that span machines. That such a replica serves is
+    /// only true as long as the leader that says so leads.
+    pub spans: bool,
+}
+
+/// What a leader said of a job.
+#[derive(Clone, Copy, Debug)]
+struct LeaderCounts {
+    counts: TaskCounts,
+    term: Term,
+}
+
+/// The leader that was last heard.
+#[derive(Clone, Copy, Debug)]
+struct LeaderHeard {
+    term: Term,
+    at_ms: u64,
 }
 
 /// What can't change any more, so that memory may speak of it.
@@ -183,7 +200,10 @@
     catalog: Option<Rc<Catalog>>,
     facts: BoundedMap<JobId, Fact>,
     /// Counts for display, hints from the leader.
-    counts: BoundedMap<JobId, TaskCounts>,
+    counts: BoundedMap<JobId, LeaderCounts>,
+    leader: Option<LeaderHeard>,
+    /// A leader that was silent for so long may lead no longer.
+    leader_quiet_ms: u64,
     tasks: HashMap<GatewayCall, Task>,
     /// Those that wait for a poll, in the order in which they came.
     polling: VecDeque<GatewayCall>,
@@ -194,13 +214,15 @@
 
 impl Gateway {
     /// Knows nothing yet.
-    pub fn new(settings: Rc<Settings>, replica_classes: Classes) -> Self {
+    pub fn new(settings: Rc<Settings>, replica_classes: Classes, leader_quiet_ms: u64) -> Self {
         Gateway {
             settings,
             replica_classes,
             catalog: None,
             facts: BoundedMap::new(REMEMBERED),
             counts: BoundedMap::new(REMEMBERED),
+            leader: None,
+            leader_quiet_ms,
             tasks: HashMap::new(),
             polling: VecDeque::new(),
             polls_tell_all: false,
@@ -448,11 +470,35 @@
         self.facts.insert(id.clone(), fact);
     }
 
-    /// How many of a job's tasks are done and run, as the leader says.
-    pub fn note_counts(&mut self, id: &JobId, counts: TaskCounts) {
+    /// The leader of this term is heard, and stands by what it has said.
+    pub fn leader_heard(&mut self, now: Now, term: Term) {
+        self.leader = Some(LeaderHeard {
+            term,
+            at_ms: now.ms,
+        });
+    }
+
+    /// How many of a job's tasks are done and run, as the leader of a term says.
+    pub fn note_counts(&mut self, id: &JobId, term: Term, counts: TaskCounts) {
         if !matches!(self.facts.get(id), Some(Fact::Over(..))) {
-            self.counts.insert(id.clone(), counts);
+            self.counts
+                .insert(id.clone(), LeaderCounts { counts, term });
+        }
+    }
+
+    /// What is to be shown of a job's tasks now.
+    fn counts_to_show(&self, now: Now, id: &JobId) -> TaskCounts {
+        let Some(said) = self.counts.get(id) else {
+            return TaskCounts::default();
+        };
+        let mut counts = said.counts;
+        let stands = self.leader.is_some_and(|leader| {
+            leader.term == said.term && now.ms < leader.at_ms + self.leader_quiet_ms
+        });
+        if counts.spans && !stands {
+            counts.running = 0;
         }
+        counts
     }
 
     /// Whether a poll of the records tells of every job from now on.
@@ -500,7 +546,7 @@
             // Another request may have heard of its end meanwhile.
             (_, Known::Live(..) | Known::Unfinished) => match self.facts.get(&task.id) {
                 Some(Fact::Over(state, tasks)) => final_reply(&task.id, *state, *tasks),
-                _ => self.live_reply(&task.id, 200),
+                _ => self.live_reply(now, &task.id, 200),
             },
             (Goal::Refuse(reply), Known::Absent) => reply.clone(),
             // Our write may still be under way: the retry will find out.
@@ -519,9 +565,9 @@
         final_reply(id, Final::Cancelled, 0)
     }
 
-    fn live_reply(&mut self, id: &JobId, status: u16) -> Reply {
+    fn live_reply(&mut self, now: Now, id: &JobId, status: u16) -> Reply {
         self.remember(id, Fact::Accepted);
-        let counts = self.counts.get(id).copied().unwrap_or_default();
+        let counts = self.counts_to_show(now, id);
         let state = if counts.running > 0 {
             UserState::Running
         } else {
@@ -561,7 +607,7 @@
                             task.id,
                             now.ms - task.begun_ms
                         );
-                        self.live_reply(&task.id, 201)
+                        self.live_reply(now, &task.id, 201)
                     }
                 };
                 if !matches!(task.goal, Goal::Cancel) {
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -11,6 +11,9 @@
 use crate::store::{self, StateCall, Urgency};
 use crate::wire::{Command, Report, ReportAnswer, ReportTo, Txn};
 
+/// Who hasn't been heard for so many heartbeat intervals is quiet.
+pub(super) const QUIET_HEARTBEATS: u64 = 3;
+
 /// What a record of held machines takes beside its rows, and a row beside the
 /// machine's name, generously.
 const PROXIED_HEAD_BYTES: usize = 128;
@@ -104,7 +107,7 @@
 
     /// Peers send heartbeats several times within this period.
     pub(super) fn quiet_ms(&self) -> u64 {
-        self.heartbeat_every_ms * 3
+        self.heartbeat_every_ms * QUIET_HEARTBEATS
     }
 
     /// Whether workers' leases are to be renewed here in the leader's stead,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -19,7 +19,7 @@
 use crate::store::{self, Answer, StateCall, Store, Urgency};
 use crate::usage::Purpose;
 use crate::wire::{self, Catalog, Item, Report, ReportTo, Txn};
-use follower::proxy_answer;
+use follower::{proxy_answer, QUIET_HEARTBEATS};
 use forwarding::Forwarding;
 use routes::Routes;
 use std::collections::HashMap;
@@ -85,6 +85,8 @@
     writes_per_s: f64,
 }
 
+/// Heartbeats within the lease of the leader's key.
+const HEARTBEATS: u64 = 4;
 /// For so many seconds a follower saves up the changes that it doesn't use.
 const SAVED_S: f64 = 2.5;
 
@@ -190,7 +192,11 @@
         let forwarding = Forwarding::new(workers.report_s);
         let routes = Routes::new((workers.lease_s * 1000.0) as u64);
         let mut node = Node {
-            gateway: Gateway::new(settings.clone(), options.replica_classes.clone()),
+            gateway: Gateway::new(
+                settings.clone(),
+                options.replica_classes.clone(),
+                ttl_ms / HEARTBEATS * QUIET_HEARTBEATS,
+            ),
             scheduler: Scheduler::new(settings.clone(), options),
             settings,
             election,
@@ -205,7 +211,7 @@
             calls: HashMap::new(),
             next_call: 0,
             heartbeat_due_ms: 0,
-            heartbeat_every_ms: ttl_ms / 4,
+            heartbeat_every_ms: ttl_ms / HEARTBEATS,
             sent_counts: HashMap::new(),
             announced: Vec::new(),
             cancelled_here: false,
@@ -473,12 +479,15 @@
             }
         }
         if heartbeat.node == heartbeat.leader {
+            self.gateway.leader_heard(now, Term(heartbeat.term));
             for count in &heartbeat.counts {
                 let counts = TaskCounts {
                     done: count.done,
                     running: count.running,
+                    spans: count.spans,
                 };
-                self.gateway.note_counts(&JobId::new(&count.job), counts);
+                let id = JobId::new(&count.job);
+                self.gateway.note_counts(&id, Term(heartbeat.term), counts);
             }
         }
         let mut scheduler = SchedulerOut::default();
@@ -620,6 +629,9 @@
             reports: Vec::new(),
         };
         self.cancelled_here = false;
+        if self.scheduler.leading() && !self.election.in_doubt() {
+            self.gateway.leader_heard(now, self.scheduler.term());
+        }
         if self.scheduler.active() {
             let mut sent_counts = HashMap::new();
             for (id, counts) in self.scheduler.counts() {
@@ -628,10 +640,11 @@
                         job: id.to_string(),
                         done: counts.done,
                         running: counts.running,
+                        spans: counts.spans,
                     });
                 }
                 sent_counts.insert(id.clone(), counts);
-                self.gateway.note_counts(id, counts);
+                self.gateway.note_counts(id, self.scheduler.term(), counts);
             }
             self.sent_counts = sent_counts;
         }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -57,6 +57,9 @@
     /// Tasks that run.
     #[prost(uint32, tag = "3")]
     pub running: u32,
+    /// They are parts of replicas that span machines, all of which serve.
+    #[prost(bool, tag = "4")]
+    pub spans: bool,
 }
 
 /// A place in the numbered cancellations that one process has confirmed.
--- a/src/scheduler/group_placing.rs
+++ b/src/scheduler/group_placing.rs
@@ -543,6 +543,7 @@
         match self.move_intent(now, id) {
             Some(intent) => {
                 log::info!("replica {id} is to move, generation={}", intent.generation);
+                self.give_up_kept(&intent, &id.job);
                 self.groups.begin_move(now.ms, id, intent);
                 self.hold_for(now, id);
                 self.store_group(now, id, true);
@@ -557,6 +558,22 @@
         self.groups.touch(&id.job);
     }
 
+    /// What is expected gives way to what moves now.
+    fn give_up_kept(&mut self, intent: &MoveIntent, job: &JobId) {
+        let Some(need) = self.jobs.get(job).map(|job| job.need) else {
+            return;
+        };
+        for target in &intent.targets {
+            let slot = self.rooms.slot(&target.machine);
+            let room = slot.and_then(|slot| Some((slot, self.rooms.get(slot)?)));
+            if let Some((slot, room)) = room {
+                if !room.free().holds(&need) && room.kept() != Resources::default() {
+                    self.rooms.release_kept(slot);
+                }
+            }
+        }
+    }
+
     fn move_intent(&self, now: Now, id: &GroupId) -> Option<MoveIntent> {
         let job = self.jobs.get(&id.job)?;
         let bound: Vec<(u32, Binding)> = self
@@ -588,7 +605,7 @@
                 zone: None,
                 taken: &all,
             };
-            let rooms = self.find_rooms(&search, Reach::Free)?;
+            let rooms = self.find_rooms(&search, Reach::Kept)?;
             self.targets(&tasks, &rooms)
         })?;
         Some(MoveIntent {
@@ -622,7 +639,7 @@
             zone: Some(&zone),
             taken,
         };
-        let rooms = self.find_rooms(&search, Reach::Free)?;
+        let rooms = self.find_rooms(&search, Reach::Kept)?;
         let tasks: Vec<u32> = leaving.iter().map(|(task, _)| *task).collect();
         let mut targets = self.targets(&tasks, &rooms)?;
         targets.extend(staying.iter().map(|(task, binding)| Target {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -622,6 +622,7 @@
             let counts = TaskCounts {
                 done: job.done.len() as u32,
                 running: self.running_for_display(id, job),
+                spans: job.shape.is_some(),
             };
             (id, counts)
         })
