--- /dev/null
+++ b/replicas/tests/classes.rs
@@ -0,0 +1,67 @@
+//! Which jobs are grouped, and how.
+
+use lilacfork_replicas::classes::{Asked, Classes, ShapeError};
+use lilacfork_replicas::shape::{Replica, Shape};
+
+fn service(class: &str, tasks: u32) -> Asked<'_> {
+    Asked {
+        class,
+        gang: false,
+        service: true,
+        tasks,
+    }
+}
+
+#[test]
+fn a_shape_divides_its_tasks() {
+    assert_eq!(Shape::new(1, 4), None);
+    assert_eq!(Shape::new(3, 4), None);
+    assert_eq!(Shape::new(8, 4), None);
+    let shape = Shape::new(4, 12).expect("three replicas");
+    assert_eq!(shape.replicas(), 3);
+    assert_eq!(shape.replica_of(7), Replica(1));
+    assert_eq!(shape.tasks_of(Replica(2)), 8..12);
+    assert_eq!(shape.whole_replicas(409), Some(408));
+    assert_eq!(shape.whole_replicas(3), None, "not one fits");
+}
+
+#[test]
+fn classes_decide_for_services_and_gangs_alone() {
+    let mut classes = Classes::default();
+    assert_eq!(classes.set("large", " 4 "), Ok(()));
+    for wrong in ["0", "1", "-2", "2.5", "many", "", "99999999999"] {
+        assert!(classes.set("large", wrong).is_err(), "{wrong}");
+    }
+    assert_eq!(
+        classes.shape(service("large", 8), 409),
+        Ok(Shape::new(4, 8))
+    );
+    assert_eq!(classes.shape(service("small", 8), 409), Ok(None));
+    assert_eq!(
+        classes.shape(service("large", 7), 409),
+        Err(ShapeError::Uneven)
+    );
+    assert_eq!(
+        classes.shape(service("large", 8), 3),
+        Err(ShapeError::TooLarge)
+    );
+    let array = Asked {
+        service: false,
+        ..service("large", 7)
+    };
+    assert_eq!(classes.shape(array, 409), Ok(None));
+    let gang = Asked {
+        gang: true,
+        ..array
+    };
+    assert_eq!(
+        classes.shape(gang, 409),
+        Ok(None),
+        "only if it is asked for"
+    );
+    classes.set_gangs(true);
+    assert_eq!(classes.shape(gang, 409), Ok(Shape::new(7, 7)));
+    assert_eq!(classes.shape(gang, 6), Err(ShapeError::TooLarge));
+    let alone = Asked { tasks: 1, ..gang };
+    assert_eq!(classes.shape(alone, 409), Ok(None));
+}
