Judge replicas that span machines in the scale run, with machines that fall silent

Need: proof on real controllers that no half of a replica is said to serve and none is left holding room.

Change: classes of a scenario may have parts; users note how many tasks are said to run; the checker has two rules more, each tried on a broken history, and counts repairs, their times and the GPU time that parts were left alone.

Found by a test: a histogram that saturates kept every time as 2 ms, in the program's figures too; it grows now.

--- a/replicas/src/figures.rs
+++ b/replicas/src/figures.rs
@@ -66,7 +66,8 @@
     /// A group serves again, so long after it lost a part.
     pub fn repaired(&mut self, took_ms: u64) {
         if let Some(histogram) = &mut self.repair_ms {
-            histogram.saturating_record(took_ms);
+            // One that grows by itself takes any time.
+            let _ = histogram.record(took_ms);
         }
     }
 
--- a/scale/src/checker.rs
+++ b/scale/src/checker.rs
@@ -2,6 +2,7 @@
 //! happened on machines, and nothing of how the controllers work.
 
 use crate::history::{Entry, Event, Verb};
+use crate::replicas::{ReplicaFigures, Replicas};
 use crate::scenario::Scenario;
 use lilacfork::ids::TaskRef;
 use lilacfork::wire::JobSpec;
@@ -31,6 +32,10 @@
     NotDone,
     /// What was said of a job's end is taken back.
     WentBack,
+    /// Parts of an incomplete replica are said to be running.
+    IncompleteServes,
+    /// What is left of an incomplete replica stays on machines for too long.
+    LeftAlone,
 }
 
 /// A broken rule.
@@ -66,6 +71,7 @@
     /// Where tasks are, by job and task.
     placed: BTreeMap<String, BTreeMap<u32, u32>>,
     team_gpus: HashMap<String, f64>,
+    replicas: Replicas<'a>,
     broken: Vec<Broken>,
 }
 
@@ -78,20 +84,23 @@
             specs: HashMap::new(),
             placed: BTreeMap::new(),
             team_gpus: HashMap::new(),
+            replicas: Replicas::new(scenario),
             broken: Vec::new(),
         }
     }
 
-    /// Judges a whole history.
-    pub fn judge(scenario: &Scenario, history: &[Entry]) -> Vec<Broken> {
+    /// Judges a whole history, and tells how replicas that span machines fared.
+    pub fn judge(scenario: &Scenario, history: &[Entry]) -> (Vec<Broken>, Option<ReplicaFigures>) {
         let mut checker = Checker::new(scenario);
         for entry in history {
             checker.take(entry);
         }
         if let Some(last) = history.last() {
             checker.overstayed(last.at_us);
+            checker.replicas.end(last.at_us);
         }
-        checker.broken
+        checker.broken.extend(checker.replicas.take_broken());
+        (checker.broken, checker.replicas.figures())
     }
 
     fn spec(&mut self, job: &str) -> Option<JobSpec> {
@@ -112,13 +121,20 @@
         let at_us = entry.at_us;
         match &entry.event {
             Event::Submitted { job } => self.job(job).submitted = true,
-            Event::CancelAsked { job } => self.job(job).cancel_asked = true,
+            Event::CancelAsked { job } => {
+                self.job(job).cancel_asked = true;
+                self.replicas.cancelled(job);
+            }
             Event::Answered {
                 job,
                 verb,
                 status,
                 state,
-            } => self.answered(at_us, job, *verb, *status, state),
+                running,
+            } => {
+                self.answered(at_us, job, *verb, *status, state);
+                self.replicas.said(at_us, job, *running);
+            }
             Event::Started { task, machine } => self.started(at_us, task, *machine),
             Event::Finished { task } => {
                 if let Some(task) = TaskRef::parse(task) {
@@ -195,6 +211,7 @@
             .count() as u32;
         let crowded = spec.spread && there >= spec.tasks.div_ceil(2);
         let moved = others.insert(task.index, machine).is_some();
+        self.replicas.started(at_us, &task);
         if elsewhere {
             self.breaks(Rule::RanTwice, at_us, name);
         }
@@ -230,6 +247,7 @@
             return;
         }
         placed.remove(&task.index);
+        self.replicas.left(at_us, &task);
         if let Some(spec) = self.spec(&job) {
             *self.team_gpus.entry(spec.team.to_string()).or_insert(0.0) -= spec.gpus;
         }
--- a/scale/src/control.rs
+++ b/scale/src/control.rs
@@ -38,6 +38,13 @@
         /// The machines' numbers.
         machines: Vec<u32>,
     },
+    /// Workers: these machines reach nobody for a while.
+    Silence {
+        /// The machines' numbers.
+        machines: Vec<u32>,
+        /// For how long.
+        for_ms: u64,
+    },
     /// Cloud: these machines have failed.
     Failed {
         /// The machines' numbers.
--- a/scale/src/harness.rs
+++ b/scale/src/harness.rs
@@ -7,7 +7,7 @@
 use crate::net::now_us;
 use crate::part::{PartConfig, Role, WorkerProcess};
 use crate::report::{self, Report};
-use crate::scenario::{FaultKind, FaultSettings, Scenario};
+use crate::scenario::{ClassSettings, FaultKind, FaultSettings, Scenario};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::io::{self, BufRead, BufReader};
@@ -166,6 +166,10 @@
     Kill(usize),
     Start(usize),
     Resume(usize),
+    /// This machine dies.
+    Replace(u32),
+    /// This machine reaches nobody for so many milliseconds.
+    Silence(u32, u64),
 }
 
 /// A run under way.
@@ -184,6 +188,8 @@
     users: Option<PartProcess>,
     steps: BTreeMap<(u64, u32), Step>,
     step_count: u32,
+    /// Arguments that name the operators' settings.
+    ini: Vec<PathBuf>,
     recorder: Recorder,
     leader_ends_us: Vec<u64>,
     usage: Usage,
@@ -275,7 +281,9 @@
             &scenario,
             clients,
         )?;
+        let ini = write_ini(&dir, &scenario).map_err(process_error("settings"))?;
         let mut run = Run {
+            ini,
             rng: fastrand::Rng::with_seed(scenario.seed),
             recorder: Recorder::create(&dir.join("harness.history"))
                 .map_err(process_error("history"))?,
@@ -371,6 +379,7 @@
         command
             .arg("--config")
             .arg(&controller.settings)
+            .args(&self.ini)
             .env("LOG_LEVEL", &self.log_level)
             .stderr(log);
         controller.process = Some(spawn(command, &name)?);
@@ -416,6 +425,11 @@
                 self.controllers[number].process = None;
             }
             Step::Start(number) => self.start_controller(number)?,
+            Step::Replace(machine) => self.replace(machine)?,
+            Step::Silence(machine, for_ms) => {
+                let machines = vec![machine];
+                self.tell_holder(machine, &PartCommand::Silence { machines, for_ms });
+            }
             Step::Resume(number) => {
                 signal(&self.workers[number].owned, libc::SIGCONT);
                 self.workers[number].owned.out = false;
@@ -473,26 +487,34 @@
                 let controller = Some(self.leader());
                 self.state.tell(&PartCommand::Refuse { controller, for_ms });
             }
-            FaultKind::Replace => self.replace(fault.count)?,
+            FaultKind::Replace => self.hit_machines(fault, now, Step::Replace),
+            FaultKind::Silent => self.hit_machines(fault, now, |m| Step::Silence(m, for_ms)),
         }
         Ok(())
     }
 
-    fn replace(&mut self, count: u32) -> Result<(), RunError> {
-        for _ in 0..count {
+    /// Machines are hit at random moments within the time that the fault names.
+    fn hit_machines(&mut self, fault: &FaultSettings, now: u64, step: impl Fn(u32) -> Step) {
+        let over_us = (fault.over_s * 1e6) as u64;
+        for _ in 0..fault.count {
             let machine = self.rng.u32(..self.scenario.workers.count);
-            let holder = self
-                .ranges
-                .iter()
-                .position(|(first, last)| (*first..=*last).contains(&machine));
-            if let Some(holder) = holder {
-                self.workers[holder].tell(&PartCommand::Remove {
-                    machines: vec![machine],
-                });
-            }
-            self.machines_lost((machine, machine))?;
+            let at_us = now + self.rng.u64(..=over_us);
+            self.schedule(at_us, step(machine));
+        }
+    }
+
+    fn replace(&mut self, machine: u32) -> Result<(), RunError> {
+        let machines = vec![machine];
+        self.tell_holder(machine, &PartCommand::Remove { machines });
+        self.machines_lost((machine, machine))
+    }
+
+    /// Tells the process that has the machine.
+    fn tell_holder(&self, machine: u32, command: &PartCommand) {
+        let holds = |(first, last): &(u32, u32)| (*first..=*last).contains(&machine);
+        if let Some(holder) = self.ranges.iter().position(holds) {
+            self.workers[holder].tell(command);
         }
-        Ok(())
     }
 
     fn machines_lost(&mut self, machines: (u32, u32)) -> Result<(), RunError> {
@@ -597,6 +619,24 @@
     }
 }
 
+/// The operators' settings, if the scenario asks for any: which classes span
+/// machines.
+fn write_ini(dir: &Path, scenario: &Scenario) -> io::Result<Vec<PathBuf>> {
+    let spans = |class: &&ClassSettings| class.parts > 0 && !scenario.parts_alone;
+    let lines: Vec<String> = scenario
+        .classes
+        .iter()
+        .filter(spans)
+        .map(|class| format!("{} = {}\n", class.name, class.parts))
+        .collect();
+    if lines.is_empty() {
+        return Ok(Vec::new());
+    }
+    let path = dir.join("operators.ini");
+    std::fs::write(&path, format!("[replica_parts]\n{}", lines.concat()))?;
+    Ok(vec![PathBuf::from("--ini"), path])
+}
+
 fn signal(process: &Owned, signal: i32) {
     if let Ok(pid) = i32::try_from(process.child.id()) {
         // Safety: a plain system call; the child isn't waited for yet, so that
@@ -703,7 +743,7 @@
                 *counters.entry(format!("{name} {counter}")).or_insert(0.0) += value;
             }
         }
-        let broken = Checker::judge(&self.scenario, history);
+        let (broken, replicas) = Checker::judge(&self.scenario, history);
         let mut by_rule = BTreeMap::new();
         for one in &broken {
             *by_rule.entry(one.rule).or_insert(0) += 1;
@@ -718,6 +758,7 @@
                 .get("workers tasks_running")
                 .copied()
                 .unwrap_or(0.0),
+            replicas,
             waits: report::waits(&self.scenario, history, from_us, to_us),
             worker_messages_per_s: messages / workers,
             worker_bytes_per_s: bytes / workers,
--- a/scale/src/history.rs
+++ b/scale/src/history.rs
@@ -41,6 +41,10 @@
         status: u16,
         /// The job's state, as far as the answer names one.
         state: String,
+        /// How many tasks are said to run, where that is looked at: for jobs whose
+        /// replicas span machines.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        running: Option<u32>,
     },
     /// A task has its image and runs.
     Started {
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod history;
 pub mod net;
 pub mod part;
+pub mod replicas;
 pub mod report;
 pub mod scenario;
 pub mod state;
--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -45,6 +45,9 @@
     /// Without the scenario's faults
     #[arg(long)]
     no_faults: bool,
+    /// Each part of a replica that spans machines is repaired alone
+    #[arg(long)]
+    parts_alone: bool,
     /// The controllers' program
     #[arg(long, default_value = "target/release/lilacfork")]
     program: PathBuf,
@@ -71,6 +74,7 @@
         if self.no_faults {
             scenario.faults.clear();
         }
+        scenario.parts_alone |= self.parts_alone;
         Ok(scenario.loaded(self.load))
     }
 }
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -4,6 +4,7 @@
 use crate::control::Stats;
 use crate::figures::Used;
 use crate::history::{Entry, Event};
+use crate::replicas::ReplicaFigures;
 use crate::scenario::Scenario;
 use hdrhistogram::Histogram;
 use lilacfork::ids::TaskRef;
@@ -64,6 +65,8 @@
     pub starts_per_s: [f64; 2],
     /// Tasks running at the end.
     pub tasks_running: f64,
+    /// Replicas that span machines; `None`: the scenario has none.
+    pub replicas: Option<ReplicaFigures>,
     /// By class.
     pub waits: BTreeMap<String, Waits>,
     /// What control costs a worker: messages and bytes a second.
@@ -242,6 +245,9 @@
                 w.tasks, w.p50_s, w.p99_s, w.most_s, w.in_time, w.not_started
             );
         }
+        if let Some(replicas) = &self.replicas {
+            let _ = writeln!(text, "{replicas}");
+        }
         for (name, value) in &self.counters {
             let _ = writeln!(text, "{name}: {value:.1}");
         }
--- a/scale/src/scenario.rs
+++ b/scale/src/scenario.rs
@@ -51,6 +51,10 @@
     /// The classes of jobs.
     #[serde(rename = "class")]
     pub classes: Vec<ClassSettings>,
+    /// Controllers repair each part of a replica alone: what replica groups are
+    /// compared with. Rules on replicas aren't judged then.
+    #[serde(default)]
+    pub parts_alone: bool,
     /// What goes wrong, and when.
     #[serde(rename = "fault", default)]
     pub faults: Vec<FaultSettings>,
@@ -164,6 +168,10 @@
     pub initial: u32,
     /// Jobs per second after that.
     pub rate: f64,
+    /// So many consecutive tasks of a service are a replica that spans machines;
+    /// 0: each is one by itself.
+    #[serde(default)]
+    pub parts: u32,
     /// At most half of the tasks in one zone.
     #[serde(default)]
     pub spread: bool,
@@ -187,9 +195,12 @@
     /// How long, where that has a meaning.
     #[serde(default)]
     pub for_s: f64,
-    /// How many machines, for `replace`.
+    /// How many machines, for `replace` and `silent`.
     #[serde(default)]
     pub count: u32,
+    /// The machines are hit at random moments within so many seconds.
+    #[serde(default)]
+    pub over_s: f64,
     /// The zone, for `zone_cut`.
     pub zone: Option<String>,
 }
@@ -212,8 +223,10 @@
     StateDown,
     /// The state service refuses the leader alone for `for_s`.
     StateRefusesLeader,
-    /// Machines die at once; the cloud lists them as failed.
+    /// Machines die; the cloud lists them as failed.
     Replace,
+    /// Machines reach nobody, nor are reached, for `for_s`, and come back.
+    Silent,
 }
 
 /// What a machine is, by its number.
@@ -287,6 +300,16 @@
         if self.classes.is_empty() || self.classes.iter().any(|c| c.tasks.is_empty()) {
             return Some(("class.tasks", "must hold at least one number"));
         }
+        let divides = |c: &ClassSettings| {
+            let whole = c.tasks.iter().all(|n| n.is_multiple_of(c.parts.max(1)));
+            c.parts == 0 || (c.parts > 1 && c.kind == Kind::Service && whole)
+        };
+        if !self.classes.iter().all(divides) {
+            return Some((
+                "class.parts",
+                "must be above 1 and divide a service's tasks",
+            ));
+        }
         let runs = self.classes.iter().map(|c| c.run_s);
         if runs
             .into_iter()
@@ -427,6 +450,12 @@
         })
     }
 
+    /// Parts of the job's replicas; `None`: they don't span machines.
+    pub fn parts(&self, job: &str) -> Option<u32> {
+        let (class, _) = self.job_number(job)?;
+        Some(self.classes[class].parts).filter(|parts| *parts > 0)
+    }
+
     /// How long a task runs, or a service's user keeps it, in seconds.
     pub fn run_s(&self, job: &str, task: u32) -> Option<f64> {
         let (class, number) = self.job_number(job)?;
--- a/scale/src/users.rs
+++ b/scale/src/users.rs
@@ -44,6 +44,8 @@
     /// When its user cancels it.
     cancel_us: u64,
     told: String,
+    /// The tasks that were said to run.
+    running: Option<u32>,
     /// The last answer failed.
     failed: bool,
     /// The question under way is about a job that nobody submitted.
@@ -59,10 +61,11 @@
     seen: bool,
 }
 
-#[derive(Deserialize)]
+#[derive(Default, Deserialize)]
 struct StateBody {
     #[serde(default)]
     etat: String,
+    running: Option<u32>,
 }
 
 /// All users.
@@ -161,6 +164,7 @@
             submitted_us: now,
             cancel_us,
             told: String::new(),
+            running: None,
             failed: false,
             strange: false,
         };
@@ -225,7 +229,8 @@
     ) -> io::Result<()> {
         let now = now_us();
         let (status, body) = answer.unwrap_or_default();
-        let state = serde_json::from_slice::<StateBody>(&body).map_or(String::new(), |b| b.etat);
+        let body: StateBody = serde_json::from_slice(&body).unwrap_or_default();
+        let state = body.etat;
         let elsewhere = self.healthy();
         let Some(job) = self.jobs.get_mut(&link) else {
             return Ok(());
@@ -237,7 +242,14 @@
         };
         let fine = matches!(status, 200 | 201);
         // An answer that says the same again counts after one that failed.
-        let news = !fine || job.failed || state != job.told || verb != Verb::Show;
+        let running = body
+            .running
+            .filter(|_| self.scenario.parts(&job.name).is_some());
+        let news = !fine
+            || job.failed
+            || state != job.told
+            || running != job.running
+            || verb != Verb::Show;
         job.failed = !fine;
         if job.strange || news {
             let suffix = if job.strange { "-never" } else { "" };
@@ -246,6 +258,7 @@
                 verb,
                 status,
                 state: state.clone(),
+                running,
             })?;
         }
         if status == 0 || status >= 500 {
@@ -269,6 +282,7 @@
         }
         if !job.strange && fine {
             job.told = state;
+            job.running = running;
         }
         if job.stage == Stage::Over {
             net.close_link(link);
--- a/scale/src/workers.rs
+++ b/scale/src/workers.rs
@@ -110,6 +110,8 @@
     asked: Option<(u64, u64)>,
     last_report_us: u64,
     report_due_us: u64,
+    /// Until when it reaches nobody.
+    silent_us: u64,
 }
 
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -196,6 +198,7 @@
             asked: None,
             last_report_us: 0,
             report_due_us: 0,
+            silent_us: 0,
         });
         if up {
             // Workers don't report in step.
@@ -226,7 +229,8 @@
     }
 
     fn is_cut(&self, index: usize, now: u64) -> bool {
-        now < self.cut_us[self.workers[index].machine.zone]
+        let worker = &self.workers[index];
+        now < self.cut_us[worker.machine.zone].max(worker.silent_us)
     }
 
     /// Something changed that the controllers should hear of soon.
@@ -687,6 +691,12 @@
                 }
             }
             Command::Remove { machines } => self.remove(net, machines)?,
+            Command::Silence { machines, for_ms } => {
+                for number in machines {
+                    let index = (number - self.first) as usize;
+                    self.workers[index].silent_us = now_us() + for_ms * 1000;
+                }
+            }
             Command::Cut { zone, for_ms } => self.cut_us[*zone] = now_us() + for_ms * 1000,
             _ => {}
         }
--- a/scale/tests/checker.rs
+++ b/scale/tests/checker.rs
@@ -37,6 +37,7 @@
         verb,
         status,
         state: state.into(),
+        running: None,
     }
 }
 
@@ -65,7 +66,7 @@
 }
 
 fn rules(events: Vec<(u64, Event)>) -> Vec<Rule> {
-    let broken = Checker::judge(&scenario(), &history(events));
+    let (broken, _) = Checker::judge(&scenario(), &history(events));
     broken.into_iter().map(|b| b.rule).collect()
 }
 
@@ -129,7 +130,7 @@
     roomy.team_gpus_max = 8.0;
     events.push((8, started(SERVICE, 0, 30)));
     events.push((9, started(SERVICE, 2, 36)));
-    let broken = Checker::judge(&roomy, &history(events));
+    let (broken, _) = Checker::judge(&roomy, &history(events));
     let found: Vec<Rule> = broken.into_iter().map(|b| b.rule).collect();
     assert_eq!(found, [Rule::WrongPlace]);
 }
@@ -212,3 +213,119 @@
     ];
     assert_eq!(rules(events), [Rule::WentBack]);
 }
+
+/// A service whose two tasks are one replica.
+fn pairs() -> Scenario {
+    let mut scenario = scenario();
+    scenario.team_gpus_max = 8.0;
+    scenario.classes[0].tasks = vec![2];
+    scenario.classes[0].parts = 2;
+    scenario
+}
+
+fn said(second: u64, running: u32) -> (u64, Event) {
+    let event = Event::Answered {
+        job: SERVICE.into(),
+        verb: Verb::Show,
+        status: 200,
+        state: if running > 0 { "running" } else { "pending" }.into(),
+        running: Some(running),
+    };
+    (second, event)
+}
+
+fn replica_rules(scenario: &Scenario, events: Vec<(u64, Event)>) -> Vec<Rule> {
+    let (broken, _) = Checker::judge(scenario, &history(events));
+    broken.into_iter().map(|b| b.rule).collect()
+}
+
+/// A replica that is complete at 2 s and loses its second machine at 20 s.
+fn loses_a_part() -> Vec<(u64, Event)> {
+    vec![
+        (0, submitted(SERVICE)),
+        (0, accepted(SERVICE)),
+        (1, started(SERVICE, 0, 0)),
+        said(1, 0),
+        (2, started(SERVICE, 1, 7)),
+        said(3, 2),
+        (20, Event::Lost { machines: (7, 7) }),
+    ]
+}
+
+#[test]
+fn an_incomplete_replica_that_is_said_to_run_is_seen() {
+    let pairs = pairs();
+    let mut events = loses_a_part();
+    // Reports are so old at most.
+    events.push(said(32, 2));
+    events.push((32, left(SERVICE, 0, 0)));
+    assert_eq!(replica_rules(&pairs, events.clone()), []);
+    let mut late = events.clone();
+    late.push(said(33, 2));
+    assert_eq!(replica_rules(&pairs, late), [Rule::IncompleteServes]);
+    let mut half = events.clone();
+    half.push(said(33, 1));
+    assert_eq!(
+        replica_rules(&pairs, half.clone()),
+        [Rule::IncompleteServes]
+    );
+    let mut early = loses_a_part();
+    early[3] = said(1, 2);
+    assert_eq!(
+        replica_rules(&pairs, early)[..1],
+        [Rule::IncompleteServes],
+        "before it was ever complete"
+    );
+    let mut alone = pairs.clone();
+    alone.parts_alone = true;
+    assert_eq!(replica_rules(&alone, half), [], "not judged");
+}
+
+#[test]
+fn what_is_left_alone_for_too_long_is_seen() {
+    let pairs = pairs();
+    let ends = |second: u64| {
+        let mut events = loses_a_part();
+        events.push((second, left(SERVICE, 0, 0)));
+        events.push((second + 3, started(SERVICE, 0, 1)));
+        events.push((second + 5, started(SERVICE, 1, 8)));
+        events
+    };
+    assert_eq!(replica_rules(&pairs, ends(60)), []);
+    assert_eq!(replica_rules(&pairs, ends(61)), [Rule::LeftAlone]);
+    // One that stays to the end counts, too.
+    let mut stays = loses_a_part();
+    stays.push((70, submitted(ARRAY)));
+    assert_eq!(replica_rules(&pairs, stays), [Rule::LeftAlone]);
+    // What its user cancels is no loss.
+    let mut cancelled = loses_a_part();
+    cancelled.insert(
+        6,
+        (
+            19,
+            Event::CancelAsked {
+                job: SERVICE.into(),
+            },
+        ),
+    );
+    cancelled.push((70, left(SERVICE, 0, 0)));
+    assert_eq!(replica_rules(&pairs, cancelled), []);
+}
+
+#[test]
+fn repairs_and_time_left_alone_are_counted() {
+    let mut events = loses_a_part();
+    events.push((34, left(SERVICE, 0, 0)));
+    events.push((37, started(SERVICE, 0, 1)));
+    events.push((40, started(SERVICE, 1, 8)));
+    let (_, figures) = Checker::judge(&pairs(), &history(events));
+    let figures = figures.expect("there are replicas");
+    assert_eq!(
+        (figures.seen, figures.repaired, figures.incomplete_at_end),
+        (1, 1, 0)
+    );
+    assert!((figures.repair_most_s - 20.0).abs() < 0.1, "{figures:?}");
+    // One part of two GPUs for 14 s.
+    assert!((figures.alone_gpu_s - 28.0).abs() < 0.1, "{figures:?}");
+    assert!((figures.alone_most_s - 14.0).abs() < 0.1, "{figures:?}");
+}
