Tell counts of jobs in heartbeats that a peer takes, remember jobs by memory

Cause, found by going through fixed limits: a new leader told its peers a count of every unfinished job in one message. From some 11,000 jobs on (4,000 machines have three times as many one-task jobs) it was larger than a peer takes: no peer ever heard its leader. And 20,000 remembered jobs are fewer than 4,000 machines run.

Change: counts take a quarter of a message at most, the rest goes with the next heartbeat. What is remembered of jobs follows the memory that a controller may use, 20,000 at least; forgetting one of them no longer walks all.

Result: a trace with 16,000 jobs and 41 machines; before the change its first heartbeat would have been 16,000 rows of 20 bytes and more.

--- a/src/bounded_map.rs
+++ b/src/bounded_map.rs
@@ -1,16 +1,20 @@
 //! A map that forgets its oldest entries, so that what a process remembers of
 //! jobs can't grow without end.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::hash::Hash;
 
+/// When an entry came, among all others.
+type Age = u64;
+
 /// At most `capacity` entries; a new one beyond that removes the oldest.
 #[derive(Debug)]
 pub struct BoundedMap<K, V> {
     capacity: usize,
-    entries: HashMap<K, V>,
-    /// Keys in the order in which they came; some may be removed already.
-    order: VecDeque<K>,
+    entries: HashMap<K, (Age, V)>,
+    /// Keys in the order in which they came.
+    by_age: BTreeMap<Age, K>,
+    next: Age,
 }
 
 impl<K: Clone + Eq + Hash, V> BoundedMap<K, V> {
@@ -19,13 +23,14 @@
         BoundedMap {
             capacity,
             entries: HashMap::new(),
-            order: VecDeque::new(),
+            by_age: BTreeMap::new(),
+            next: 0,
         }
     }
 
     /// The value of a key, if it is remembered.
     pub fn get(&self, key: &K) -> Option<&V> {
-        self.entries.get(key)
+        self.entries.get(key).map(|(_, value)| value)
     }
 
     /// How many entries are remembered.
@@ -40,12 +45,15 @@
 
     /// Sets a value; a known key keeps its age.
     pub fn insert(&mut self, key: K, value: V) {
-        if self.entries.insert(key.clone(), value).is_some() {
+        if let Some((_, known)) = self.entries.get_mut(&key) {
+            *known = value;
             return;
         }
-        self.order.push_back(key);
-        while self.order.len() > self.capacity {
-            if let Some(oldest) = self.order.pop_front() {
+        self.next += 1;
+        self.by_age.insert(self.next, key.clone());
+        self.entries.insert(key, (self.next, value));
+        if self.entries.len() > self.capacity {
+            if let Some((_, oldest)) = self.by_age.pop_first() {
                 self.entries.remove(&oldest);
             }
         }
@@ -53,8 +61,8 @@
 
     /// Forgets a key.
     pub fn remove(&mut self, key: &K) {
-        if self.entries.remove(key).is_some() {
-            self.order.retain(|known| known != key);
+        if let Some((age, _)) = self.entries.remove(key) {
+            self.by_age.remove(&age);
         }
     }
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -155,8 +155,10 @@
 const WRITE_PATIENCE_MS: u64 = 3000;
 const READ_PATIENCE_MS: u64 = 1700;
 const MAX_TRIES: u32 = 5;
-/// Jobs remembered; of any other the state service is asked as if it were new.
-const REMEMBERED: usize = 20_000;
+/// Jobs remembered, at least and for each MB that the process may use; of any other
+/// the state service is asked as if it were new.
+const LEAST_REMEMBERED: usize = 20_000;
+const REMEMBERED_PER_MB: f64 = 500.0;
 
 /// How far a job is, for display.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
@@ -215,12 +217,14 @@
 impl Gateway {
     /// Knows nothing yet.
     pub fn new(settings: Rc<Settings>, replica_classes: Classes, leader_quiet_ms: u64) -> Self {
+        let ram_mb = settings.site.limits.ram_mb;
+        let remembered = LEAST_REMEMBERED.max((ram_mb * REMEMBERED_PER_MB) as usize);
         Gateway {
             settings,
             replica_classes,
             catalog: None,
-            facts: BoundedMap::new(REMEMBERED),
-            counts: BoundedMap::new(REMEMBERED),
+            facts: BoundedMap::new(remembered),
+            counts: BoundedMap::new(remembered),
             leader: None,
             leader_quiet_ms,
             tasks: HashMap::new(),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,6 +9,7 @@
 use crate::cloud::{Cloud, CloudCall, CloudEvent};
 use crate::election::{Change, Election, ElectionCall, Role};
 use crate::gateway::{Gateway, GatewayCall, GatewayOut, TaskCounts};
+use crate::http::MAX_PEER_BODY;
 use crate::ids::{JobId, Session, Term};
 use crate::msg::{Call, CallId, ConnId, Effect, Now, Outcome, Port, Reply, Request, Target};
 use crate::options::Options;
@@ -90,6 +91,13 @@
 /// For so many seconds a follower saves up the changes that it doesn't use.
 const SAVED_S: f64 = 2.5;
 
+/// Counts for display take so much of a heartbeat at most. A new leader has all
+/// jobs' to tell: in one message they were once too much for a peer to take, and
+/// it heard nothing of its leader.
+const MAX_COUNT_BYTES: usize = MAX_PEER_BODY / 4;
+/// What a count takes beside its job's name, generously.
+const COUNT_BYTES: usize = 24;
+
 /// What the others wrote of late may grow so much before the leader knows.
 const OTHERS_GROWTH: f64 = 1.5;
 
@@ -634,17 +642,25 @@
         }
         if self.scheduler.active() {
             let mut sent_counts = HashMap::new();
+            let mut bytes = 0;
             for (id, counts) in self.scheduler.counts() {
-                if self.sent_counts.get(id) != Some(&counts) {
+                self.gateway.note_counts(id, self.scheduler.term(), counts);
+                let sent = self.sent_counts.get(id).copied();
+                if sent == Some(counts) {
+                    sent_counts.insert(id.clone(), counts);
+                } else if bytes < MAX_COUNT_BYTES {
+                    bytes += id.as_str().len() + COUNT_BYTES;
                     heartbeat.counts.push(JobCount {
                         job: id.to_string(),
                         done: counts.done,
                         running: counts.running,
                         spans: counts.spans,
                     });
+                    sent_counts.insert(id.clone(), counts);
+                } else if let Some(sent) = sent {
+                    // The next heartbeat tells.
+                    sent_counts.insert(id.clone(), sent);
                 }
-                sent_counts.insert(id.clone(), counts);
-                self.gateway.note_counts(id, self.scheduler.term(), counts);
             }
             self.sent_counts = sent_counts;
         }
--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,49 @@
+//! Sizes at which something fixed once stood in the way.
+
+mod world;
+
+use lilacfork::http::MAX_PEER_BODY;
+use lilacfork::msg::Target;
+use serde_json::json;
+use std::cell::Cell;
+use std::rc::Rc;
+use world::{service, World};
+
+/// At 4,000 machines there may be as many jobs as tasks; a leader's first heartbeat
+/// held a count of each, and from some 11,000 jobs on no peer took it: none heard
+/// that there was a leader, at that and at every later try.
+#[test]
+fn a_leader_of_many_jobs_is_heard_by_its_peers() {
+    let mut w = World::new(3);
+    w.capacity = 0;
+    // So many machines that the books aren't counted anew at every event.
+    for n in 0..41 {
+        w.add_machine(&format!("vm-{n}"), "a", false, true);
+    }
+    for n in 0..16_000 {
+        let mut spec = service(&format!("run-{n:06}"), 1);
+        spec["gabarit"] = json!("help");
+        w.observer.submitted(&spec);
+        w.state.revision += 1;
+        let record = json!({"spec": spec, "t": 1_000_000});
+        let key = format!("j/run-{n:06}");
+        w.state.items.insert(key, (record, w.state.revision, None));
+    }
+    let largest = Rc::new(Cell::new(0));
+    let seen = largest.clone();
+    w.hook = Box::new(move |_, _, call| {
+        if matches!(call.target, Target::Peer(_)) {
+            seen.set(seen.get().max(call.body.len()));
+        }
+        world::Fate::Pass
+    });
+    w.run_for(20_000);
+    assert!(largest.get() <= MAX_PEER_BODY, "{} bytes", largest.get());
+    assert!(largest.get() > 16_000, "counts are told all the same");
+    let leader = w.leader().expect("somebody leads");
+    // Those that run are shown by a peer, however many wait.
+    let running = w.workers.values().flat_map(|worker| worker.tasks.keys());
+    let last = running.max().expect("tasks run").clone();
+    let (job, _) = last.split_once('/').expect("a task's name");
+    assert_eq!(w.poll((leader + 1) % 3, job), (200, "running".into()));
+}
