--- a/scale/src/control.rs
+++ b/scale/src/control.rs
@@ -86,8 +86,16 @@
     Ok(serde_json::from_slice(&answer)?)
 }
 
-/// Makes one request and waits for the answer's body.
+/// Makes one request and waits for the body of a good answer.
 pub fn request(to: SocketAddrV4, method: &str, path: &str, body: &[u8]) -> io::Result<Vec<u8>> {
+    match ask(to, method, path, body)? {
+        (200, body) => Ok(body),
+        (status, _) => Err(io::Error::other(format!("status {status}"))),
+    }
+}
+
+/// Makes one request and waits for the answer: its status and body.
+pub fn ask(to: SocketAddrV4, method: &str, path: &str, body: &[u8]) -> io::Result<(u16, Vec<u8>)> {
     let mut stream = TcpStream::connect(to)?;
     stream.set_read_timeout(Some(PATIENCE))?;
     let mut output = Vec::new();
@@ -99,10 +107,7 @@
         let read = stream.read(&mut buffer)?;
         input.extend_from_slice(&buffer[..read]);
         match http::parse_response(&input, read == 0) {
-            Ok(Some(parsed)) if parsed.message.0 == 200 => return Ok(parsed.message.1),
-            Ok(Some(parsed)) => {
-                return Err(io::Error::other(format!("status {}", parsed.message.0)))
-            }
+            Ok(Some(parsed)) => return Ok(parsed.message),
             Ok(None) if read > 0 => {}
             Ok(None) => return Err(io::ErrorKind::UnexpectedEof.into()),
             Err(e) => return Err(io::Error::other(e)),
--- a/scale/src/harness.rs
+++ b/scale/src/harness.rs
@@ -321,41 +321,13 @@
         peers: &[SocketAddrV4],
         cloud: SocketAddrV4,
     ) -> io::Result<()> {
-        use std::fmt::Write;
-        let s = &self.scenario;
-        let zone = |n: usize| &s.zones[n % s.zones.len()];
-        let mut text = format!(
-            "node_name = \"controller-{number}\"\ndomain = \"{}\"\nclient_listen = \"{}\"\nback = \"{}\"\n",
-            zone(number), clients[number], peers[number]
-        );
-        for (n, peer) in peers.iter().enumerate().filter(|(n, _)| *n != number) {
-            let _ = write!(text, "[[peers]]\nnode_name = \"controller-{n}\"\ndomain = \"{}\"\npeer_addr = \"{peer}\"\n", zone(n));
-        }
-        let zones: Vec<String> = s.zones.iter().map(|z| format!("\"{z}\"")).collect();
-        let _ = write!(
-            text,
-            "[services]\ncloud = \"{cloud}\"\nstate = \"{}\"\n[settings]\ncount = {}\nzones = [{}]\nskew_ms = 5.0\n",
-            self.state.ready.listeners[number], s.controllers.count, zones.join(", ")
-        );
-        for n in 0..s.teams {
-            let most = s.team_gpus_max;
-            let _ = write!(
-                text,
-                "[[settings.teams]]\nname = \"team-{n}\"\ngpus = {:.1}\ngpus_max = {most:.1}\n",
-                most / 4.0
-            );
-        }
-        for class in &s.classes {
-            if let Some(within_s) = class.start_within_s {
-                let _ = write!(text, "[[settings.objectives]]\nkind = \"wait\"\nclass = \"{}\"\nwithin_s = {within_s:.2}\nshare = 0.9\n", class.name);
-            }
-        }
-        let (w, c) = (&s.workers, &s.controllers);
-        let _ = write!(
-            text,
-            "[settings.workers]\nreport_s = {:.2}\nlease_s = {:.2}\ncancel_s = {:.2}\n[settings.state]\nrps = {:.1}\nwrite_rps = {:.1}\nvalue_kb = {:.1}\ntxn_ops = {}\n[settings.cloud]\nrps = {:.1}\nlist_lag_s = {:.1}\n[settings.limits]\ncores = {:.3}\nram_mb = {:.1}\nmax_connections = {}\n",
-            w.report_s, w.lease_s, w.cancel_s, s.state.rps, s.state.write_rps, s.state.value_kb, s.state.txn_ops, s.cloud.rps, s.cloud.list_lag_s, c.cores, c.ram_mb, c.max_connections
-        );
+        let addresses = Addresses {
+            clients,
+            peers,
+            state: self.state.ready.listeners[number],
+            cloud,
+        };
+        let text = settings_text(&self.scenario, number, &addresses);
         let settings = self.dir.join(format!("controller-{number}.toml"));
         let log = self.dir.join(format!("controller-{number}.log"));
         std::fs::write(&settings, text)?;
@@ -619,6 +591,62 @@
     }
 }
 
+/// Who listens where in a run.
+pub struct Addresses<'a> {
+    /// The controllers, for users and workers.
+    pub clients: &'a [SocketAddrV4],
+    /// The controllers, for each other.
+    pub peers: &'a [SocketAddrV4],
+    /// The state service, for this controller.
+    pub state: SocketAddrV4,
+    /// The cloud.
+    pub cloud: SocketAddrV4,
+}
+
+/// A controller's settings file.
+pub fn settings_text(s: &Scenario, number: usize, addresses: &Addresses) -> String {
+    use std::fmt::Write;
+    let (clients, peers, cloud) = (addresses.clients, addresses.peers, addresses.cloud);
+    let zone = |n: usize| &s.zones[n % s.zones.len()];
+    let mut text = format!(
+        "node_name = \"controller-{number}\"\ndomain = \"{}\"\nclient_listen = \"{}\"\nback = \"{}\"\n",
+        zone(number), clients[number], peers[number]
+    );
+    for (n, peer) in peers.iter().enumerate().filter(|(n, _)| *n != number) {
+        let _ = write!(
+            text,
+            "[[peers]]\nnode_name = \"controller-{n}\"\ndomain = \"{}\"\npeer_addr = \"{peer}\"\n",
+            zone(n)
+        );
+    }
+    let zones: Vec<String> = s.zones.iter().map(|z| format!("\"{z}\"")).collect();
+    let _ = write!(
+        text,
+        "[services]\ncloud = \"{cloud}\"\nstate = \"{}\"\n[settings]\ncount = {}\nzones = [{}]\nskew_ms = 5.0\n",
+        addresses.state, s.controllers.count, zones.join(", ")
+    );
+    for n in 0..s.teams {
+        let most = s.team_gpus_max;
+        let _ = write!(
+            text,
+            "[[settings.teams]]\nname = \"team-{n}\"\ngpus = {:.1}\ngpus_max = {most:.1}\n",
+            most / 4.0
+        );
+    }
+    for class in &s.classes {
+        if let Some(within_s) = class.start_within_s {
+            let _ = write!(text, "[[settings.objectives]]\nkind = \"wait\"\nclass = \"{}\"\nwithin_s = {within_s:.2}\nshare = 0.9\n", class.name);
+        }
+    }
+    let (w, c) = (&s.workers, &s.controllers);
+    let _ = write!(
+        text,
+        "[settings.workers]\nreport_s = {:.2}\nlease_s = {:.2}\ncancel_s = {:.2}\n[settings.state]\nrps = {:.1}\nwrite_rps = {:.1}\nvalue_kb = {:.1}\ntxn_ops = {}\n[settings.cloud]\nrps = {:.1}\nlist_lag_s = {:.1}\n[settings.limits]\ncores = {:.3}\nram_mb = {:.1}\nmax_connections = {}\n",
+        w.report_s, w.lease_s, w.cancel_s, s.state.rps, s.state.write_rps, s.state.value_kb, s.state.txn_ops, s.cloud.rps, s.cloud.list_lag_s, c.cores, c.ram_mb, c.max_connections
+    );
+    text
+}
+
 /// The operators' settings, if the scenario asks for any: which classes span
 /// machines.
 fn write_ini(dir: &Path, scenario: &Scenario) -> io::Result<Vec<PathBuf>> {
--- /dev/null
+++ b/scale/tests/loopback.rs
@@ -0,0 +1,225 @@
+//! A controller, a state service, a cloud and workers on loopback: a machine dies,
+//! and its replica is whole again. The test waits for what it asks for and for
+//! nothing else, so a slow machine only takes longer.
+
+use lilacfork::node::Node;
+use lilacfork::options::Options;
+use lilacfork::reactor::{Endpoints, Reactor};
+use lilacfork::settings::Settings;
+use lilacfork_scale::checker::{Checker, Rule};
+use lilacfork_scale::control::{self, Command, Ready};
+use lilacfork_scale::harness::{settings_text, Addresses};
+use lilacfork_scale::history;
+use lilacfork_scale::part::{PartConfig, Role, WorkerProcess};
+use lilacfork_scale::scenario::Scenario;
+use serde_json::Value;
+use std::io::{BufRead, BufReader};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Stdio};
+use std::time::{Duration, Instant};
+
+/// Four parts of two replicas; the planned scenario's first class, made small.
+const JOB: &str = "run-0x0";
+const MACHINES: u32 = 6;
+/// Longer than anything here takes, on however busy a machine.
+const PATIENCE: Duration = Duration::from_secs(90);
+
+fn scenario() -> Scenario {
+    let mut scenario =
+        Scenario::parse(include_str!("../scenarios/replicas.toml")).expect("the shipped scenario");
+    scenario.zones = vec!["east-1".into()];
+    scenario.teams = 1;
+    scenario.workers.count = MACHINES;
+    scenario.workers.spare = 2;
+    scenario.workers.per_process = 8;
+    scenario.workers.report_s = 0.5;
+    scenario.workers.lease_s = 4.0;
+    scenario.workers.cancel_s = 12.0;
+    scenario.controllers.count = 1;
+    scenario.cloud.list_lag_s = 0.5;
+    scenario.classes[0].tasks = vec![4];
+    scenario.classes[0].image_gb = 1.0;
+    // A part takes a machine.
+    scenario.classes[0].cpus = 40.0;
+    scenario
+}
+
+/// A hollow part that ends with the test.
+struct Part {
+    child: Child,
+    ready: Ready,
+    history: PathBuf,
+}
+
+impl Drop for Part {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn part(dir: &Path, name: &str, role: Role, controllers: &[SocketAddrV4]) -> Part {
+    let config = PartConfig {
+        role,
+        scenario: scenario(),
+        controllers: controllers.to_vec(),
+        history: dir.join(format!("{name}.history")),
+    };
+    let path = dir.join(format!("{name}.json"));
+    let text = serde_json::to_vec(&config).expect("a configuration");
+    std::fs::write(&path, text).expect("a directory to write to");
+    let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_lilacfork-scale"))
+        .arg("part")
+        .arg(&path)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the part starts");
+    let stdout = child.stdout.take().expect("its output");
+    let mut line = String::new();
+    let mut output = BufReader::new(stdout);
+    output.read_line(&mut line).expect("its first line");
+    Part {
+        child,
+        ready: serde_json::from_str(&line).expect("where it listens"),
+        history: config.history,
+    }
+}
+
+/// Addresses that nobody uses.
+fn free_addresses(count: usize) -> Vec<SocketAddrV4> {
+    let listeners: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port"))
+        .collect();
+    let port = |listener: &TcpListener| listener.local_addr().expect("bound").port();
+    let ports = listeners.iter().map(port);
+    ports
+        .map(|port| SocketAddrV4::new(Ipv4Addr::LOCALHOST, port))
+        .collect()
+}
+
+/// Runs a controller until the process ends.
+fn run_controller(settings: String) {
+    std::thread::spawn(move || {
+        let settings = Settings::parse(&settings, "test").expect("sound settings");
+        let mut options = Options::default();
+        let set = options.replica_classes.set("large", "2");
+        set.expect("two parts");
+        let endpoints = Endpoints {
+            client: settings.client_listen,
+            peer: settings.peer_listen,
+            state: settings.services.state,
+            cloud: settings.services.cloud,
+        };
+        let bounds = settings.site.limits.bounds();
+        let mut node = Node::new(settings, options, 1);
+        let reactor = Reactor::new(endpoints, bounds, 0).expect("it listens");
+        reactor.run(&mut node)
+    });
+}
+
+/// Asks until it is answered as wanted.
+fn until<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let began = Instant::now();
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(
+            began.elapsed() < PATIENCE,
+            "{what}: not within {PATIENCE:?}"
+        );
+        std::thread::yield_now();
+    }
+}
+
+fn get(to: SocketAddrV4, path: &str) -> Option<Value> {
+    let body = control::request(to, "GET", path, b"").ok()?;
+    serde_json::from_slice(&body).ok()
+}
+
+/// How many tasks the user is told to be running: whole replicas' alone.
+fn running(client: SocketAddrV4) -> Option<u64> {
+    let state = get(client, &format!("/v2/runs/{JOB}"))?;
+    let running = state["running"].as_u64()?;
+    assert!(running.is_multiple_of(2), "half a replica runs: {state}");
+    Some(running)
+}
+
+/// Attempt and machine of each part, as stored.
+fn placement(state: SocketAddrV4) -> Option<Vec<(u64, String)>> {
+    let record = get(state, &format!("/kv/p/{JOB}/0"))?;
+    let rows = record["v"]["a"].as_array()?;
+    let row = |row: &Value| Some((row[1].as_u64()?, row[2].as_str()?.to_string()));
+    rows.iter().map(row).collect()
+}
+
+#[test]
+fn a_replica_that_loses_a_machine_is_whole_again_on_loopback() {
+    let unique = format!("lilacfork-loopback-{}", std::process::id());
+    let dir = std::env::temp_dir().join(unique);
+    std::fs::create_dir_all(&dir).expect("a directory");
+    let addresses = free_addresses(2);
+    let (clients, peers) = addresses.split_at(1);
+    let state = part(&dir, "state", Role::State, clients);
+    let last = MACHINES + 1;
+    let workers = part(&dir, "workers", Role::Workers { first: 0, last }, clients);
+    let known = WorkerProcess {
+        first: 0,
+        last,
+        control: workers.ready.control,
+        addresses: workers.ready.listeners.clone(),
+    };
+    let role = Role::Cloud {
+        workers: vec![known],
+    };
+    let cloud = part(&dir, "cloud", role, clients);
+    let state_address = state.ready.listeners[0];
+    let listens = Addresses {
+        clients,
+        peers,
+        state: state_address,
+        cloud: cloud.ready.listeners[0],
+    };
+    run_controller(settings_text(&scenario(), 0, &listens));
+    let client = clients[0];
+    until("the controller is ready", || get(client, "/ready"));
+    let spec = scenario().job(JOB).expect("a job of the scenario");
+    let body = serde_json::to_vec(&spec).expect("a submission");
+    until("the job is accepted", || {
+        let answer = control::ask(client, "POST", "/v2/runs", &body).ok();
+        answer.filter(|(status, _)| matches!(status, 200 | 201))
+    });
+    until("both replicas serve", || {
+        running(client).filter(|running| *running == 4)
+    });
+    let before = until("the placement", || placement(state_address));
+    assert_eq!(before[0].0, before[1].0, "one generation");
+    assert_ne!(before[0].1, before[1].1, "two machines");
+    let dies = Scenario::machine_number(&before[1].1).expect("a machine's name");
+    let machines = vec![dies];
+    let removed = control::send(
+        workers.ready.control,
+        &Command::Remove {
+            machines: machines.clone(),
+        },
+    );
+    removed.expect("the machine dies");
+    let listed = control::send(cloud.ready.control, &Command::Failed { machines });
+    listed.expect("the cloud knows");
+    let after = until("the next generation is stored", || {
+        placement(state_address).filter(|rows| rows.len() == 4 && rows[0].0 > before[0].0)
+    });
+    assert_eq!(after[0].0, after[1].0, "one generation again");
+    assert_ne!(after[1].1, before[1].1, "elsewhere");
+    assert_eq!(after[2..], before[2..], "the other replica wasn't touched");
+    until("both replicas serve again", || {
+        running(client).filter(|running| *running == 4)
+    });
+    control::send(workers.ready.control, &Command::Stop).expect("the workers end");
+    let events = history::read(std::slice::from_ref(&workers.history)).expect("their history");
+    let (broken, _) = Checker::judge(&scenario(), &events);
+    let ever = [Rule::RanTwice, Rule::Quota, Rule::WrongPlace];
+    assert!(!broken.iter().any(|b| ever.contains(&b.rule)), "{broken:?}");
+    let _ = std::fs::remove_dir_all(&dir);
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,26 +1,28 @@
 //! One controller: the actors, and who hears what from whom. Messages and
 //! time in, messages out; the reactor does the rest.
 
+mod catalog;
 mod follower;
 mod forwarding;
+mod peers;
+mod requests;
 mod routes;
 
 use crate::cancellations::{self, Cancellations, CancellationsCall};
 use crate::cloud::{Cloud, CloudCall, CloudEvent};
-use crate::election::{Change, Election, ElectionCall, Role};
+use crate::election::{Change, Election, ElectionCall};
 use crate::gateway::{Gateway, GatewayCall, GatewayOut, TaskCounts};
-use crate::http::MAX_PEER_BODY;
 use crate::ids::{JobId, Session, Term};
-use crate::msg::{Call, CallId, ConnId, Effect, Now, Outcome, Port, Reply, Request, Target};
+use crate::msg::{Call, CallId, ConnId, Effect, Now, Outcome, Port, Request};
 use crate::options::Options;
-use crate::peer::{self, Heartbeat, HeartbeatAnswer, JobCount, PEER_PATH};
+use crate::peer::{self};
 use crate::reactor::Handler;
 use crate::scheduler::{Scheduler, SchedulerCall, SchedulerOut, WorkerCall};
 use crate::settings::Settings;
-use crate::store::{self, Answer, StateCall, Store, Urgency};
+use crate::store::{Answer, StateCall, Store};
 use crate::usage::Purpose;
-use crate::wire::{self, Catalog, Item, Report, ReportTo, Txn};
-use follower::{proxy_answer, QUIET_HEARTBEATS};
+use crate::wire::{Catalog, Item};
+use follower::QUIET_HEARTBEATS;
 use forwarding::Forwarding;
 use routes::Routes;
 use std::collections::HashMap;
@@ -91,13 +93,6 @@
 /// For so many seconds a follower saves up the changes that it doesn't use.
 const SAVED_S: f64 = 2.5;
 
-/// Counts for display take so much of a heartbeat at most. A new leader has all
-/// jobs' to tell: in one message they were once too much for a peer to take, and
-/// it heard nothing of its leader.
-const MAX_COUNT_BYTES: usize = MAX_PEER_BODY / 4;
-/// What a count takes beside its job's name, generously.
-const COUNT_BYTES: usize = 24;
-
 /// What the others wrote of late may grow so much before the leader knows.
 const OTHERS_GROWTH: f64 = 1.5;
 
@@ -304,381 +299,6 @@
             .leave_writes(now, self.leader_share, others * OTHERS_GROWTH);
     }
 
-    // ---- requests ----
-
-    fn route(
-        &mut self,
-        now: Now,
-        conn: ConnId,
-        port: Port,
-        request: Request,
-        out: &mut Vec<Effect>,
-    ) {
-        let path = request.path.split('?').next().unwrap_or("");
-        if port == Port::Peer {
-            self.purpose = Purpose::Heartbeat;
-            let reply = match (request.method.as_str(), path) {
-                ("POST", PEER_PATH) => self.on_heartbeat(now, &request.body, out),
-                _ => Reply::error(404, "unknown path"),
-            };
-            out.push(Effect::Reply(conn, reply));
-            return;
-        }
-        let method = request.method.as_str();
-        let mut gateway = GatewayOut::default();
-        let allowed = match path {
-            wire::READY => {
-                self.purpose = Purpose::Probe;
-                if method == "GET" {
-                    out.push(Effect::Reply(conn, self.ready(now)));
-                }
-                method == "GET"
-            }
-            wire::WORKER_REPORT => {
-                self.purpose = Purpose::Report;
-                if method == "POST" {
-                    self.on_report(now, conn, &request.body, out);
-                }
-                method == "POST"
-            }
-            wire::USER_JOBS => {
-                self.purpose = Purpose::Submission;
-                if method == "POST" {
-                    self.gateway.submit(now, conn, &request.body, &mut gateway);
-                }
-                method == "POST"
-            }
-            _ => match job_path(path) {
-                Some((id, None)) => {
-                    self.purpose = Purpose::Query;
-                    if method == "GET" {
-                        self.gateway.show(now, conn, id, &mut gateway);
-                    }
-                    method == "GET"
-                }
-                Some((id, Some("abort"))) => {
-                    self.purpose = Purpose::Cancellation;
-                    if method == "POST" {
-                        self.gateway.cancel(now, conn, id, &mut gateway);
-                    }
-                    method == "POST"
-                }
-                _ => {
-                    out.push(Effect::Reply(conn, Reply::error(404, "unknown path")));
-                    return;
-                }
-            },
-        };
-        if !allowed {
-            out.push(Effect::Reply(conn, Reply::error(405, "method not allowed")));
-        }
-        self.take_gateway(now, gateway, out);
-    }
-
-    /// Ready means that requests can be taken. While the state service is
-    /// away from everybody it stays so: a 503 at once serves users better
-    /// than a node that balancers come back to slowly. A node that alone is
-    /// cut off steps aside.
-    fn ready(&self, now: Now) -> Reply {
-        if !self.gateway.has_catalog() {
-            return Reply::later(503, "machine types unknown yet", 1);
-        }
-        let patience_ms = self.heartbeat_every_ms * 4;
-        let cut_off = !self.store.reachable()
-            && self
-                .store
-                .last_ok_ms()
-                .is_none_or(|ok| now.ms > ok + patience_ms);
-        let others_reach = self
-            .peers
-            .iter()
-            .any(|p| p.state_seen_ms.is_some_and(|at| now.ms < at + patience_ms));
-        if cut_off && others_reach {
-            return Reply::later(503, "the state service can't be reached from here", 1);
-        }
-        Reply::json(200, &serde_json::json!({ "ready": true }))
-    }
-
-    fn on_report(&mut self, now: Now, conn: ConnId, body: &[u8], out: &mut Vec<Effect>) {
-        let report: Report = match serde_json::from_slice(body) {
-            Ok(report) => report,
-            Err(e) => {
-                out.push(Effect::Reply(conn, Reply::error(400, &e.to_string())));
-                return;
-            }
-        };
-        self.unreached = false;
-        // Who may have missed cancellations for long renews no lease, whatever
-        // its part; nor may a worker be kept by answers that it has to drop.
-        let informed = self.cancellations.may_renew(now);
-        let stops = self.cancellations.stops(&report);
-        if self.scheduler.leading() {
-            if !informed || self.election.in_doubt() {
-                out.push(Effect::Reply(conn, Reply::later(503, "cut off", 1)));
-                return;
-            }
-            if let Some(peer) = self
-                .forwarder_for(now, &report.zone)
-                .filter(|peer| self.routes.send_to(now.ms, &report.machine, *peer))
-            {
-                let node = Some(self.peers[peer].name.as_str());
-                let reply = Reply::json(421, &ReportTo { node });
-                out.push(Effect::Reply(conn, reply));
-                return;
-            }
-            let mut scheduler = SchedulerOut::default();
-            self.scheduler
-                .report(now, conn, &report, stops, &mut scheduler);
-            self.take_scheduler(now, scheduler, out);
-            return;
-        }
-        let forwards = self.forwards(now, &report.zone).filter(|_| informed);
-        let reply = if let Some(term) = forwards {
-            self.proxied_lease_ms = Some(now.ms);
-            self.forwarding.add(now.ms, &report, body);
-            proxy_answer(&report, term, &stops)
-        } else if informed && self.proxies_leases(now) {
-            self.renew_by_proxy(now, &report, &stops)
-        } else {
-            None
-        };
-        out.push(Effect::Reply(
-            conn,
-            reply.unwrap_or_else(|| self.redirect(now)),
-        ));
-    }
-
-    // ---- peers ----
-
-    /// Whether none of the workers that should report to this leader itself
-    /// is heard. While it leads on, nobody else may serve them.
-    fn unreachable(&self, now: Now) -> bool {
-        let to_us = |zone: &str| self.forwarder_for(now, zone).is_none();
-        self.scheduler.hears_no_worker(now, to_us)
-    }
-
-    fn on_heartbeat(&mut self, now: Now, body: &[u8], out: &mut Vec<Effect>) -> Reply {
-        let Some(heartbeat) = peer::decode(body) else {
-            return Reply::error(400, "not a heartbeat");
-        };
-        if let Some(peer) = self.peers.iter_mut().find(|p| p.name == heartbeat.node) {
-            peer.heard_ms = Some(now.ms);
-            if heartbeat.state_reachable {
-                peer.state_seen_ms = Some(now.ms);
-            }
-            // A message that only carries reports says nothing of leaders.
-            if heartbeat.reports.is_empty() {
-                peer.writes_per_s = Some(heartbeat.writes_per_s)
-                    .filter(|w| w.is_finite() && *w >= 0.0)
-                    .unwrap_or(0.0);
-                peer.leads_ms = (heartbeat.node == heartbeat.leader).then_some(now.ms);
-                peer.leads_term = Term(heartbeat.term);
-                peer.unreachable = heartbeat.unreachable;
-                let ours = heartbeat.leader == self.settings.node_name
-                    && Term(heartbeat.term) == self.election.known_term();
-                peer.follows_ms = ours.then_some(now.ms);
-            }
-        }
-        let known = |name: &str| self.peers.iter().any(|p| p.name == name);
-        if heartbeat.state_reachable && known(&heartbeat.node) && known(&heartbeat.leader) {
-            let (leader, term) = (heartbeat.leader.as_str(), Term(heartbeat.term));
-            if let Some(change) = self.election.superseded(now, leader, term) {
-                self.on_change(now, change, out);
-            }
-        }
-        if heartbeat.node == heartbeat.leader {
-            self.gateway.leader_heard(now, Term(heartbeat.term));
-            for count in &heartbeat.counts {
-                let counts = TaskCounts {
-                    done: count.done,
-                    running: count.running,
-                    spans: count.spans,
-                };
-                let id = JobId::new(&count.job);
-                self.gateway.note_counts(&id, Term(heartbeat.term), counts);
-            }
-        }
-        let mut scheduler = SchedulerOut::default();
-        for job in heartbeat
-            .announced
-            .iter()
-            .filter(|id| wire::valid_job_id(id))
-        {
-            self.scheduler
-                .announced(now, &JobId::new(job), &mut scheduler);
-        }
-        let index = self.peers.iter().position(|p| p.name == heartbeat.node);
-        let mut answer = HeartbeatAnswer::default();
-        if let Some(cursor) = heartbeat.cursor {
-            answer.confirmations = Some(self.cancellations.confirmations(&cursor));
-            if let Some(index) = index {
-                self.cancellations.acknowledged(index, cursor);
-            }
-        }
-        if let (Some(index), Some(word)) = (index, &heartbeat.confirmations) {
-            let new = self.cancellations.heard(now, index, None, word);
-            self.learned_cancelled(now, &new, &mut scheduler);
-        }
-        if !heartbeat.reports.is_empty() {
-            self.purpose = Purpose::ForwardedReports;
-        }
-        let unreachable = !heartbeat.reports.is_empty() && self.unreachable(now);
-        let mut aside = false;
-        for body in &heartbeat.reports {
-            if let Ok(report) = serde_json::from_slice::<Report>(body) {
-                // Machines that merely fail together reach nobody.
-                aside |= unreachable && self.forwarder_for(now, &report.zone).is_none();
-                if let Some(index) = index {
-                    self.routes.passed_on(now.ms, &report.machine, index);
-                }
-                self.scheduler.forwarded(now, &report, &mut scheduler);
-            }
-        }
-        self.take_scheduler(now, scheduler, out);
-        if aside && self.election.is_leader() && !self.election.in_doubt() {
-            // Workers of ours reach another and not us, nor do commands.
-            log::error!("leader steps aside: workers reach {} only", heartbeat.node);
-            self.unreached = true;
-            self.step_aside(now, out);
-        }
-        Reply {
-            status: 200,
-            body: peer::encode_answer(&answer),
-            retry_after_s: None,
-        }
-    }
-
-    fn step_aside(&mut self, now: Now, out: &mut Vec<Effect>) {
-        let mut calls = Vec::new();
-        let change = self.election.step_aside(now, &mut calls);
-        self.take_election(calls);
-        if let Some(change) = change {
-            self.on_change(now, change, out);
-        }
-    }
-
-    /// A worker that its node doesn't answer waits for 4 s and goes on to the
-    /// next one a second later; two silent nodes in a row cost it its lease.
-    /// So a leader whose successor in that order has been silent for long leaves
-    /// the lead, once, to one with a successor that isn't.
-    fn check_successor(&mut self, now: Now, out: &mut Vec<Effect>) {
-        let lease_ms = (self.settings.site.workers.lease_s * 1000.0) as u64;
-        let led_for_long = self
-            .led_since_ms
-            .is_some_and(|since| now.ms > since + lease_ms);
-        if !led_for_long || self.election.in_doubt() {
-            return;
-        }
-        let me = self.settings.node_name.as_str();
-        // As nodes are numbered; the peers' list may leave this one out.
-        let mut order: Vec<&str> = self.peers.iter().map(|p| p.name.as_str()).collect();
-        order.push(me);
-        order.sort_by_key(|name| (name.len(), *name));
-        let successor = |name: &str| {
-            let at = order.iter().position(|n| *n == name)?;
-            let next = order[(at + 1) % order.len()];
-            self.peers.iter().find(|p| p.name == next)
-        };
-        let quiet = self.quiet_ms();
-        let recent = |at: Option<u64>| at.is_some_and(|at| now.ms < at + quiet);
-        let silent = |p: &Peer| p.heard_ms.is_some_and(|at| now.ms > at + lease_ms);
-        let exposed = successor(me).filter(|p| silent(p));
-        let Some(next) = exposed.map(|p| (p.name.clone(), p.zone.clone())) else {
-            self.handed_over_for = None;
-            return;
-        };
-        let better = self
-            .peers
-            .iter()
-            .filter(|p| recent(p.heard_ms) && recent(p.reached_ms) && recent(p.state_seen_ms))
-            .any(|p| !p.unreachable && successor(&p.name).is_none_or(|s| !silent(s)));
-        // One whose whole zone is silent is beyond a cut: a new leader would
-        // only have to find that out again.
-        let cut = !self.scheduler.hears_zone(now, &next.1);
-        if better && !cut && self.handed_over_for.as_ref() != Some(&next.0) {
-            log::info!(
-                "leader steps aside: its workers' next node {} is silent",
-                next.0
-            );
-            self.handed_over_for = Some(next.0);
-            self.step_aside(now, out);
-        }
-    }
-
-    fn send_heartbeats(&mut self, now: Now, out: &mut Vec<Effect>) {
-        // The leader hears its own word; what is cancelled, all should know.
-        let announced = !self.announced.is_empty() && !self.election.is_leader();
-        let urgent = announced || self.cancelled_here;
-        if now.ms < self.heartbeat_due_ms && !urgent {
-            return;
-        }
-        if now.ms >= self.heartbeat_due_ms {
-            self.heartbeat_due_ms = now.ms + self.heartbeat_every_ms;
-            self.share_writes(now);
-            self.routes.forget_old(now.ms);
-            self.check_successor(now, out);
-        }
-        let leader = match &self.election.role {
-            Role::Leader { .. } => self.settings.node_name.clone(),
-            Role::Follower(record) => record.node.clone(),
-            Role::Unknown => String::new(),
-        };
-        let mut heartbeat = Heartbeat {
-            node: self.settings.node_name.clone(),
-            leader,
-            term: self.election.known_term().0,
-            state_reachable: self.store.reachable(),
-            unreachable: self.unreached || self.unreachable(now),
-            counts: Vec::new(),
-            announced: self.announced.drain(..).map(|id| id.to_string()).collect(),
-            writes_per_s: self.store.writes_per_s(now),
-            cursor: None,
-            confirmations: None,
-            reports: Vec::new(),
-        };
-        self.cancelled_here = false;
-        if self.scheduler.leading() && !self.election.in_doubt() {
-            self.gateway.leader_heard(now, self.scheduler.term());
-        }
-        if self.scheduler.active() {
-            let mut sent_counts = HashMap::new();
-            let mut bytes = 0;
-            for (id, counts) in self.scheduler.counts() {
-                self.gateway.note_counts(id, self.scheduler.term(), counts);
-                let sent = self.sent_counts.get(id).copied();
-                if sent == Some(counts) {
-                    sent_counts.insert(id.clone(), counts);
-                } else if bytes < MAX_COUNT_BYTES {
-                    bytes += id.as_str().len() + COUNT_BYTES;
-                    heartbeat.counts.push(JobCount {
-                        job: id.to_string(),
-                        done: counts.done,
-                        running: counts.running,
-                        spans: counts.spans,
-                    });
-                    sent_counts.insert(id.clone(), counts);
-                } else if let Some(sent) = sent {
-                    // The next heartbeat tells.
-                    sent_counts.insert(id.clone(), sent);
-                }
-            }
-            self.sent_counts = sent_counts;
-        }
-        let timeout_ms = self.heartbeat_every_ms * 2;
-        for index in 0..self.peers.len() {
-            heartbeat.cursor = self.cancellations.cursor(index);
-            heartbeat.confirmations = self.cancellations.unacknowledged(index);
-            let call = Call {
-                target: Target::Peer(self.peers[index].addr.clone()),
-                method: "POST",
-                path: PEER_PATH.to_string(),
-                body: peer::encode(&heartbeat),
-                timeout_ms,
-            };
-            self.send(CallTag::Peer(index, now.ms), call, out);
-        }
-    }
-
     // ---- between the actors ----
 
     fn send(&mut self, tag: CallTag, call: Call, out: &mut Vec<Effect>) {
@@ -857,45 +477,6 @@
         }
     }
 
-    fn set_catalog(&mut self, catalog: Catalog) {
-        let catalog = Rc::new(catalog);
-        self.gateway.set_catalog(catalog.clone());
-        self.scheduler.set_catalog(catalog.clone());
-        self.catalog = Some(catalog);
-    }
-
-    /// Reads the stored catalogue until there is one; stores it as leader.
-    fn maintain_catalog(&mut self, now: Now) {
-        if self.catalog.is_none() && now.ms >= self.catalog_read_ms {
-            self.catalog_read_ms = now.ms + 1000;
-            self.store.submit(StateCall {
-                urgency: Urgency::Submission,
-                call: store::get(CATALOG_KEY, 1000),
-                writes: 0,
-                give_up_ms: now.ms + 1000,
-                tag: StateTag::ReadCatalog,
-            });
-        }
-        let Role::Leader { key_version, .. } = self.election.role else {
-            return;
-        };
-        if let (Some(catalog), false) = (&self.catalog, self.catalog_stored) {
-            self.catalog_stored = true;
-            let value = serde_json::to_value(&**catalog).unwrap_or_default();
-            let txn = Txn::default()
-                .guard(crate::election::LEADER_KEY, key_version.0)
-                .put(CATALOG_KEY, value);
-            let (call, writes) = store::txn(&txn, 1000);
-            self.store.submit(StateCall {
-                urgency: Urgency::Background,
-                call,
-                writes,
-                give_up_ms: now.ms + 2000,
-                tag: StateTag::WriteCatalog,
-            });
-        }
-    }
-
     /// A process that stood still wakes up with its sockets full of what is
     /// long over. What it read for users may be old by now; if it led, others
     /// may lead; and that nobody was heard is no fault of theirs.
@@ -981,15 +562,6 @@
     }
 }
 
-/// `/v2/runs/ID` or `/v2/runs/ID/VERB`.
-fn job_path(path: &str) -> Option<(&str, Option<&str>)> {
-    let rest = path.strip_prefix(wire::USER_JOBS)?.strip_prefix('/')?;
-    match rest.split_once('/') {
-        Some((id, verb)) => Some((id, Some(verb))),
-        None => Some((rest, None)),
-    }
-}
-
 impl Handler for Node {
     fn request(
         &mut self,
--- /dev/null
+++ b/tests/cuts.rs
@@ -0,0 +1,406 @@
+//! Traces of cuts and outages: zones, controllers and the state service apart.
+
+mod world;
+
+use lilacfork::msg::Target;
+use serde_json::json;
+use world::scenes::{
+    crosses, cut_between_zones, cut_zone_from_everything, cut_zones, full_zone, gone, heal,
+    set_silent, up,
+};
+use world::{array, service, Fate, World};
+
+#[test]
+fn work_lives_through_an_outage_of_the_state_service() {
+    let mut w = up(3);
+    assert_eq!(w.submit(0, &service("run-1", 4)), 201);
+    w.run_for(2000);
+    w.state.away = true;
+    w.run_for(15_000);
+    assert_eq!(w.submit(1, &array("run-2", 1)), 503, "answered at once");
+    assert_eq!(w.poll(1, "run-1").0, 503, "nothing older is told");
+    assert_eq!(w.on_machines("run-1"), 4);
+    w.state_returns();
+    w.run_for(4000);
+    assert_eq!(w.submit(1, &array("run-2", 1)), 201);
+    w.run_for(9000);
+    assert_eq!(w.poll(2, "run-2").1, "done");
+    assert_eq!(w.trace.len(), 5, "{:?}", w.trace);
+}
+
+#[test]
+fn an_outage_in_which_the_leader_dies() {
+    let mut w = up(3);
+    let leader = w.leader().unwrap();
+    assert_eq!(w.submit(0, &service("run-1", 4)), 201);
+    w.run_for(2000);
+    w.state.away = true;
+    w.run_for(3000);
+    w.kill(leader);
+    w.run_for(5000);
+    w.start(leader);
+    w.run_for(4000);
+    w.state_returns();
+    w.run_for(25_000);
+    assert_eq!(w.on_machines("run-1"), 4, "{:?}", w.trace);
+}
+
+#[test]
+fn a_node_that_alone_is_cut_off_is_not_ready() {
+    let mut w = up(3);
+    let ready = |w: &mut World, n| {
+        let user = w.ask(n, "GET", "/ready", json!(null));
+        w.run_for(20);
+        w.answer(user).0
+    };
+    let lone = (w.leader().unwrap() + 1) % 3;
+    assert_eq!(ready(&mut w, lone), 200);
+    w.hook = Box::new(move |_, node, call| match call.target {
+        Target::State | Target::StateWatch if node == lone => Fate::LoseRequest,
+        _ => Fate::Pass,
+    });
+    w.run_for(20_000);
+    assert_eq!(ready(&mut w, lone), 503);
+    w.hook = Box::new(|_, _, _| Fate::Pass);
+    w.state.away = true;
+    w.run_for(20_000);
+    assert_eq!(
+        ready(&mut w, (lone + 1) % 3),
+        200,
+        "when it is away for all, stay"
+    );
+}
+
+/// A cut between zones once ended every task on the far side: the followers
+/// there sent the workers to a leader that they couldn't reach.
+#[test]
+fn a_cut_between_zones_ends_no_task_and_a_job_cancelled_meanwhile_still_goes() {
+    let mut w = up(3);
+    let leader = w.leader().unwrap();
+    let far = if leader == 1 { "a" } else { "b" };
+    assert_eq!(w.submit(0, &service("run-1", 8)), 201);
+    assert_eq!(w.submit(0, &service("run-2", 8)), 201);
+    w.run_for(3000);
+    assert_eq!(w.on_machines("run-"), 16);
+    let started = w.trace.len();
+    cut_between_zones(&mut w);
+    w.run_for(15_000);
+    assert_eq!(w.on_machines("run-"), 16, "far side is {far}");
+    assert_eq!(w.cancel(leader, "run-2").1, "cancelled");
+    w.run_for(5000);
+    heal(&mut w);
+    w.run_for(8000);
+    assert_eq!(w.on_machines("run-1"), 8);
+    assert_eq!(w.on_machines("run-2"), 0);
+    assert_eq!(w.trace.len(), started, "{:?}", w.trace);
+    assert!(
+        w.workers.values().all(|m| !m.gone),
+        "no machine was given up"
+    );
+}
+
+/// A cut and then an outage of the state service once left the follower beyond
+/// the cut alone; it sent its workers away, to nodes that they couldn't reach.
+#[test]
+fn a_cut_that_meets_an_outage_ends_no_task() {
+    let mut w = up(3);
+    assert_eq!(w.submit(0, &service("run-1", 16)), 201);
+    w.run_for(3000);
+    cut_between_zones(&mut w);
+    w.run_for(6000);
+    w.state.away = true;
+    w.run_for(12_000);
+    w.state_returns();
+    w.run_for(4000);
+    heal(&mut w);
+    w.run_for(10_000);
+    assert_eq!(w.on_machines("run-1"), 16);
+    assert_eq!(w.trace.len(), 16, "{:?}", w.trace);
+}
+
+/// A zone that is cut off from everything once lost all its tasks, whichever
+/// side the leader was on: its only controller, alone all at once, took the
+/// fault for its own, and the other side gave the whole zone up.
+#[test]
+fn a_zone_cut_off_from_everything_with_one_controller_ends_no_task() {
+    for leader_ends in [false, true] {
+        let (mut w, names) = full_zone(3);
+        if leader_ends {
+            let leader = w.leader().unwrap();
+            w.kill(leader);
+            w.run_for(6000);
+            w.start(leader);
+            w.run_for(4000);
+        }
+        cut_zone_from_everything(&mut w);
+        w.run_for(22_000);
+        heal(&mut w);
+        w.run_for(10_000);
+        assert_eq!(w.on_machines("run-1"), 56);
+        assert_eq!(w.trace.len(), 56, "{:?}", w.trace);
+        assert!(gone(&w, &names).is_empty(), "none is given up");
+    }
+}
+
+/// A controller that comes back beyond a cut once renewed leases for seconds
+/// before it asked which jobs had been cancelled while it was away.
+#[test]
+fn a_controller_that_returns_beyond_a_cut_knows_what_was_cancelled() {
+    let mut w = up(3);
+    while w.leader() == Some(1) {
+        w.kill(1);
+        w.run_for(5000);
+        w.start(1);
+        w.run_for(3000);
+    }
+    assert_eq!(w.submit(0, &service("run-1", 8)), 201);
+    assert_eq!(w.submit(0, &service("run-2", 8)), 201);
+    w.run_for(3000);
+    cut_between_zones(&mut w);
+    w.run_for(3000);
+    w.kill(1);
+    w.run_for(1000);
+    assert_eq!(w.cancel(0, "run-1").1, "cancelled");
+    assert_eq!(w.cancel(0, "run-2").1, "cancelled");
+    w.run_for(1000);
+    assert_eq!(w.on_machines("run-"), 8, "those beyond the cut");
+    w.start(1);
+    w.run_for(3500);
+    assert_eq!(
+        w.on_machines("run-"),
+        0,
+        "are stopped before their lease ends"
+    );
+}
+
+/// Machines that fail together are no reason to step aside: every new leader
+/// would begin to wait for them anew, and none would ever give them up.
+#[test]
+fn a_leader_whose_own_machines_all_fail_leads_on_and_gives_them_up() {
+    let (mut w, names) = full_zone(3);
+    let leader = w.leader().unwrap();
+    // The other zone's reports are passed on all the while.
+    let own: Vec<String> = match leader {
+        1 => names,
+        _ => vec!["vm-a".into()],
+    };
+    set_silent(&mut w, &own, true);
+    w.run_for(30_000);
+    assert_eq!(w.leader(), Some(leader));
+    assert_eq!(gone(&w, &own).len(), own.len(), "{:?}", gone(&w, &own));
+}
+
+/// A leader that wakes after its lease has ended must not pass for one: its
+/// clocks ran on, its sockets are full of old reports, and nobody was heard by
+/// it for so long that it would give every machine up.
+#[test]
+fn a_leader_that_stood_still_answers_no_report_and_returns_no_machine() {
+    let (mut w, names) = full_zone(3);
+    let old = w.leader().unwrap();
+    let woken = w.now + 14_000;
+    w.frozen.insert(old, woken);
+    w.run_for(13_900);
+    w.report_answers.clear();
+    w.run_for(12_000);
+    let answered = w.report_answers.iter().filter(|(_, n, _)| *n == old);
+    let statuses: Vec<u16> = answered.map(|(_, _, status)| *status).collect();
+    assert!(
+        !statuses.is_empty() && !statuses.contains(&200),
+        "{statuses:?}"
+    );
+    assert_eq!(w.on_machines("run-1"), 56);
+    assert_eq!(w.trace.len(), 56, "{:?}", w.trace);
+    assert!(gone(&w, &names).is_empty(), "none is given up");
+}
+
+/// Followers once stored at most so many of the machines that they look after
+/// as one record holds, and the leader gave the others up.
+#[test]
+fn all_machines_that_a_follower_looks_after_are_stored() {
+    let mut w = World::new(3);
+    w.capacity = 0;
+    let zone_b = 1400;
+    for n in 0..zone_b {
+        w.add_machine(&format!("vm-{n:04}"), "b", false, true);
+    }
+    w.run_until(5000);
+    cut_between_zones(&mut w);
+    w.run_for(9000);
+    let held = w.state.items.iter().filter(|(k, _)| k.starts_with("h/"));
+    let counts: Vec<usize> = held
+        .map(|(_, i)| i.0["m"].as_array().unwrap().len())
+        .collect();
+    assert!(
+        counts.len() > 1 && counts.iter().sum::<usize>() == zone_b,
+        "{counts:?}"
+    );
+}
+
+/// A leader that alone was parted from the workers once led on: others sent
+/// the workers back to it, their leases ended, and in the end it gave up every
+/// machine.
+#[test]
+fn a_leader_that_no_worker_reaches_steps_aside() {
+    let mut w = up(3);
+    assert_eq!(w.submit(0, &service("run-1", 16)), 201);
+    w.run_for(3000);
+    let deaf = w.leader().unwrap();
+    w.cuts = vec![(deaf, "a".into()), (deaf, "b".into())];
+    w.run_for(8000);
+    let leader = w.leader().unwrap();
+    assert_ne!(leader, deaf);
+    w.run_for(12_000);
+    assert_eq!(w.leader(), Some(leader), "and doesn't claim it back");
+    assert_eq!(w.cancel(deaf, "run-1").1, "cancelled");
+    w.run_for(2000);
+    assert_eq!(
+        w.on_machines("run-1"),
+        0,
+        "commands reach the workers again"
+    );
+    assert_eq!(w.submit(deaf, &service("run-2", 16)), 201);
+    w.run_for(4000);
+    assert_eq!(w.on_machines("run-2"), 16);
+    assert_eq!(w.trace.len(), 32, "{:?}", w.trace);
+    assert!(w.workers.values().all(|m| !m.gone), "none is given up");
+}
+
+/// With the cloud away as well, nothing but the follower could end these tasks;
+/// it went on renewing their leases for longer than a cancellation has.
+#[test]
+fn a_job_cancelled_beyond_a_cut_ends_in_time_while_the_cloud_is_away() {
+    for state_goes_too in [false, true] {
+        let mut w = up(3);
+        assert_eq!(w.submit(0, &service("run-1", 8)), 201);
+        assert_eq!(w.submit(0, &service("run-2", 8)), 201);
+        w.run_for(3000);
+        assert_eq!(w.on_machines("run-"), 16);
+        let leader = w.leader().unwrap();
+        w.cuts = cut_zones();
+        w.hook = Box::new(move |_, node, call| match &call.target {
+            Target::Peer(addr) if crosses(node, addr) => Fate::LoseRequest,
+            // The far follower alone loses the state service too.
+            Target::State | Target::StateWatch if state_goes_too && node == 1 => Fate::LoseRequest,
+            _ => Fate::Pass,
+        });
+        w.cloud_away = true;
+        w.run_for(6000);
+        let near = if leader == 1 { 1 } else { 0 };
+        assert_eq!(w.cancel(near, "run-1").1, "cancelled");
+        assert_eq!(w.cancel(near, "run-2").1, "cancelled");
+        w.run_for(29_000);
+        assert_eq!(w.on_machines("run-"), 0, "{state_goes_too} {:?}", w.workers);
+    }
+}
+
+/// The state service goes away in the moment after a cancellation, before the
+/// leader's watch can tell of it.
+#[test]
+fn a_cancellation_reaches_the_leader_past_an_outage() {
+    let mut w = up(3);
+    let leader = w.leader().unwrap();
+    assert_eq!(w.submit(0, &service("run-1", 4)), 201);
+    w.run_for(3000);
+    w.hook = Box::new(move |_, node, call| match call.target {
+        Target::StateWatch if node == leader => Fate::LoseRequest,
+        _ => Fate::Pass,
+    });
+    // The watch in flight ends unheard: it is lost with the next one.
+    w.state.mute_watches = true;
+    assert_eq!(w.cancel((leader + 1) % 3, "run-1").1, "cancelled");
+    w.state.away = true;
+    w.run_for(25_000);
+    assert_eq!(w.on_machines("run-1"), 0);
+    w.state.mute_watches = false;
+    w.state_returns();
+    w.run_for(15_000);
+    assert_eq!(w.poll(leader, "run-1").1, "cancelled");
+    assert!(!w.state.items.contains_key("j/run-1"), "cleared away");
+}
+
+/// Reports that are passed on together once made messages that the leader
+/// refused as too large.
+#[test]
+fn reports_are_passed_on_in_messages_that_are_taken() {
+    let mut w = up(3);
+    assert_ne!(w.leader(), Some(1), "the leader stands in the other zone");
+    let sizes = std::rc::Rc::new(std::cell::RefCell::new(Vec::new()));
+    let seen = sizes.clone();
+    w.hook = Box::new(move |_, node, call| {
+        if node == 1 && matches!(call.target, Target::Peer(_)) {
+            seen.borrow_mut().push(call.body.len());
+        }
+        Fate::Pass
+    });
+    let tasks: Vec<_> = (0..900)
+        .map(|n| json!({"piece": format!("run-9/{n}"), "essai": 1, "etat": "running"}))
+        .collect();
+    for n in 0..10 {
+        let name = format!("vm-z{n}");
+        let report = json!({"banc": name, "address": format!("w/{name}"), "gamme": "g8",
+            "secteur": "b", "occasion": false, "quart": 1, "numero": 1, "jeton": 0,
+            "preavisS": null, "pieces": tasks});
+        w.deliver_report(1, &report);
+    }
+    w.run_for(1000);
+    let sizes = sizes.borrow();
+    assert!(
+        sizes.iter().all(|n| *n <= lilacfork::http::MAX_PEER_BODY),
+        "{sizes:?}"
+    );
+    assert!(
+        sizes.iter().sum::<usize>() > 400_000,
+        "all went out: {sizes:?}"
+    );
+}
+
+/// After a cut a zone's workers come back one by one. The last of them were
+/// once given up in the moment in which most had come back.
+#[test]
+fn workers_that_are_last_to_come_back_from_a_cut_are_kept() {
+    let (mut w, names) = full_zone(1);
+    set_silent(&mut w, &names, true);
+    w.run_for(14_000);
+    set_silent(&mut w, &names[..4], false);
+    w.run_for(4000);
+    set_silent(&mut w, &names[4..], false);
+    w.run_for(5000);
+    assert!(gone(&w, &names).is_empty(), "{:?}", gone(&w, &names));
+    // One that is silent alone is given up as ever.
+    set_silent(&mut w, &names[5..], true);
+    w.run_for(12_000);
+    assert_eq!(gone(&w, &names), [&names[5]]);
+}
+
+/// A zone beyond a cut was once given up at the end of an outage, during which
+/// no follower could have stored that it renews leases there.
+#[test]
+fn a_silence_that_an_outage_hides_does_not_count() {
+    let (mut w, names) = full_zone(1);
+    set_silent(&mut w, &names, true);
+    w.run_for(5000);
+    w.state.away = true;
+    w.run_for(25_000);
+    w.state_returns();
+    w.run_for(12_000);
+    assert!(gone(&w, &names).is_empty(), "{:?}", gone(&w, &names));
+    w.run_for(20_000);
+    assert_eq!(gone(&w, &names).len(), 6, "in the end it does");
+}
+
+/// The same, whenever between two heartbeats the cut begins: what is heard of a
+/// leader and what reaches it end at different moments, and reports that came in
+/// between were once answered by nobody.
+#[test]
+fn a_zone_cut_off_at_any_moment_between_heartbeats_ends_no_task() {
+    for offset_ms in (0..1000).step_by(100) {
+        let (mut w, names) = full_zone(3);
+        w.run_for(offset_ms);
+        cut_zone_from_everything(&mut w);
+        w.run_for(22_000);
+        heal(&mut w);
+        w.run_for(10_000);
+        assert_eq!(w.trace.len(), 56, "cut after {offset_ms} ms: {:?}", w.trace);
+        assert!(gone(&w, &names).is_empty(), "none is given up");
+    }
+}
--- /dev/null
+++ b/tests/moving.rs
@@ -0,0 +1,220 @@
+//! Traces of tasks on the move: gathered, giving way, spreading images.
+
+mod world;
+
+use serde_json::json;
+use world::scenes::up;
+use world::{array, service, World};
+
+/// Replicas once stayed scattered over half-empty machines until they were
+/// cancelled, and the machines were paid for.
+#[test]
+fn scattered_replicas_are_gathered_and_the_empty_machine_is_returned() {
+    let mut w = up(1);
+    for n in 0..4 {
+        assert_eq!(w.submit(0, &service(&format!("run-{n}"), 4)), 201);
+    }
+    w.run_for(3000);
+    assert_eq!(w.on_machines("run-"), 16, "two machines are full");
+    w.cancel(0, "run-0");
+    w.cancel(0, "run-2");
+    w.run_for(120_000);
+    assert_eq!(w.on_machines("run-"), 8);
+    let kept = w
+        .workers
+        .values()
+        .filter(|m| !m.gone && !m.tasks.is_empty())
+        .count();
+    assert_eq!(kept, 1, "{:?}", w.trace);
+}
+
+/// A service once waited for a rental while arrays held all machines that it
+/// could have used at once.
+#[test]
+fn a_service_takes_room_from_an_array_and_the_array_is_done_all_the_same() {
+    let mut w = up(1);
+    w.cloud_away = true;
+    w.run_ms = 20_000;
+    assert_eq!(w.submit(0, &array("run-1", 16)), 201);
+    w.run_for(3000);
+    assert_eq!(w.on_machines("run-1"), 16);
+    assert_eq!(w.submit(0, &service("run-2", 3)), 201);
+    w.run_for(2000);
+    assert_eq!(w.on_machines("run-2"), 3, "{:?}", w.trace);
+    assert_eq!(w.on_machines("run-1"), 13, "no more than needed gives way");
+    w.run_for(50_000);
+    assert_eq!(w.poll(0, "run-1").1, "done");
+    // A second array has no such right.
+    assert_eq!(w.submit(0, &array("run-3", 13)), 201);
+    w.run_for(3000);
+    assert_eq!(w.submit(0, &array("run-4", 1)), 201);
+    w.run_for(3000);
+    assert_eq!(w.on_machines("run-4"), 0);
+}
+
+/// An array's task once started anew 400 times: in the room that its own stop
+/// had made, too small yet for the service that waited for a second one.
+#[test]
+fn what_gave_way_does_not_start_in_the_gap_that_it_left() {
+    let mut w = up(1);
+    w.cloud_away = true;
+    w.run_ms = 40_000;
+    let mut batch = array("run-1", 16);
+    batch["jalonS"] = json!(5.0);
+    batch["sauvegardeS"] = json!(6.0);
+    assert_eq!(w.submit(0, &batch), 201);
+    w.run_for(3000);
+    let mut large = service("run-2", 1);
+    large["gpus"] = json!(2.0);
+    assert_eq!(w.submit(0, &large), 201);
+    w.run_for(15_000);
+    assert_eq!(w.on_machines("run-2"), 1, "{:?}", w.trace);
+    assert_eq!(w.trace.len(), 17, "nothing started over: {:?}", w.trace);
+    w.run_for(60_000);
+    let attempts = &w.trace.last().unwrap();
+    assert!(
+        attempts.ends_with("#18"),
+        "two attempts more, for the two that gave way: {attempts}"
+    );
+}
+
+/// Saving once took the time that the waiting service had: it was late, and
+/// the array's tasks were gone all the same.
+#[test]
+fn tasks_go_back_to_their_checkpoint_where_saving_would_take_too_long() {
+    for (save_s, late) in [(6.0, false), (2.0, false), (2.0, true)] {
+        let mut w = up(1);
+        w.cloud_away = true;
+        w.run_ms = 600_000;
+        let mut batch = array("run-1", 16);
+        batch["jalonS"] = json!(5.0);
+        batch["sauvegardeS"] = json!(save_s);
+        assert_eq!(w.submit(0, &batch), 201);
+        w.run_for(3000);
+        let mut spec = service("run-2", 1);
+        spec["pullGb"] = json!(1.0);
+        if late {
+            // It would be late even so: then nothing is lost by saving.
+            spec["pullGb"] = json!(9.0);
+        }
+        assert_eq!(w.submit(0, &spec), 201);
+        w.run_for(1000);
+        let saved = w.on_machines("run-2") == 0;
+        assert_eq!(saved, save_s < 5.0, "{save_s} {late}: {:?}", w.trace);
+        w.run_for(3000);
+        assert_eq!(w.on_machines("run-2"), 1, "{save_s} {late}: {:?}", w.trace);
+    }
+}
+
+/// Room for arrivals was once kept on machines without their image, where a
+/// class that may wait for a moment only was late each time.
+#[test]
+fn a_settled_replica_moves_to_leave_warm_room_behind() {
+    let mut w = up(1);
+    for n in 0..8 {
+        let mut spec = service(&format!("run-{n}"), 1);
+        // Half of the five seconds that the class may wait.
+        spec["pullGb"] = json!(2.5);
+        assert_eq!(w.submit(0, &spec), 201);
+    }
+    w.run_for(3000);
+    let on = |w: &World, m: &str| w.workers[m].tasks.len();
+    assert_eq!((on(&w, "vm-a"), on(&w, "vm-b")), (8, 0), "{:?}", w.trace);
+    w.run_for(60_000);
+    assert_eq!((on(&w, "vm-a"), on(&w, "vm-b")), (7, 1), "{:?}", w.trace);
+    assert_eq!(
+        w.trace.len(),
+        9,
+        "one move in ten fetch times: {:?}",
+        w.trace
+    );
+}
+
+/// Replicas of a large image once went to free room where a fetch took longer
+/// than their class may wait, while small-image replicas stood where it was.
+#[test]
+fn less_important_replicas_make_place_where_a_large_image_is() {
+    for leader_ends in [false, true] {
+        make_place(leader_ends);
+    }
+}
+
+fn make_place(leader_ends: bool) {
+    let mut w = up(3);
+    let mut node = w.leader().unwrap();
+    w.cloud_away = true;
+    let mut spec = service("run-1", 4);
+    spec["secteur"] = json!("a");
+    assert_eq!(w.submit(node, &spec), 201);
+    let mut other = service("run-3", 4);
+    other["secteur"] = json!("b");
+    other["moule"] = json!("img-3");
+    assert_eq!(w.submit(node, &other), 201);
+    other["id"] = json!("run-0");
+    assert_eq!(w.submit(node, &other), 201);
+    w.run_for(1000);
+    let mut small = service("run-2", 4);
+    small["rang"] = json!("high");
+    small["gabarit"] = json!("help");
+    small["moule"] = json!("img-2");
+    small["pullGb"] = json!(1.0);
+    assert_eq!(w.submit(node, &small), 201);
+    // Until nothing more is expected, and all have settled.
+    w.run_for(150_000);
+    w.cancel(node, "run-0");
+    w.run_for(1000);
+    let on = |w: &World, m: &str, job: &str| {
+        let tasks = w.workers[m].tasks.keys();
+        tasks.filter(|t| t.starts_with(job)).count()
+    };
+    assert_eq!(on(&w, "vm-a", "run-2"), 4, "{:?}", w.trace);
+    if leader_ends {
+        // Its successor sees them for the first time.
+        w.kill(node);
+        w.run_for(6000);
+        node = w.leader().unwrap();
+    }
+    // 6.2 GB take 6.2 s at the nominal rate; its class may wait 5 s.
+    assert_eq!(w.submit(node, &service("run-4", 2)), 201);
+    w.run_for(1000);
+    assert_eq!(on(&w, "vm-a", "run-4"), 2, "{:?}", w.trace);
+    w.run_for(2000);
+    assert_eq!(on(&w, "vm-a", "run-2"), 2, "no more than needed move");
+    assert_eq!(on(&w, "vm-b", "run-2"), 2, "{:?}", w.trace);
+    // The same priority makes no place.
+    small["id"] = json!("run-5");
+    small["rang"] = json!("critical");
+    small["moule"] = json!("img-1");
+    small["pullGb"] = json!(6.2);
+    assert_eq!(w.submit(node, &small), 201);
+    w.run_for(8000);
+    assert_eq!(w.trace.len(), 16 + 2 + 2 + 2, "{:?}", w.trace);
+}
+
+/// Two replicas of a spread job once moved together to the zone in which only
+/// one more of them may be; the other waited for a machine to boot.
+#[test]
+fn spread_replicas_that_move_together_keep_to_their_zones() {
+    let mut w = up(1);
+    let mut spread = service("run-1", 3);
+    spread["spread"] = json!(true);
+    assert_eq!(w.submit(0, &spread), 201);
+    w.run_for(2000);
+    let in_zone = |w: &World, zone: &str| {
+        let here = w.workers.values().filter(|m| !m.gone && m.zone == zone);
+        here.map(|m| m.tasks.keys().filter(|t| t.starts_with("run-1/")).count())
+            .sum::<usize>()
+    };
+    let (a, b) = (in_zone(&w, "a"), in_zone(&w, "b"));
+    assert_eq!(a + b, 3);
+    // The zone with two is the emptier one, so its machine is to be emptied.
+    let (few, many) = if a > b { ("a", "b") } else { ("b", "a") };
+    let mut rest = service("run-2", 4);
+    rest["secteur"] = json!(many);
+    assert_eq!(w.submit(0, &rest), 201);
+    w.run_for(150_000);
+    assert_eq!(w.on_machines("run-"), 7);
+    assert_eq!(in_zone(&w, few), 2, "{:?}", w.trace);
+    let starts = w.trace.iter().filter(|t| t.contains("run-1/")).count();
+    assert_eq!(starts, 3, "none had to look for a place: {:?}", w.trace);
+}
--- /dev/null
+++ b/tests/renting.rs
@@ -0,0 +1,148 @@
+//! Traces of renting and returning machines.
+
+mod world;
+
+use lilacfork::msg::Target;
+use world::scenes::{patient, up};
+use world::{array, service, Fate, World};
+
+#[test]
+fn a_rental_whose_answer_is_lost_is_made_once() {
+    let mut w = World::new(1);
+    let mut lost = 0;
+    w.hook = Box::new(move |_, _, call| {
+        if call.target == Target::Cloud && call.body.windows(5).any(|b| b == b"\"bon\"") && lost < 2
+        {
+            lost += 1;
+            return Fate::LoseAnswer;
+        }
+        Fate::Pass
+    });
+    w.run_until(2000);
+    assert_eq!(w.submit(0, &service("run-1", 3)), 201);
+    w.run_for(25_000);
+    assert_eq!(w.on_machines("run-1"), 3);
+    assert!(w.workers.len() <= 2, "{:?}", w.workers.keys());
+}
+
+/// A rental carried out long after its caller gave up: nobody expects the
+/// machine.
+#[test]
+fn a_machine_that_turns_up_unasked_is_used_and_then_returned() {
+    let mut w = World::new(3);
+    w.run_until(3000);
+    w.cloud_away = true;
+    assert_eq!(w.submit(0, &array("run-1", 2)), 201);
+    w.run_for(2000);
+    assert!(w.trace.is_empty());
+    w.add_machine("vm-late", "b", true, true);
+    w.run_for(8000);
+    assert_eq!(w.poll(0, "run-1").1, "done", "{:?}", w.trace);
+    w.cloud_away = false;
+    w.run_for(90_000);
+    assert!(w.workers["vm-late"].gone);
+}
+
+/// A new leader once took empty machines, which it knew by the cloud's list
+/// alone, for ones that had never come up, and returned them at once.
+#[test]
+fn a_new_leader_waits_for_the_reports_of_machines_that_it_finds_in_the_list() {
+    let mut w = up(3);
+    w.run_until(40_000);
+    w.kill(w.leader().unwrap());
+    // Their next reports come a little after the list.
+    for worker in w.workers.values_mut() {
+        worker.silent = true;
+    }
+    w.run_for(6000);
+    for worker in w.workers.values_mut() {
+        worker.silent = false;
+    }
+    w.run_for(3000);
+    assert!(w.leader().is_some());
+    assert!(!w.workers["vm-a"].gone && !w.workers["vm-b"].gone);
+    assert_eq!(w.submit(w.leader().unwrap(), &service("run-1", 2)), 201);
+    w.run_for(2000);
+    assert_eq!(w.on_machines("run-1"), 2, "they are of use at once");
+}
+
+/// A new leader once began with no idea of what to expect, and gave back the
+/// room that its predecessor had kept.
+#[test]
+fn a_new_leader_expects_what_stored_jobs_show() {
+    let mut w = up(3);
+    w.capacity = 0;
+    for n in 0..16 {
+        assert_eq!(w.submit(0, &service(&format!("run-{n}"), 1)), 201);
+    }
+    w.run_for(3000);
+    assert_eq!(w.on_machines("run-"), 16, "all room is taken");
+    w.kill(w.leader().unwrap());
+    w.run_for(4000);
+    assert!(w.leader().is_some());
+    w.capacity = 100;
+    let machines = w.workers.len();
+    w.run_for(15_000);
+    assert!(w.workers.len() > machines, "room is made for more");
+}
+
+/// After a wave of work dozens of machines once stood empty for as long as the
+/// one or two that the next arrival would need.
+#[test]
+fn of_many_empty_machines_most_leave_soon() {
+    let mut w = up(1);
+    w.capacity = 0;
+    w.run_ms = 75_000;
+    for n in 0..14 {
+        w.add_machine(&format!("vm-e{n:02}"), "a", false, true);
+    }
+    w.run_for(3000);
+    assert_eq!(w.submit(0, &array("run-1", 128)), 201);
+    let there = |w: &World| w.workers.values().filter(|m| !m.gone).count();
+    w.run_until(82_500);
+    assert_eq!((there(&w), w.on_machines("run-1")), (16, 128));
+    w.run_until(87_000);
+    assert_eq!((there(&w), w.on_machines("run-1")), (1, 0), "one waits");
+    w.run_until(92_000);
+    assert_eq!(there(&w), 0, "and leave in the end");
+}
+
+/// The first leader ever once listened for three report intervals for what
+/// nobody could have rented, and all work of the beginning waited with it.
+#[test]
+fn the_first_leader_rents_at_once_unless_machines_are_there() {
+    let mut w = World::new(1);
+    w.run_until(1000);
+    assert_eq!(w.submit(0, &patient("run-1")), 201);
+    w.run_for(500);
+    assert_eq!(w.workers.len(), 3, "twenty replicas, eight to a machine");
+    // What is there already is heard first.
+    let mut w = World::new(1);
+    for n in 0..3 {
+        w.add_machine(&format!("vm-e{n}"), "a", false, true);
+    }
+    w.run_until(100);
+    assert_eq!(w.submit(0, &patient("run-1")), 201);
+    w.run_until(5000);
+    assert_eq!((w.workers.len(), w.on_machines("run-1")), (3, 20));
+}
+
+/// Jobs once waited for machines that took several times the usual time to
+/// boot: they counted as room to come until twice that time.
+#[test]
+fn a_machine_that_boots_for_unusually_long_is_not_counted_on() {
+    let mut w = World::new(1);
+    w.boot_ms = 40_000;
+    w.run_until(5000);
+    assert_eq!(w.submit(0, &patient("run-1")), 201);
+    w.run_for(6500);
+    let first = w.workers.len();
+    assert!(first >= 3, "twenty replicas, eight to a machine: {first}");
+    // The catalog says five seconds.
+    w.run_for(2500);
+    assert_eq!(
+        w.workers.len(),
+        first * 2,
+        "others are rented in their stead"
+    );
+}
--- a/tests/world/scenes.rs
+++ b/tests/world/scenes.rs
@@ -2,7 +2,7 @@
 
 use super::{array, service, Fate, World};
 use lilacfork::msg::Target;
-use serde_json::json;
+use serde_json::{json, Value};
 
 pub fn up(nodes: usize) -> World {
     let mut w = World::new(nodes);
@@ -113,3 +113,10 @@
         _ => Fate::Pass,
     });
 }
+
+/// A service of a class without an aim, so that no room is kept for others.
+pub fn patient(id: &str) -> Value {
+    let mut spec = service(id, 20);
+    spec["gabarit"] = json!("help");
+    spec
+}
