--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -2,8 +2,12 @@
 
 mod world;
 
+use lilacfork::gateway::{Gateway, GatewayOut, TaskCounts};
 use lilacfork::http::MAX_PEER_BODY;
-use lilacfork::msg::Target;
+use lilacfork::ids::{JobId, Term};
+use lilacfork::msg::{ConnId, Now, Target};
+use lilacfork::store::Answer;
+use lilacfork_replicas::classes::Classes;
 use serde_json::json;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -47,3 +51,31 @@
     let (job, _) = last.split_once('/').expect("a task's name");
     assert_eq!(w.poll((leader + 1) % 3, job), (200, "running".into()));
 }
+
+/// 20,000 jobs were remembered, however much memory there was: of more, running
+/// ones were shown as pending.
+#[test]
+fn what_is_remembered_of_jobs_follows_the_memory() {
+    let mut settings = world::settings("n-0", 3);
+    settings.site.limits.ram_mb = 512.0;
+    let mut gateway = Gateway::new(Rc::new(settings), Classes::default(), 2000);
+    let running = TaskCounts {
+        done: 0,
+        running: 1,
+        spans: false,
+    };
+    let id = |n: u32| JobId::new(&format!("run-{n}"));
+    for n in 0..60_000 {
+        gateway.note_counts(&id(n), Term(1), running);
+    }
+    let now = Now::default();
+    let mut out = GatewayOut::default();
+    gateway.show(now, ConnId(1), "run-0", &mut out);
+    let call = out.calls.pop().expect("its record is read");
+    let record = json!({"k": "j/run-0", "v": {"spec": service("run-0", 1), "t": 0}, "retouche": 7});
+    let answer = Answer::Status(200, record.to_string().into_bytes());
+    gateway.answered(now, call.tag, answer, &mut out);
+    let (_, reply) = out.replies.pop().expect("an answer");
+    let shown: serde_json::Value = serde_json::from_slice(&reply.body).expect("JSON");
+    assert_eq!(shown["etat"], "running", "the first of 60,000");
+}
--- a/tests/replicas.rs
+++ b/tests/replicas.rs
@@ -4,12 +4,13 @@
 mod world;
 
 use lilacfork::msg::Target;
+use lilacfork::options::Options;
 use serde_json::json;
 use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use world::replicas::{attempts, machines, options, placement, places, shown, started, wide};
-use world::scenes::set_silent;
+use world::scenes::{cut_zone_from_everything, heal, set_silent};
 use world::{array, Fate, World};
 
 #[test]
@@ -195,6 +196,33 @@
     assert_eq!(w.on_machines("run-1"), 2);
 }
 
+/// A zone is cut off from everything, with a controller in it and all parts of a
+/// replica: they live on, nobody is told that they serve, and nothing starts twice.
+#[test]
+fn a_replica_beyond_a_cut_lives_on_and_is_only_interrupted() {
+    let mut w = machines(3, &["vm-a", "vm-c"]);
+    for name in ["vm-x", "vm-y", "vm-z"] {
+        w.add_machine(name, "b", false, true);
+    }
+    w.run_for(2000);
+    let mut spec = wide("run-1", 2);
+    spec["secteur"] = json!("b");
+    started(&mut w, &spec);
+    cut_zone_from_everything(&mut w);
+    for _ in 0..12 {
+        w.run_for(1000);
+        if w.leader().is_some_and(|leader| leader != 1) {
+            shown(&mut w, "run-1");
+        }
+    }
+    assert_eq!(shown(&mut w, "run-1"), 0, "nobody is heard of it");
+    assert_eq!(w.on_machines("run-1"), 2, "it lives on");
+    heal(&mut w);
+    w.run_for(8000);
+    assert_eq!(shown(&mut w, "run-1"), 2);
+    assert_eq!(w.trace.len(), 2, "{:?}", w.trace);
+}
+
 // ---- several machines fail ----
 
 #[test]
@@ -655,6 +683,60 @@
 
 // ---- what is accepted, and by whom ----
 
+/// What operators write of replicas that span machines, and what is wrong with it.
+#[test]
+fn classes_that_span_machines_are_checked_with_file_key_and_reason() {
+    let site = world::settings("n-0", 3).site;
+    let load = |text: &str| {
+        let ini = ini::Ini::load_from_str(text).unwrap();
+        let options = Options::from_ini(&ini, "f.ini")?;
+        options.check(&site, "f.ini").map(|()| options)
+    };
+    let fine = load("[replica_parts]\nchat = 2\n[replicas]\ngangs = 1\n").unwrap();
+    assert_eq!(
+        fine.replica_classes.iter().collect::<Vec<_>>(),
+        [("chat", 2)]
+    );
+    let few = "a replica that spans machines has at least 2 parts";
+    let whole = "not a whole number of parts";
+    let unknown = "no objective of the platform's settings names this class";
+    for (value, why) in [
+        ("chat = 0", few),
+        ("chat = 1", few),
+        ("chat = -2", whole),
+        ("chat = 2.5", whole),
+        ("chat = two", whole),
+        ("chat =", whole),
+        (
+            "chat = 410",
+            "more parts than a record of the state service holds, 409",
+        ),
+        ("chatter = 2", unknown),
+    ] {
+        let class = value.split(" =").next().unwrap();
+        let error = load(&format!("[replica_parts]\n{value}\n")).unwrap_err();
+        let says = format!("f.ini: [replica_parts] {class}: {why}");
+        assert_eq!(error.to_string(), says);
+    }
+    for (text, says) in [
+        (
+            "[replicas]\ngang = 1\n",
+            "f.ini: [replicas] gang: unknown key",
+        ),
+        (
+            "[replicas]\ngangs = 2\n",
+            "f.ini: [replicas] gangs: must lie between 0 and 1",
+        ),
+        (
+            "[replicas]\nhold_leases = -1\n",
+            "f.ini: [replicas] hold_leases: must lie between 0 and 20",
+        ),
+    ] {
+        assert_eq!(load(text).unwrap_err().to_string(), says);
+    }
+    load(include_str!("../deploy/replicas.ini")).expect("what is shipped can be used");
+}
+
 #[test]
 fn what_cannot_be_divided_is_refused_and_what_is_accepted_is_not() {
     let mut w = machines(3, &["vm-a", "vm-b"]);
