Part group placement by subject, measure changes of leader in the scale run

Need: group_placing.rs held search, holds and moves as well; a warm standby has to be weighed against what a change of leader costs today, which the scale run didn't tell.

Change: group_search, group_holds and group_moves beside it; the program logs milliseconds; the scale run may pause a leader, answer for the state service so much later, and tells for each change of leader how long until the next was elected, active, and until the first start that only the new one can have ordered. scale/scenarios/takeover.toml.

Ruled out: the time to the next start of any task, which the old leader may have ordered.

--- a/scale/src/harness.rs
+++ b/scale/src/harness.rs
@@ -8,6 +8,7 @@
 use crate::part::{PartConfig, Role, WorkerProcess};
 use crate::report::{self, Report};
 use crate::scenario::{ClassSettings, FaultKind, FaultSettings, Scenario};
+use crate::takeover::{self, How, LeaderEnd};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::io::{self, BufRead, BufReader};
@@ -166,6 +167,8 @@
     Kill(usize),
     Start(usize),
     Resume(usize),
+    /// This controller goes on.
+    Wake(usize),
     /// This machine dies.
     Replace(u32),
     /// This machine reaches nobody for so many milliseconds.
@@ -191,7 +194,7 @@
     /// Arguments that name the operators' settings.
     ini: Vec<PathBuf>,
     recorder: Recorder,
-    leader_ends_us: Vec<u64>,
+    leader_ends: Vec<LeaderEnd>,
     usage: Usage,
     rng: fastrand::Rng,
 }
@@ -297,7 +300,7 @@
             users: None,
             steps: BTreeMap::new(),
             step_count: 0,
-            leader_ends_us: Vec::new(),
+            leader_ends: Vec::new(),
             usage: Usage::default(),
             cloud: None,
             scenario,
@@ -392,11 +395,20 @@
             Step::Fault(fault) => self.fault(&fault, now)?,
             Step::Kill(number) => {
                 if number == self.leader() {
-                    self.leader_ends_us.push(now);
+                    self.leader_ends.push(LeaderEnd {
+                        at_us: now,
+                        how: How::Killed,
+                    });
                 }
                 self.controllers[number].process = None;
             }
             Step::Start(number) => self.start_controller(number)?,
+            Step::Wake(number) => {
+                if let Some(process) = &mut self.controllers[number].process {
+                    signal(process, libc::SIGCONT);
+                    process.out = false;
+                }
+            }
             Step::Replace(machine) => self.replace(machine)?,
             Step::Silence(machine, for_ms) => {
                 let machines = vec![machine];
@@ -420,6 +432,18 @@
                 self.schedule(now, Step::Kill(leader));
                 self.schedule(now + for_us, Step::Start(leader));
             }
+            FaultKind::LeaderPause => {
+                let leader = self.leader();
+                if let Some(process) = &mut self.controllers[leader].process {
+                    signal(process, libc::SIGSTOP);
+                    process.out = true;
+                    self.leader_ends.push(LeaderEnd {
+                        at_us: now,
+                        how: How::Paused,
+                    });
+                    self.schedule(now + for_us, Step::Wake(leader));
+                }
+            }
             FaultKind::RestartAll => {
                 for number in 0..self.controllers.len() {
                     let at_us = now + RESTART_GAP_US * number as u64;
@@ -771,6 +795,7 @@
                 *counters.entry(format!("{name} {counter}")).or_insert(0.0) += value;
             }
         }
+        let logged = takeover::read_logs(self.controllers.iter().map(|c| c.log.as_path()));
         let (broken, replicas) = Checker::judge(&self.scenario, history);
         let mut by_rule = BTreeMap::new();
         for one in &broken {
@@ -791,11 +816,7 @@
             worker_messages_per_s: messages / workers,
             worker_bytes_per_s: bytes / workers,
             counters,
-            seconds_to_next_start: self
-                .leader_ends_us
-                .iter()
-                .filter_map(|end| next_start_s(history, *end))
-                .collect(),
+            takeovers: takeover::takeovers(&self.leader_ends, &logged, history),
             leader_usage: last_usage(&self.controllers[self.leader()].log),
             elections: self
                 .controllers
@@ -808,13 +829,6 @@
     }
 }
 
-fn next_start_s(history: &[Entry], end_us: u64) -> Option<f64> {
-    let next = history
-        .iter()
-        .find(|e| e.at_us > end_us && matches!(e.event, Event::Started { .. }));
-    next.map(|e| (e.at_us - end_us) as f64 / 1e6)
-}
-
 fn last_usage(log: &Path) -> String {
     let text = std::fs::read_to_string(log).unwrap_or_default();
     let last = text
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod report;
 pub mod scenario;
 pub mod state;
+pub mod takeover;
 pub mod users;
 pub mod workers;
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -6,6 +6,7 @@
 use crate::history::{Entry, Event};
 use crate::replicas::ReplicaFigures;
 use crate::scenario::Scenario;
+use crate::takeover::Takeover;
 use hdrhistogram::Histogram;
 use lilacfork::ids::TaskRef;
 use serde::Serialize;
@@ -75,8 +76,8 @@
     pub worker_bytes_per_s: f64,
     /// Submissions, health, and counters of the parts.
     pub counters: BTreeMap<String, f64>,
-    /// After each end of a controller: seconds until the next start of a task.
-    pub seconds_to_next_start: Vec<f64>,
+    /// Changes of leader that faults caused.
+    pub takeovers: Vec<Takeover>,
     /// The leader's own word on where its time went (its last `usage` line).
     pub leader_usage: String,
     /// Leaders that were elected.
@@ -251,12 +252,8 @@
         for (name, value) in &self.counters {
             let _ = writeln!(text, "{name}: {value:.1}");
         }
-        if !self.seconds_to_next_start.is_empty() {
-            let _ = writeln!(
-                text,
-                "from a leader's end to the next start: {:.2?} s",
-                self.seconds_to_next_start
-            );
+        for takeover in &self.takeovers {
+            let _ = writeln!(text, "{takeover}");
         }
         let _ = writeln!(text, "leader: {}", self.leader_usage);
         if self.broken.is_empty() {
--- a/scale/src/scenario.rs
+++ b/scale/src/scenario.rs
@@ -104,6 +104,9 @@
     pub value_kb: f64,
     /// Changes in a transaction.
     pub txn_ops: u32,
+    /// So much later each answer goes out, in milliseconds.
+    #[serde(default)]
+    pub answer_ms: f64,
 }
 
 /// The stand-in cloud.
@@ -211,6 +214,8 @@
 pub enum FaultKind {
     /// The leader is killed, and started again after `for_s`.
     LeaderKill,
+    /// The leader stands still for `for_s`, then goes on.
+    LeaderPause,
     /// Every controller in turn is killed and started again at once.
     RestartAll,
     /// A process of hollow workers ends for good: a rack.
--- a/scale/src/state.rs
+++ b/scale/src/state.rs
@@ -124,6 +124,10 @@
     /// Until when each controller is refused.
     refused_us: Vec<u64>,
     counters: BTreeMap<&'static str, f64>,
+    /// Each answer goes out so much later.
+    answer_us: u64,
+    /// Answers that wait for that.
+    late: VecDeque<(u64, Asker, Reply)>,
 }
 
 impl StatePart {
@@ -138,6 +142,8 @@
         }
         let settings = config.scenario.state.clone();
         Ok(StatePart {
+            answer_us: (config.scenario.state.answer_ms * 1000.0) as u64,
+            late: VecDeque::new(),
             requests: Rate::new(settings.rps),
             writes: Rate::new(settings.write_rps),
             refused_us: vec![0; config.scenario.controllers.count as usize],
@@ -207,10 +213,19 @@
             ("POST", "/leases") => self.grant(now, &request.body),
             (method, path) => self.lease(now, method, path),
         };
-        net.reply(asker, &reply);
+        self.reply(net, now, asker, reply);
         self.serve_watches(net, now);
     }
 
+    /// Answers, as late as the scenario says.
+    fn reply(&mut self, net: &mut Net, now: u64, asker: Asker, reply: Reply) {
+        if self.answer_us == 0 {
+            net.reply(asker, &reply);
+        } else {
+            self.late.push_back((now + self.answer_us, asker, reply));
+        }
+    }
+
     fn get(&self, key: &str) -> Reply {
         match self.items.get(key) {
             Some(item) => Reply::json(200, &row(key, item)),
@@ -442,7 +457,13 @@
             self.end_lease(id);
         }
         self.serve_watches(net, now);
-        Ok(now + LOOK_US)
+        while self.late.front().is_some_and(|(due_us, ..)| *due_us <= now) {
+            if let Some((_, asker, reply)) = self.late.pop_front() {
+                net.reply(asker, &reply);
+            }
+        }
+        let late_us = self.late.front().map_or(u64::MAX, |(due_us, ..)| *due_us);
+        Ok(late_us.min(now + LOOK_US))
     }
 
     fn command(&mut self, _: &mut Net, command: &Command) -> io::Result<()> {
--- a/scale/tests/loopback.rs
+++ b/scale/tests/loopback.rs
@@ -4,7 +4,7 @@
 
 use lilacfork::node::Node;
 use lilacfork::options::Options;
-use lilacfork::reactor::{Endpoints, Reactor};
+use lilacfork::reactor::Reactor;
 use lilacfork::settings::Settings;
 use lilacfork_scale::checker::{Checker, Rule};
 use lilacfork_scale::control::{self, Command, Ready};
@@ -105,12 +105,7 @@
         let mut options = Options::default();
         let set = options.replica_classes.set("large", "2");
         set.expect("two parts");
-        let endpoints = Endpoints {
-            client: settings.client_listen,
-            peer: settings.peer_listen,
-            state: settings.services.state,
-            cloud: settings.services.cloud,
-        };
+        let endpoints = settings.endpoints();
         let bounds = settings.site.limits.bounds();
         let mut node = Node::new(settings, options, 1);
         let reactor = Reactor::new(endpoints, bounds, 0).expect("it listens");
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,7 @@
 use clap::Parser;
 use lilacfork::node::Node;
 use lilacfork::options::Options;
-use lilacfork::reactor::{Endpoints, Reactor};
+use lilacfork::reactor::Reactor;
 use lilacfork::settings::Settings;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -30,6 +30,7 @@
     let env = env_logger::Env::new().filter_or("LOG_LEVEL", "info");
     env_logger::Builder::from_env(env)
         .target(env_logger::Target::Stderr)
+        .format_timestamp_millis()
         .init();
 }
 
@@ -70,12 +71,7 @@
         println!("settings are fine");
         return ExitCode::SUCCESS;
     }
-    let endpoints = Endpoints {
-        client: settings.client_listen,
-        peer: settings.peer_listen,
-        state: settings.services.state,
-        cloud: settings.services.cloud,
-    };
+    let endpoints = settings.endpoints();
     let bounds = settings.site.limits.bounds();
     let peers = settings.peers.len();
     let name = settings.node_name.clone();
--- /dev/null
+++ b/src/scheduler/group_moves.rs
@@ -0,0 +1,137 @@
+//! Moves of replicas that span machines: room first, then the intent.
+
+use super::group_search::{PartRoom, Reach, Search};
+use super::placing::Wanted;
+use super::Scheduler;
+use crate::ids::JobId;
+use crate::msg::Now;
+use crate::placement::Resources;
+use crate::rooms::Slot;
+use lilacfork_replicas::groups::GroupId;
+use lilacfork_replicas::record::{MoveIntent, Target};
+use lilacfork_replicas::view::{Binding, MachineHealth, PartState};
+
+impl Scheduler {
+    /// Finds room for a group of which a machine is taken away. Its other parts
+    /// stay where they are, if there is room for the rest in their zone.
+    pub(super) fn plan_move(&mut self, now: Now, id: &GroupId) {
+        self.refresh(now);
+        match self.move_intent(now, id) {
+            Some(intent) => {
+                log::info!("replica {id} is to move, generation={}", intent.generation);
+                self.give_up_kept(&intent, &id.job);
+                self.groups.begin_move(now.ms, id, intent);
+                self.hold_for(now, id);
+                self.store_group(now, id, true);
+            }
+            None => {
+                log::info!("replica {id} finds no room to move to");
+                if let Some(group) = self.groups.group_mut(id) {
+                    group.cannot_move();
+                }
+            }
+        }
+        self.groups.touch(&id.job);
+    }
+
+    /// What is expected gives way to what moves now.
+    fn give_up_kept(&mut self, intent: &MoveIntent, job: &JobId) {
+        let Some(need) = self.jobs.get(job).map(|job| job.need) else {
+            return;
+        };
+        for target in &intent.targets {
+            let slot = self.rooms.slot(&target.machine);
+            let room = slot.and_then(|slot| Some((slot, self.rooms.get(slot)?)));
+            if let Some((slot, room)) = room {
+                if !room.free().holds(&need) && room.kept() != Resources::default() {
+                    self.rooms.release_kept(slot);
+                }
+            }
+        }
+    }
+
+    fn move_intent(&self, now: Now, id: &GroupId) -> Option<MoveIntent> {
+        let job = self.jobs.get(&id.job)?;
+        let bound: Vec<(u32, Binding)> = self
+            .parts_of(now, id)
+            .into_iter()
+            .filter_map(|part| match part.state {
+                PartState::Bound(binding) => Some((part.task, binding)),
+                _ => None,
+            })
+            .collect();
+        let generation = bound.first()?.1.generation;
+        let mut wanted = Wanted::new(job, now.wall);
+        wanted.zones = job.zone_use();
+        for (task, _) in &bound {
+            wanted.zones.remove(&job.assigns.get(task)?.zone);
+        }
+        let (staying, leaving): (Vec<_>, Vec<_>) = bound
+            .into_iter()
+            .partition(|(_, binding)| binding.health == MachineHealth::Heard);
+        let slot_of = |(_, binding): &(u32, Binding)| self.rooms.slot(&binding.machine);
+        let all: Vec<Slot> = staying.iter().chain(&leaving).filter_map(slot_of).collect();
+        let partly = self.move_some(id, &wanted, &staying, &leaving, &all);
+        let targets = partly.or_else(|| {
+            let tasks: Vec<u32> = staying.iter().chain(&leaving).map(|(t, _)| *t).collect();
+            let search = Search {
+                id,
+                wanted: &wanted,
+                count: tasks.len(),
+                zone: None,
+                taken: &all,
+            };
+            let rooms = self.find_rooms(&search, Reach::Kept)?;
+            self.targets(&tasks, &rooms)
+        })?;
+        Some(MoveIntent {
+            generation,
+            targets,
+        })
+    }
+
+    /// The parts on sound machines start again there, the others beside them.
+    fn move_some(
+        &self,
+        id: &GroupId,
+        wanted: &Wanted,
+        staying: &[(u32, Binding)],
+        leaving: &[(u32, Binding)],
+        taken: &[Slot],
+    ) -> Option<Vec<Target>> {
+        let first = self.fleet.get(&staying.first()?.1.machine)?;
+        let zone = first.offer.zone.clone();
+        let mut around = Wanted::like(wanted);
+        around.zones = wanted.zones.clone();
+        for (_, binding) in staying {
+            around
+                .zones
+                .add(&self.fleet.get(&binding.machine)?.offer.zone);
+        }
+        let search = Search {
+            id,
+            wanted: &around,
+            count: leaving.len(),
+            zone: Some(&zone),
+            taken,
+        };
+        let rooms = self.find_rooms(&search, Reach::Kept)?;
+        let tasks: Vec<u32> = leaving.iter().map(|(task, _)| *task).collect();
+        let mut targets = self.targets(&tasks, &rooms)?;
+        targets.extend(staying.iter().map(|(task, binding)| Target {
+            task: *task,
+            machine: binding.machine.clone(),
+        }));
+        Some(targets)
+    }
+
+    fn targets(&self, tasks: &[u32], rooms: &[PartRoom]) -> Option<Vec<Target>> {
+        let targets = tasks.iter().zip(rooms).map(|(task, part)| {
+            Some(Target {
+                task: *task,
+                machine: self.rooms.get(part.slot)?.id.clone(),
+            })
+        });
+        targets.collect()
+    }
+}
--- a/src/scheduler/group_room.rs
+++ b/src/scheduler/group_room.rs
@@ -1,7 +1,7 @@
 //! Room that is made or rented for a replica that spans machines: for all that it
 //! lacks, as one round, or not at all.
 
-use super::group_placing::{PartRoom, Reach, Search};
+use super::group_search::{PartRoom, Reach, Search};
 use super::placing::Wanted;
 use super::preempt::Candidate;
 use super::renting::Rentals;
--- a/src/scheduler/replica_groups.rs
+++ b/src/scheduler/replica_groups.rs
@@ -251,7 +251,7 @@
         }
     }
 
-    pub(super) fn health_of(&self, now: Now, machine: &Machine) -> MachineHealth {
+    fn health_of(&self, now: Now, machine: &Machine) -> MachineHealth {
         let silent = now.ms >= machine.heard_ms + self.fresh_ms();
         if machine.phase == Phase::Releasing {
             MachineHealth::Lost
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,7 @@
 //! The platform's settings file (TOML). Unknown fields are ignored, since new
 //! ones may come; the known ones are checked.
 
-use crate::reactor::Bounds;
+use crate::reactor::{Bounds, Endpoints};
 use crate::wire::JobSpec;
 use serde::Deserialize;
 use std::net::SocketAddrV4;
@@ -268,6 +268,16 @@
         Ok(())
     }
 
+    /// Where it listens, and where its services are.
+    pub fn endpoints(&self) -> Endpoints {
+        Endpoints {
+            client: self.client_listen,
+            peer: self.peer_listen,
+            state: self.services.state,
+            cloud: self.services.cloud,
+        }
+    }
+
     /// The team of this name.
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.site.teams.iter().find(|t| t.name == name)
