Keep a spread replica's parts in their own zones when it is repaired or moved

Cause, found when the change was read again: the rest of a replica was looked for in the survivors' zone alone; one that has to be spread finds none there, waited until its held room lapsed and then started from nothing.

Change: the survivors' zone binds the rest only if the replica isn't spread.

Result: a trace of a spread replica that loses a machine and is then given notice; without the change it stays down for the time that room is held.

--- a/src/scheduler/group_holds.rs
+++ b/src/scheduler/group_holds.rs
@@ -76,10 +76,8 @@
         wanted: &Wanted,
     ) -> Option<Unplaced> {
         let held: Vec<(u32, PartRoom)> = self.held_and_sound(now, id);
-        let zone = held
-            .first()
-            .and_then(|(_, part)| Some(self.rooms.get(part.slot)?.state.offer.zone.clone()));
         let taken: Vec<Slot> = held.iter().map(|(_, part)| part.slot).collect();
+        let zone = self.common_zone(&wanted.spec, &taken);
         let count = tasks.len().saturating_sub(held.len());
         let search = Search {
             id,
--- a/src/scheduler/group_moves.rs
+++ b/src/scheduler/group_moves.rs
@@ -99,8 +99,12 @@
         leaving: &[(u32, Binding)],
         taken: &[Slot],
     ) -> Option<Vec<Target>> {
-        let first = self.fleet.get(&staying.first()?.1.machine)?;
-        let zone = first.offer.zone.clone();
+        let stays = |(_, binding): &(u32, Binding)| self.rooms.slot(&binding.machine);
+        let slots: Vec<Slot> = staying.iter().filter_map(stays).collect();
+        if slots.is_empty() {
+            return None;
+        }
+        let zone = self.common_zone(&wanted.spec, &slots);
         let mut around = Wanted::like(wanted);
         around.zones = wanted.zones.clone();
         for (_, binding) in staying {
@@ -112,7 +116,7 @@
             id,
             wanted: &around,
             count: leaving.len(),
-            zone: Some(&zone),
+            zone: zone.as_deref(),
             taken,
         };
         let rooms = self.find_rooms(&search, Reach::Kept)?;
--- a/src/scheduler/group_placing.rs
+++ b/src/scheduler/group_placing.rs
@@ -14,7 +14,6 @@
 use lilacfork_replicas::groups::GroupId;
 use lilacfork_replicas::shape::Replica;
 use std::collections::BTreeSet;
-use std::rc::Rc;
 
 /// Where a group goes, part by part.
 struct Plan {
@@ -194,12 +193,10 @@
         let taken: Vec<Slot> = held.iter().map(|(_, room)| room.slot).collect();
         let mut around = Wanted::like(wanted);
         around.zones = wanted.zones.clone();
-        let mut zone: Option<Rc<str>> = None;
         for slot in &taken {
-            let there = &self.rooms.get(*slot)?.state.offer.zone;
-            around.zones.add(there);
-            zone = Some(there.clone());
+            around.zones.add(&self.rooms.get(*slot)?.state.offer.zone);
         }
+        let zone = self.common_zone(&wanted.spec, &taken);
         let search = Search {
             id,
             wanted: &around,
--- a/src/scheduler/group_search.rs
+++ b/src/scheduler/group_search.rs
@@ -5,6 +5,7 @@
 use crate::ids::MachineId;
 use crate::placement::{may_stand, ZoneUse};
 use crate::rooms::{Apart, Demand, Room, Slot};
+use crate::wire::JobSpec;
 use lilacfork_replicas::groups::GroupId;
 use std::rc::Rc;
 
@@ -65,6 +66,17 @@
         None
     }
 
+    /// The zone in which the rest of a replica belongs that has these machines;
+    /// `None`: any will do, since it is spread.
+    pub(super) fn common_zone(&self, spec: &JobSpec, slots: &[Slot]) -> Option<Rc<str>> {
+        let zone = &self.rooms.get(*slots.first()?)?.state.offer.zone;
+        let there = |slot: &Slot| {
+            let room = self.rooms.get(*slot);
+            room.is_some_and(|room| room.state.offer.zone == *zone)
+        };
+        (!spec.spread && slots.iter().all(there)).then(|| zone.clone())
+    }
+
     /// The zones that may hold all of it.
     pub(super) fn group_zones(&self, search: &Search) -> Vec<Rc<str>> {
         let spec = &search.wanted.spec;
--- a/tests/replicas.rs
+++ b/tests/replicas.rs
@@ -555,6 +555,36 @@
     started(&mut w, &spec);
 }
 
+/// The survivor is in one zone, and its partner has to be in the other.
+#[test]
+fn a_spread_replica_is_repaired_and_moved_in_both_zones() {
+    let mut w = machines(3, &["vm-a", "vm-c"]);
+    for name in ["vm-b", "vm-d", "vm-e"] {
+        w.add_machine(name, "b", false, true);
+    }
+    w.run_for(2000);
+    let mut spec = wide("run-1", 2);
+    spec["spread"] = json!(true);
+    started(&mut w, &spec);
+    let beyond = |w: &World| {
+        let at = places(w, "run-1");
+        let found = at.values().find(|m| w.workers[*m].zone == "b").cloned();
+        (found.expect("a part in zone b"), at)
+    };
+    let (lost, before) = beyond(&w);
+    w.workers.get_mut(&lost).unwrap().silent = true;
+    w.run_for(16_000);
+    assert_eq!(shown(&mut w, "run-1"), 2, "{:?}", w.trace);
+    let (leaves, after) = beyond(&w);
+    assert_ne!(leaves, lost);
+    let kept = before.values().filter(|m| after.values().any(|n| n == *m));
+    assert_eq!(kept.count(), 1, "the survivor's machine");
+    w.workers.get_mut(&leaves).unwrap().notice_s = Some(60.0);
+    w.run_for(8000);
+    assert_eq!(shown(&mut w, "run-1"), 2, "{:?}", w.trace);
+    assert_ne!(beyond(&w).0, leaves);
+}
+
 #[test]
 fn less_important_work_makes_way_for_a_whole_replica_or_for_none() {
     let mut w = machines(3, &["vm-a", "vm-b"]);
