--- a/replicas/src/groups.rs
+++ b/replicas/src/groups.rs
@@ -92,7 +92,7 @@
 pub struct Groups {
     timing: Timing,
     jobs: BTreeMap<JobId, JobGroups>,
-    touched: BTreeSet<JobId>,
+    touched: BTreeSet<GroupId>,
     /// Those for which room may be held.
     holding: BTreeSet<GroupId>,
     figures: Figures,
@@ -128,8 +128,10 @@
 
     /// A job is over.
     pub fn remove(&mut self, job: &JobId) {
-        self.jobs.remove(job);
-        self.touched.remove(job);
+        if self.jobs.remove(job).is_none() {
+            return;
+        }
+        self.touched.retain(|id| id.job != *job);
         self.holding.retain(|id| id.job != *job);
     }
 
@@ -159,25 +161,45 @@
         self.jobs.get_mut(job)
     }
 
-    /// Something of the job's parts may have changed.
-    pub fn touch(&mut self, job: &JobId) {
-        if self.jobs.contains_key(job) {
-            self.touched.insert(job.clone());
+    /// Something of a task, which may be a part, has changed.
+    pub fn touch_task(&mut self, job: &JobId, task: u32) {
+        if let Some(groups) = self.jobs.get(job) {
+            self.touched.insert(GroupId {
+                job: job.clone(),
+                replica: groups.shape.replica_of(task),
+            });
         }
     }
 
+    /// Something of a group has changed.
+    pub fn touch_group(&mut self, id: &GroupId) {
+        self.touched.insert(id.clone());
+    }
+
+    /// Something of all the job's groups may have changed.
+    pub fn touch(&mut self, job: &JobId) {
+        let groups = self.jobs.get(job).into_iter().flat_map(JobGroups::iter);
+        self.touched.extend(groups.map(|group| GroupId {
+            job: job.clone(),
+            replica: group.replica(),
+        }));
+    }
+
     /// Time has passed: machines may be silent, and times be over.
     pub fn touch_all(&mut self) {
-        self.touched = self.jobs.keys().cloned().collect();
+        let jobs: Vec<JobId> = self.jobs.keys().cloned().collect();
+        for job in &jobs {
+            self.touch(job);
+        }
     }
 
-    /// Whether the job's groups have to be looked at.
-    pub fn is_touched(&self, job: &JobId) -> bool {
-        self.touched.contains(job)
+    /// Whether a group has to be looked at.
+    pub fn is_touched(&self, id: &GroupId) -> bool {
+        self.touched.contains(id)
     }
 
-    /// The jobs that have to be looked at, once.
-    pub fn take_touched(&mut self) -> BTreeSet<JobId> {
+    /// The groups that have to be looked at, once.
+    pub fn take_touched(&mut self) -> BTreeSet<GroupId> {
         std::mem::take(&mut self.touched)
     }
 
@@ -220,7 +242,7 @@
     /// All parts of a group were bound. Tells whether it has moved by that.
     pub fn placed(&mut self, id: &GroupId) -> Option<Note> {
         self.holding.remove(id);
-        self.touch(&id.job);
+        self.touched.insert(id.clone());
         let note = self.group_mut(id)?.placed()?;
         self.note(note);
         Some(note)
--- a/src/scheduler/group_moves.rs
+++ b/src/scheduler/group_moves.rs
@@ -31,7 +31,7 @@
                 }
             }
         }
-        self.groups.touch(&id.job);
+        self.groups.touch_group(id);
     }
 
     /// What is expected gives way to what moves now.
--- a/src/scheduler/machines.rs
+++ b/src/scheduler/machines.rs
@@ -228,7 +228,7 @@
         if let Some(machine) = self.fleet.get_mut(&assign.machine) {
             machine.unassign(task, &need, now.ms);
         }
-        self.groups.touch(&task.job);
+        self.groups.touch_task(&task.job, task.index);
         self.round_wanted = true;
         self.changed = true;
     }
--- a/src/scheduler/replica_groups.rs
+++ b/src/scheduler/replica_groups.rs
@@ -90,7 +90,7 @@
             let group = self.groups.group_mut(&id);
             if let (Some(group), Some(intent)) = (group, &record.intent) {
                 group.stored(intent);
-                self.groups.touch(job);
+                self.groups.touch_group(&id);
             }
         }
     }
@@ -145,25 +145,11 @@
                 return;
             }
             for id in touched {
-                self.observe_job(now, &id);
+                self.observe_group(now, &id);
             }
         }
     }
 
-    fn observe_job(&mut self, now: Now, id: &JobId) {
-        let Some(shape) = self.jobs.get(id).and_then(|job| job.shape) else {
-            self.groups.remove(id);
-            return;
-        };
-        for replica in (0..shape.replicas()).map(Replica) {
-            let group = GroupId {
-                job: id.clone(),
-                replica,
-            };
-            self.observe_group(now, &group);
-        }
-    }
-
     fn observe_group(&mut self, now: Now, id: &GroupId) {
         let parts = self.parts_of(now, id);
         let targets_open = self.targets_open(now, id);
@@ -291,12 +277,14 @@
                 let whole = parts
                     .iter()
                     .all(|part| part.map(|assign| assign.attempt) == generation);
-                if generation.is_none() || !whole {
-                    // Its parts may have changed since it was looked at, in which
-                    // case it is to be looked at before anybody is told.
-                    if !self.groups.is_touched(id) {
-                        return Err(format!("{id}#{} serves incomplete", group.replica().0));
-                    }
+                let group = GroupId {
+                    job: id.clone(),
+                    replica: group.replica(),
+                };
+                // Its parts may have changed since it was looked at, in which case it
+                // is to be looked at before anybody is told.
+                if (generation.is_none() || !whole) && !self.groups.is_touched(&group) {
+                    return Err(format!("{group} serves incomplete"));
                 }
             }
         }
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -236,7 +236,7 @@
             );
         }
         if assign.phase.replace(phase) != Some(phase) {
-            self.groups.touch(&task.job);
+            self.groups.touch_task(&task.job, task.index);
         }
         // A service has no end to succeed by; a replica that spans machines succeeds
         // as a whole.
@@ -278,7 +278,7 @@
             return false;
         };
         if assign.phase.take().is_some() {
-            self.groups.touch(&task.job);
+            self.groups.touch_task(&task.job, task.index);
         }
         if assign.stop.is_none() {
             return assign
@@ -314,7 +314,7 @@
         };
         let (need, spans) = (job.need, job.shape.is_some());
         let cancelled = job.cancelled.is_some();
-        self.groups.touch(&task.job);
+        self.groups.touch_task(&task.job, task.index);
         // Of an inherited task only the end of its run was seen.
         let took_ms = assign
             .running_since_ms
@@ -748,7 +748,7 @@
                     since_ms: now.ms,
                 });
                 assign.sent_ms = None;
-                self.groups.touch(&task.job);
+                self.groups.touch_task(&task.job, task.index);
                 let id = assign.machine.clone();
                 // Its room is about to be free.
                 self.fleet.get_mut(&id);
