Test heartbeats at the size at which they failed, correct what was said of it

Cause: taking the bound away left the test green: 16,000 counts are 224 KB and still taken. The size was reckoned and not run; it is some 18,000 jobs, not 11,000.

Change: 24,000 jobs. Without the bound the first heartbeat is 336,133 bytes and the test fails; with it it passes.

--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -14,7 +14,7 @@
 use world::{service, World};
 
 /// At 4,000 machines there may be as many jobs as tasks; a leader's first heartbeat
-/// held a count of each, and from some 11,000 jobs on no peer took it: none heard
+/// held a count of each, and from some 18,000 jobs on no peer took it: none heard
 /// that there was a leader, at that and at every later try.
 #[test]
 fn a_leader_of_many_jobs_is_heard_by_its_peers() {
@@ -24,7 +24,7 @@
     for n in 0..41 {
         w.add_machine(&format!("vm-{n}"), "a", false, true);
     }
-    for n in 0..16_000 {
+    for n in 0..24_000 {
         let mut spec = service(&format!("run-{n:06}"), 1);
         spec["gabarit"] = json!("help");
         w.observer.submitted(&spec);
