--- a/scale/src/scenario.rs
+++ b/scale/src/scenario.rs
@@ -452,6 +452,7 @@
             checkpoint_s: 0.0,
             save_s: 0.0,
             deadline_s: class.deadline_runs.map(|runs| runs * class.run_s[1]),
+            needs: Vec::new(),
         })
     }
 
--- a/src/cancellations.rs
+++ b/src/cancellations.rs
@@ -78,7 +78,7 @@
 struct Listing {
     asked_ms: u64,
     from: Option<Revision>,
-    unfinished: HashSet<JobId>,
+    unfinished: HashMap<JobId, Box<[JobId]>>,
     cancelled: HashSet<JobId>,
 }
 
@@ -139,8 +139,9 @@
     incarnation: u64,
     bounds: Bounds,
     known: HashMap<JobId, Known>,
-    /// Jobs whose records stand, as of the last complete read.
-    unfinished: HashSet<JobId>,
+    /// Jobs whose records stand, as of the last complete read, and the jobs that
+    /// each of them needs.
+    unfinished: HashMap<JobId, Box<[JobId]>>,
     log: Log,
     peers: Vec<PeerLog>,
     /// The changes since then aren't read yet; `None`: nothing is.
@@ -181,7 +182,7 @@
             incarnation,
             bounds,
             known: HashMap::new(),
-            unfinished: HashSet::new(),
+            unfinished: HashMap::new(),
             log: Log::default(),
             peers: peers
                 .map(|name| PeerLog {
@@ -213,7 +214,7 @@
 
     /// How a job stands by the latest read or what was told since.
     pub fn standing(&self, id: &JobId) -> Standing {
-        if !self.unfinished.contains(id) {
+        if !self.unfinished.contains_key(id) {
             Standing::None
         } else if self.known.get(id).is_some_and(|k| k.stored) {
             Standing::Cancelled
@@ -222,6 +223,11 @@
         }
     }
 
+    /// The jobs that an unfinished job needs, by its record.
+    pub fn needs(&self, id: &JobId) -> &[JobId] {
+        self.unfinished.get(id).map_or(&[], |needs| needs)
+    }
+
     /// When the last complete read was asked for.
     pub fn read_ms(&self) -> Option<u64> {
         self.read_ms
@@ -376,7 +382,7 @@
             if is_cancelled(&item.value) {
                 listing.cancelled.insert(id.clone());
             }
-            listing.unfinished.insert(id);
+            listing.unfinished.insert(id, needs_in(&item.value));
         }
         if let (true, Some(last)) = (items.more, last) {
             self.listing = Some(listing);
@@ -416,7 +422,7 @@
                 if is_cancelled(&event.value) && self.learn(now, &id, true) {
                     new.push(id.clone());
                 }
-                self.unfinished.insert(id);
+                self.unfinished.insert(id, needs_in(&event.value));
             }
         }
         self.read_up_to = Some(Revision(seen.revision));
@@ -557,3 +563,10 @@
 fn is_cancelled(record: &serde_json::Value) -> bool {
     record.get("c").is_some_and(|c| !c.is_null())
 }
+
+fn needs_in(record: &serde_json::Value) -> Box<[JobId]> {
+    let needs = record.get("spec").and_then(|spec| spec.get("attend"));
+    let needs = needs.and_then(|needs| needs.as_array());
+    let names = needs.into_iter().flatten().filter_map(|need| need.as_str());
+    names.map(JobId::new).collect()
+}
--- a/src/election.rs
+++ b/src/election.rs
@@ -30,9 +30,19 @@
     pub lease: u64,
 }
 
+/// The value of the term's key.
 #[derive(Clone, Copy, PartialEq, Debug, Serialize, Deserialize)]
-struct TermRecord {
-    term: Term,
+pub struct TermRecord {
+    /// The latest term.
+    pub term: Term,
+    /// A leader has found that the state service's announced limits hold. Versions
+    /// before 0.2 don't know the field and leave it out when they write.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub limits_lowered: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !*value
 }
 
 /// Which question an answer belongs to.
@@ -122,7 +132,10 @@
             ttl_ms,
             role: Role::Unknown,
             key_version: 0,
-            term: TermRecord { term: Term(0) },
+            term: TermRecord {
+                term: Term(0),
+                limits_lowered: false,
+            },
             term_version: 0,
             leader: None,
             revision: Revision(0),
@@ -167,6 +180,35 @@
         matches!(self.role, Role::Follower(_)) && now.ms < self.read_ms + self.ttl_ms * 4
     }
 
+    /// Whether the state service holds a leader's word that its announced limits
+    /// are in force.
+    pub fn limits_lowered(&self) -> bool {
+        self.term.limits_lowered
+    }
+
+    /// The transaction that stores, as leader, that the announced limits are in
+    /// force. `None`: it doesn't lead.
+    pub fn store_limits_lowered(&self) -> Option<Txn> {
+        let Role::Leader { term, key_version } = self.role else {
+            return None;
+        };
+        let record = TermRecord {
+            term,
+            limits_lowered: true,
+        };
+        let value = serde_json::to_value(record).unwrap_or_default();
+        Some(
+            Txn::default()
+                .guard(LEADER_KEY, key_version.0)
+                .put(TERM_KEY, value),
+        )
+    }
+
+    /// That transaction was carried out.
+    pub fn limits_lowered_stored(&mut self) {
+        self.term.limits_lowered = true;
+    }
+
     /// The latest term that the state service told of.
     pub fn known_term(&self) -> Term {
         self.term.term
@@ -368,6 +410,7 @@
             term,
             lease: granted.lease,
         };
+        let record_of_term = TermRecord { term, ..self.term };
         let txn = Txn::default()
             .guard(LEADER_KEY, self.key_version)
             .guard(TERM_KEY, self.term_version)
@@ -378,7 +421,7 @@
             )
             .put(
                 TERM_KEY,
-                serde_json::to_value(TermRecord { term }).unwrap_or_default(),
+                serde_json::to_value(record_of_term).unwrap_or_default(),
             );
         let call = store::txn(&txn, self.timeout_ms());
         self.ask(now, ElectionCall::Claim, call, out);
--- a/src/gateway.rs
+++ b/src/gateway/mod.rs
@@ -1,107 +1,28 @@
 //! Users' requests, on any node. The node writes the job or the cancellation
 //! itself and then answers; whoever leads learns of it from the state service.
 
+mod admission;
+mod needs;
+mod records;
+
+pub use admission::fits_type;
+pub use records::{final_key, job_key, Final, FinalRecord, JobRecord, FINAL_PREFIX, JOB_PREFIX};
+
 use crate::bounded_map::BoundedMap;
-use crate::cancellations::Standing;
+use crate::cancellations::{Cancellations, Standing};
 use crate::ids::{JobId, Term};
+use crate::limits::{Limits, LimitsInForce, RequestSize};
 use crate::msg::{ConnId, Now, Reply};
-use crate::scheduler::tasks_per_record;
 use crate::settings::Settings;
 use crate::store::{self, Answer, StateCall, Urgency};
-use crate::wire::{
-    self, Catalog, Item, JobSpec, JobState, Kind, MachineType, RevisionOnly, Txn, UserState,
-};
-use lilacfork_replicas::classes::{Asked, Classes};
-use lilacfork_replicas::shape::Shape;
-use serde::{Deserialize, Serialize};
+use crate::wire::{self, Catalog, JobState, Txn, UserState};
+use admission::{Admission, Submission};
+use lilacfork_replicas::classes::Classes;
+use needs::NeedRead;
+use records::{read_final, read_live, Known};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
-/// Unfinished and cancelled-but-not-yet-cleared jobs.
-pub const JOB_PREFIX: &str = "j/";
-/// Jobs that are over, for good.
-pub const FINAL_PREFIX: &str = "f/";
-
-/// The key of an unfinished job's record.
-pub fn job_key(id: &JobId) -> String {
-    format!("{JOB_PREFIX}{id}")
-}
-
-/// The key of the record of a job that is over.
-pub fn final_key(id: &JobId) -> String {
-    format!("{FINAL_PREFIX}{id}")
-}
-
-/// The record of an unfinished job.
-#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
-pub struct JobRecord {
-    /// The job as its user described it.
-    pub spec: JobSpec,
-    /// Time of day of the submission, milliseconds.
-    #[serde(rename = "t")]
-    pub submitted: u64,
-    /// Time of day of the cancellation.
-    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
-    pub cancelled: Option<u64>,
-    /// Parts of a replica, if its replicas span machines. It was settled when the
-    /// job was accepted, and is never judged again.
-    #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
-    pub replica_parts: Option<u32>,
-}
-
-/// How a job ended.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
-pub enum Final {
-    /// All its tasks are done.
-    #[serde(rename = "d")]
-    Done,
-    /// Its user cancelled it.
-    #[serde(rename = "c")]
-    Cancelled,
-}
-
-impl Final {
-    fn state(self) -> UserState {
-        match self {
-            Final::Done => UserState::Done,
-            Final::Cancelled => UserState::Cancelled,
-        }
-    }
-}
-
-/// The record of a job that is over.
-#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
-pub struct FinalRecord {
-    /// How it ended.
-    #[serde(rename = "s")]
-    pub state: Final,
-    /// How many tasks it had.
-    #[serde(rename = "n")]
-    pub tasks: u32,
-    /// Names the write, so that its author knows it again.
-    #[serde(rename = "w", default)]
-    pub write: u64,
-}
-
-/// What the state service said of a job.
-#[derive(Debug)]
-enum Known {
-    Absent,
-    Live(Box<JobRecord>, u64),
-    /// As the last two, by a poll, which doesn't keep the records.
-    Unfinished,
-    Cancelled,
-    Over(FinalRecord),
-}
-
-/// A job that a user wants taken.
-#[derive(Debug)]
-struct Submission {
-    spec: JobSpec,
-    /// How its tasks form replicas that span machines.
-    shape: Option<Shape>,
-}
-
 #[derive(Debug)]
 enum Goal {
     Submit(Box<Submission>),
@@ -119,6 +40,14 @@
     step: Step,
     /// Guarded writes that lost a race are tried again a few times.
     tries: u32,
+    /// A job that it needs is cancelled, and so it is from the start.
+    born_cancelled: bool,
+    /// How many reads of needed jobs are under way.
+    need_reads: usize,
+    /// How often such reads were made.
+    need_rounds: u32,
+    /// How large its write was.
+    size: RequestSize,
     begun_ms: u64,
     until_ms: u64,
 }
@@ -129,6 +58,8 @@
     Poll,
     ReadLive,
     ReadFinal,
+    /// How jobs that it needs have ended.
+    ReadNeeds,
     Write,
 }
 
@@ -148,6 +79,8 @@
     pub announced: Vec<JobId>,
     /// Jobs that a user is told here for the first time are cancelled.
     pub cancelled: Vec<JobId>,
+    /// The state service refused a write of this size as malformed.
+    pub refused: Option<RequestSize>,
 }
 
 /// Requests are answered within this time, come what may; users wait 5 s for
@@ -196,10 +129,9 @@
 
 /// Users' requests in work, and what is known of jobs for good.
 pub struct Gateway {
-    settings: Rc<Settings>,
-    /// Which new jobs span machines.
-    replica_classes: Classes,
-    catalog: Option<Rc<Catalog>>,
+    admission: Admission,
+    /// What the state service will always take.
+    least: Limits,
     facts: BoundedMap<JobId, Fact>,
     /// Counts for display, hints from the leader.
     counts: BoundedMap<JobId, LeaderCounts>,
@@ -209,6 +141,10 @@
     tasks: HashMap<GatewayCall, Task>,
     /// Those that wait for a poll, in the order in which they came.
     polling: VecDeque<GatewayCall>,
+    /// Reads of jobs that others need.
+    need_reads: HashMap<GatewayCall, NeedRead>,
+    /// All reads that these had asked for have come.
+    needs_read: Vec<GatewayCall>,
     /// Whether a poll tells of every job.
     polls_tell_all: bool,
     next: GatewayCall,
@@ -219,16 +155,18 @@
     pub fn new(settings: Rc<Settings>, replica_classes: Classes, leader_quiet_ms: u64) -> Self {
         let ram_mb = settings.site.limits.ram_mb;
         let remembered = LEAST_REMEMBERED.max((ram_mb * REMEMBERED_PER_MB) as usize);
+        let least = LimitsInForce::new(&settings.site.state).least();
         Gateway {
-            settings,
-            replica_classes,
-            catalog: None,
+            admission: Admission::new(settings, replica_classes, least),
+            least,
             facts: BoundedMap::new(remembered),
             counts: BoundedMap::new(remembered),
             leader: None,
             leader_quiet_ms,
             tasks: HashMap::new(),
             polling: VecDeque::new(),
+            need_reads: HashMap::new(),
+            needs_read: Vec::new(),
             polls_tell_all: false,
             next: 0,
         }
@@ -236,23 +174,19 @@
 
     /// The machine types are known.
     pub fn set_catalog(&mut self, catalog: Rc<Catalog>) {
-        self.catalog = Some(catalog);
+        self.admission.catalog = Some(catalog);
     }
 
     /// Whether the machine types are known.
     pub fn has_catalog(&self) -> bool {
-        self.catalog.is_some()
+        self.admission.catalog.is_some()
     }
 
     /// A submission.
     pub fn submit(&mut self, now: Now, conn: ConnId, body: &[u8], out: &mut GatewayOut) {
-        let goal = match JobSpec::parse(body) {
-            Ok(spec) => match self.can_ever_run(&spec) {
-                Some(Ok(shape)) => Goal::Submit(Box::new(Submission { spec, shape })),
-                Some(Err(why)) => Goal::Refuse(Reply::error(422, &why)),
-                None => Goal::Refuse(Reply::later(503, "machine types unknown yet", 1)),
-            },
-            Err(why) => Goal::Refuse(Reply::error(400, &why)),
+        let goal = match self.admission.judge(body) {
+            Ok(submission) => Goal::Submit(Box::new(submission)),
+            Err(reply) => Goal::Refuse(reply),
         };
         let id = match &goal {
             Goal::Submit(submission) => Some(submission.spec.id.clone()),
@@ -295,9 +229,11 @@
             Goal::Show => READ_PATIENCE_MS,
             _ => WRITE_PATIENCE_MS,
         };
-        let step = match goal {
+        let step = match &goal {
             // A repeat would only cost a write that fails.
-            Goal::Submit(_) if fact.is_none() => Step::Write,
+            Goal::Submit(submission) if fact.is_none() && submission.spec.needs.is_empty() => {
+                Step::Write
+            }
             // To cancel it the whole record is needed.
             Goal::Cancel => Step::ReadLive,
             _ if self.polls_tell_all => Step::Poll,
@@ -310,23 +246,19 @@
             goal,
             step,
             tries: 0,
+            born_cancelled: false,
+            need_reads: 0,
+            need_rounds: 0,
+            size: RequestSize::default(),
             begun_ms: now.ms,
             until_ms: now.ms + patience,
         };
         let number = self.next;
-        match &task.goal {
-            Goal::Submit(submission) if step == Step::Write => {
-                let txn = create_txn(submission, now);
-                out.calls
-                    .push(write_call(number, &task, Urgency::Submission, txn, now));
-            }
-            _ if step == Step::Poll => {
-                out.poll = true;
-                self.polling.push_back(number);
-            }
-            _ => out.calls.push(read_call(number, &task, now)),
+        match step {
+            Step::Write => self.accept(now, number, task, out),
+            Step::Poll => self.await_poll(number, task, out),
+            _ => self.read(now, number, task, step, out),
         }
-        self.tasks.insert(number, task);
     }
 
     /// Whoever asked up to now may be answered by a poll that is sent from now
@@ -335,41 +267,102 @@
         self.next
     }
 
+    /// Has the request answered by a poll that is sent from now on.
+    fn await_poll(&mut self, number: GatewayCall, mut task: Task, out: &mut GatewayOut) {
+        task.step = Step::Poll;
+        out.poll = true;
+        self.polling.push_back(number);
+        self.tasks.insert(number, task);
+    }
+
+    /// Reads a record for the request.
+    fn read(
+        &mut self,
+        now: Now,
+        number: GatewayCall,
+        mut task: Task,
+        step: Step,
+        out: &mut GatewayOut,
+    ) {
+        task.step = step;
+        out.calls.push(read_call(number, &task, now));
+        self.tasks.insert(number, task);
+    }
+
+    /// Writes the record of a job that is to be accepted.
+    fn accept(&mut self, now: Now, number: GatewayCall, task: Task, out: &mut GatewayOut) {
+        let Goal::Submit(submission) = &task.goal else {
+            self.give_up(task, out);
+            return;
+        };
+        let txn = if task.born_cancelled {
+            submission.accept_cancelled(now)
+        } else {
+            submission.accept(now)
+        };
+        self.write(now, number, task, Urgency::Submission, txn, out);
+    }
+
+    fn write(
+        &mut self,
+        now: Now,
+        number: GatewayCall,
+        mut task: Task,
+        urgency: Urgency,
+        txn: Txn,
+        out: &mut GatewayOut,
+    ) {
+        task.step = Step::Write;
+        task.size = RequestSize::of(&txn);
+        out.calls.push(write_call(number, &task, urgency, txn, now));
+        self.tasks.insert(number, task);
+    }
+
     /// A poll of all records, made when those up to `asked` had come, tells how
     /// jobs stand; or, unanswered, nothing.
     pub fn polled(
         &mut self,
         now: Now,
         asked: GatewayCall,
-        standing: impl Fn(&JobId) -> Option<Standing>,
+        records: Option<&Cancellations>,
         out: &mut GatewayOut,
     ) {
         while self.polling.front().is_some_and(|n| *n <= asked) {
             let Some(number) = self.polling.pop_front() else {
                 return;
             };
-            let Some(mut task) = self.tasks.remove(&number) else {
+            let Some(task) = self.tasks.remove(&number) else {
                 continue;
             };
-            let known = match standing(&task.id) {
-                None => {
-                    self.give_up(task, out);
-                    continue;
-                }
-                Some(Standing::None) => {
-                    task.step = Step::ReadFinal;
-                    out.calls.push(read_call(number, &task, now));
-                    self.tasks.insert(number, task);
-                    continue;
-                }
-                Some(Standing::Unfinished) => Known::Unfinished,
-                Some(Standing::Cancelled) => Known::Cancelled,
-            };
-            self.known(now, number, task, known, out);
+            match records {
+                Some(records) => self.told(now, number, task, records, out),
+                None => self.give_up(task, out),
+            }
         }
         out.poll |= !self.polling.is_empty();
     }
 
+    /// How the request's job stands by the records, read since it came.
+    fn told(
+        &mut self,
+        now: Now,
+        number: GatewayCall,
+        task: Task,
+        records: &Cancellations,
+        out: &mut GatewayOut,
+    ) {
+        // A repeat of what is known to be accepted would only cost a write that fails.
+        let new = task.tries == 0 && self.facts.get(&task.id).is_none();
+        match records.standing(&task.id) {
+            Standing::Cancelled => self.known(now, number, task, Known::Cancelled, out),
+            Standing::Unfinished => self.judge_unfinished(now, number, task, records, out),
+            Standing::None if new && matches!(task.goal, Goal::Submit(_)) => {
+                self.judge_submission(now, number, task, records, out);
+            }
+            Standing::None => self.read(now, number, task, Step::ReadFinal, out),
+        }
+    }
+
     /// Who has waited for too long is told to come back.
     pub fn tick(&mut self, now: Now, out: &mut GatewayOut) -> u64 {
         while let Some(number) = self.polling.front() {
@@ -389,46 +382,13 @@
     /// than what others have told since. Whoever still waits is to ask again.
     pub fn stood_still(&mut self, out: &mut GatewayOut) {
         self.polling.clear();
+        self.need_reads.clear();
+        self.needs_read.clear();
         for (_, task) in std::mem::take(&mut self.tasks) {
             self.give_up(task, out);
         }
     }
 
-    /// How its tasks are grouped, if the job can ever run. `None`: machine types
-    /// unknown, so nobody can tell.
-    fn can_ever_run(&self, spec: &JobSpec) -> Option<Result<Option<Shape>, String>> {
-        let Some(team) = self.settings.team(&spec.team) else {
-            return Some(Err("unknown team".into()));
-        };
-        let counted = match spec.kind {
-            Kind::Array => 1.0,
-            Kind::Service | Kind::Group => f64::from(spec.tasks),
-        };
-        let over = |need: f64, max: f64| max > 0.0 && need * counted > max + 1e-9;
-        if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
-            return Some(Err("more than the team's limit".into()));
-        }
-        let catalog = self.catalog.as_ref()?;
-        Some(if catalog.types.iter().any(|t| fits_type(spec, t)) {
-            self.shape_of(spec)
-        } else {
-            Err("a task fits no allowed machine type".into())
-        })
-    }
-
-    /// How a new job's tasks form replicas that span machines.
-    fn shape_of(&self, spec: &JobSpec) -> Result<Option<Shape>, String> {
-        let asked = Asked {
-            class: &spec.class,
-            gang: spec.kind == Kind::Group,
-            service: spec.kind == Kind::Service,
-            tasks: spec.tasks,
-        };
-        let most = tasks_per_record(self.settings.site.state.value_kb);
-        let shape = self.replica_classes.shape(asked, most);
-        shape.map_err(|why| why.to_string())
-    }
-
     /// The answer to one of our calls.
     pub fn answered(
         &mut self,
@@ -437,16 +397,16 @@
         answer: Answer,
         out: &mut GatewayOut,
     ) {
-        let Some(mut task) = self.tasks.remove(&number) else {
+        if let Some(read) = self.need_reads.remove(&number) {
+            self.need_answered(now, &read, &answer, out);
+            return;
+        }
+        let Some(task) = self.tasks.remove(&number) else {
             return;
         };
         match task.step {
             Step::ReadLive => match read_live(&answer) {
-                Some(Known::Absent) => {
-                    task.step = Step::ReadFinal;
-                    out.calls.push(read_call(number, &task, now));
-                    self.tasks.insert(number, task);
-                }
+                Some(Known::Absent) => self.read(now, number, task, Step::ReadFinal, out),
                 Some(known) => self.known(now, number, task, known, out),
                 None => self.give_up(task, out),
             },
@@ -454,8 +414,8 @@
                 Some(known) => self.known(now, number, task, known, out),
                 None => self.give_up(task, out),
             },
-            // It was waiting for a poll and made no call.
-            Step::Poll => self.give_up(task, out),
+            // It was waiting for others' answers and made no call.
+            Step::Poll | Step::ReadNeeds => self.give_up(task, out),
             Step::Write => self.written(now, number, task, answer, out),
         }
     }
@@ -515,7 +475,7 @@
         &mut self,
         now: Now,
         number: GatewayCall,
-        mut task: Task,
+        task: Task,
         known: Known,
         out: &mut GatewayOut,
     ) {
@@ -526,25 +486,31 @@
             self.give_up(task, out);
             return;
         }
+        if matches!((&task.goal, &known), (goal, Known::Live(live))
+            if !matches!(goal, Goal::Cancel) && live.waits_for_others())
+        {
+            // Its own record doesn't say whether a job that it needs is cancelled.
+            if self.polls_tell_all {
+                self.await_poll(number, task, out);
+            } else {
+                self.give_up(task, out);
+            }
+            return;
+        }
         let reply = match (&task.goal, known) {
             (_, Known::Over(record)) => {
                 self.remember(&task.id, Fact::Over(record.state, record.tasks));
                 final_reply(&task.id, record.state, record.tasks)
             }
-            (_, Known::Live(record, _)) if record.cancelled.is_some() => {
-                self.tell_cancelled(&task.id, out)
+            (_, Known::Live(live)) if live.record.cancelled.is_some() => {
+                self.tell_cancelled(&task.id, 200, out)
             }
-            (_, Known::Cancelled) => self.tell_cancelled(&task.id, out),
-            (Goal::Cancel, Known::Live(mut record, version)) => {
-                record.cancelled = Some(now.wall);
-                let value = serde_json::to_value(&record).unwrap_or_default();
-                let txn = Txn::default()
-                    .guard(job_key(&task.id), version)
-                    .put(job_key(&task.id), value);
-                task.step = Step::Write;
-                out.calls
-                    .push(write_call(number, &task, Urgency::Cancel, txn, now));
-                self.tasks.insert(number, task);
+            (_, Known::Cancelled) => self.tell_cancelled(&task.id, 200, out),
+            (Goal::Cancel, Known::Live(live)) => {
+                let key = job_key(&task.id);
+                let txn = Txn::default().guard(key.clone(), live.version);
+                let txn = txn.put(key, live.cancelled(now.wall, self.least.value_bytes));
+                self.write(now, number, task, Urgency::Cancel, txn, out);
                 return;
             }
             // Another request may have heard of its end meanwhile.
@@ -563,10 +529,13 @@
     }
 
     /// The first time that a user is told so here.
-    fn tell_cancelled(&mut self, id: &JobId, out: &mut GatewayOut) -> Reply {
+    fn tell_cancelled(&mut self, id: &JobId, status: u16, out: &mut GatewayOut) -> Reply {
         self.remember(id, Fact::Over(Final::Cancelled, 0));
         out.cancelled.push(id.clone());
-        final_reply(id, Final::Cancelled, 0)
+        Reply {
+            status,
+            ..final_reply(id, Final::Cancelled, 0)
+        }
     }
 
     fn live_reply(&mut self, now: Now, id: &JobId, status: u16) -> Reply {
@@ -599,22 +568,11 @@
                 let reply = match &task.goal {
                     Goal::Cancel => {
                         log::info!("job {} cancelled by its user", task.id);
-                        self.tell_cancelled(&task.id, out)
-                    }
-                    _ => {
-                        let class = match &task.goal {
-                            Goal::Submit(submission) => submission.spec.class.clone(),
-                            _ => "".into(),
-                        };
-                        log::info!(
-                            "job {} accepted class={class} after_ms={}",
-                            task.id,
-                            now.ms - task.begun_ms
-                        );
-                        self.live_reply(now, &task.id, 201)
+                        self.tell_cancelled(&task.id, 200, out)
                     }
+                    _ => self.tell_accepted(now, &task, out),
                 };
-                if !matches!(task.goal, Goal::Cancel) {
+                if !matches!(task.goal, Goal::Cancel) && !task.born_cancelled {
                     out.announced.push(task.id);
                 }
                 out.replies.push((task.conn, reply));
@@ -622,29 +580,33 @@
             // Somebody else wrote first, or nobody knows: reading tells.
             Answer::Status(200 | 409, _) | Answer::Unclear if task.tries < MAX_TRIES => {
                 task.tries += 1;
-                task.step = Step::ReadLive;
-                out.calls.push(read_call(number, &task, now));
-                self.tasks.insert(number, task);
+                self.read(now, number, task, Step::ReadLive, out);
+            }
+            Answer::Status(400, _) => {
+                out.refused = Some(task.size);
+                self.give_up(task, out);
             }
             _ => self.give_up(task, out),
         }
     }
-}
 
-/// Whether a task of the job could ever stand on a machine of this type.
-pub fn fits_type(spec: &JobSpec, t: &MachineType) -> bool {
-    let allowed = spec
-        .types
-        .as_ref()
-        .is_none_or(|types| types.contains(&t.name));
-    let zone = spec
-        .zone
-        .as_ref()
-        .is_none_or(|zone| t.zones.iter().any(|z| z == zone));
-    let room = spec.cpus <= t.cpus + 1e-9
-        && spec.gpus <= t.gpus + 1e-9
-        && spec.memory_gb <= t.memory_gb + 1e-9;
-    allowed && zone && room
+    fn tell_accepted(&mut self, now: Now, task: &Task, out: &mut GatewayOut) -> Reply {
+        let class = match &task.goal {
+            Goal::Submit(submission) => submission.spec.class.clone(),
+            _ => "".into(),
+        };
+        log::info!(
+            "job {} accepted class={class} after_ms={}",
+            task.id,
+            now.ms - task.begun_ms
+        );
+        if task.born_cancelled {
+            log::info!("job {} needs a cancelled one", task.id);
+            self.tell_cancelled(&task.id, 201, out)
+        } else {
+            self.live_reply(now, &task.id, 201)
+        }
+    }
 }
 
 fn final_reply(id: &JobId, state: Final, tasks: u32) -> Reply {
@@ -657,23 +619,6 @@
     Reply::json(200, &body)
 }
 
-fn create_txn(submission: &Submission, now: Now) -> Txn {
-    let spec = &submission.spec;
-    let record = JobRecord {
-        spec: spec.clone(),
-        submitted: now.wall,
-        cancelled: None,
-        replica_parts: submission.shape.map(|shape| shape.parts()),
-    };
-    Txn::default()
-        .guard(job_key(&spec.id), 0)
-        .guard(final_key(&spec.id), 0)
-        .put(
-            job_key(&spec.id),
-            serde_json::to_value(&record).unwrap_or_default(),
-        )
-}
-
 fn read_call(number: GatewayCall, task: &Task, now: Now) -> StateCall<GatewayCall> {
     let key = match task.step {
         Step::ReadFinal => final_key(&task.id),
@@ -711,26 +656,3 @@
         tag: number,
     }
 }
-
-/// A 404 that the state service itself gives names its revision; any other is
-/// somebody's who knows of no job.
-fn is_absent(answer: &Answer) -> bool {
-    answer.read::<RevisionOnly>(404).is_some()
-}
-
-fn read_live(answer: &Answer) -> Option<Known> {
-    if is_absent(answer) {
-        return Some(Known::Absent);
-    }
-    let item = answer.read::<Item>(200)?;
-    let record = serde_json::from_value(item.value).ok()?;
-    Some(Known::Live(Box::new(record), item.version))
-}
-
-fn read_final(answer: &Answer) -> Option<Known> {
-    if is_absent(answer) {
-        return Some(Known::Absent);
-    }
-    let item = answer.read::<Item>(200)?;
-    Some(Known::Over(serde_json::from_value(item.value).ok()?))
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fleet;
 pub mod gateway;
 pub mod http;
+pub mod limits;
 pub mod msg;
 pub mod node;
 pub mod options;
--- a/src/node/follower.rs
+++ b/src/node/follower.rs
@@ -173,8 +173,8 @@
         machines.sort();
         // As many records as a record's size asks for; a truncated list would
         // have the leader give up machines that are well looked after.
-        let whole = (self.settings.site.state.value_kb * 1024.0) as usize;
-        let most = whole.saturating_sub(PROXIED_HEAD_BYTES);
+        let most = self.limits.least().value_bytes;
+        let most = most.saturating_sub(PROXIED_HEAD_BYTES);
         let mut records: Vec<Vec<(String, Session)>> = Vec::new();
         let mut bytes = most;
         for (name, session) in machines {
--- /dev/null
+++ b/src/node/limits.rs
@@ -0,0 +1,99 @@
+//! Which limits of the state service hold: what shows it, and who is told.
+
+use super::{Node, StateTag, VERSION};
+use crate::limits::{Evidence, RequestSize};
+use crate::msg::Now;
+use crate::store::{self, Answer, StateCall, Urgency};
+use serde::Serialize;
+
+/// It is tried so often to store that the announced limits are in force.
+const STORE_EVERY_MS: u64 = 1000;
+
+/// What operators may ask a controller about itself.
+#[derive(Debug, Serialize)]
+pub(super) struct Described {
+    /// It takes requests.
+    ready: bool,
+    /// The program's version.
+    version: &'static str,
+    /// The state service's limits as far as it knows: the present ones, or those
+    /// that were announced.
+    limits: &'static str,
+}
+
+impl Node {
+    /// What is told of a controller that takes requests.
+    pub(super) fn described(&self) -> Described {
+        Described {
+            ready: true,
+            version: VERSION,
+            limits: if self.limits.lowered() {
+                "announced"
+            } else {
+                "present"
+            },
+        }
+    }
+
+    /// There is a sign that the announced limits are in force.
+    pub(super) fn learn_limits(&mut self, now: Now, evidence: Evidence) {
+        if self.limits.lower(evidence) {
+            self.apply_limits(now);
+        }
+    }
+
+    fn apply_limits(&mut self, now: Now) {
+        let limits = self.limits.current();
+        self.store.set_limits(&limits);
+        self.scheduler.set_limits(limits);
+        self.set_share(now, self.election.is_leader());
+    }
+
+    /// The state service answered 400 to a transaction of the leader's.
+    pub(super) fn transaction_refused(&mut self, now: Now, size: RequestSize) {
+        if self.limits.refused(size) {
+            self.apply_limits(now);
+        } else {
+            self.scheduler.refused_without_cause(now);
+        }
+    }
+
+    /// The state service answered 400 to a user's write.
+    pub(super) fn submission_refused(&mut self, now: Now, size: RequestSize) {
+        if self.limits.refused(size) {
+            self.apply_limits(now);
+        } else {
+            log::error!("the state service refuses a user's write: {size:?}");
+        }
+    }
+
+    /// Learns what leaders have stored; stores it as leader, so that the next one
+    /// needs no refused transaction of its own.
+    pub(super) fn maintain_limits(&mut self, now: Now) {
+        if self.election.limits_lowered() {
+            self.learn_limits(now, Evidence::Stored);
+            return;
+        }
+        if !self.limits.lowered() || now.ms < self.limits_due_ms {
+            return;
+        }
+        let Some(txn) = self.election.store_limits_lowered() else {
+            return;
+        };
+        self.limits_due_ms = now.ms + STORE_EVERY_MS;
+        let (call, writes) = store::txn(&txn, STORE_EVERY_MS);
+        self.store.submit(StateCall {
+            urgency: Urgency::Leadership,
+            call,
+            writes,
+            give_up_ms: now.ms + STORE_EVERY_MS,
+            tag: StateTag::WriteLimits,
+        });
+    }
+
+    pub(super) fn limits_written(&mut self, answer: &Answer) {
+        if answer.committed().is_some() {
+            self.election.limits_lowered_stored();
+        }
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod catalog;
 mod follower;
 mod forwarding;
+mod limits;
 mod peers;
 mod requests;
 mod routes;
@@ -13,6 +14,7 @@
 use crate::election::{Change, Election, ElectionCall};
 use crate::gateway::{Gateway, GatewayCall, GatewayOut, TaskCounts};
 use crate::ids::{JobId, Session, Term};
+use crate::limits::LimitsInForce;
 use crate::msg::{Call, CallId, ConnId, Effect, Now, Outcome, Port, Request};
 use crate::options::Options;
 use crate::peer::{self};
@@ -41,6 +43,8 @@
     ReadCatalog,
     WriteCatalog,
     WriteProxied,
+    /// That the announced limits are in force.
+    WriteLimits,
     Cancellations(CancellationsCall),
 }
 
@@ -51,9 +55,10 @@
             StateTag::Gateway(_) => Purpose::UserCall,
             StateTag::Scheduler(_, call) => call.purpose(),
             StateTag::Cancellations(_) => Purpose::Changes,
-            StateTag::ReadCatalog | StateTag::WriteCatalog | StateTag::WriteProxied => {
-                Purpose::Other
-            }
+            StateTag::ReadCatalog
+            | StateTag::WriteCatalog
+            | StateTag::WriteProxied
+            | StateTag::WriteLimits => Purpose::Other,
         }
     }
 }
@@ -86,8 +91,23 @@
     follows_ms: Option<u64>,
     /// Changes that it makes to the state service.
     writes_per_s: f64,
+    /// Its version, as it last said; empty: none, as before 0.2.
+    version: String,
+}
+
+impl Peer {
+    /// Which version runs where, for operators.
+    fn note_version(&mut self, version: &str) {
+        if self.version != version {
+            log::info!("node {} runs version {version}", self.name);
+            self.version = version.to_string();
+        }
+    }
 }
 
+/// This program's version, as it is told to peers and operators.
+pub const VERSION: &str = env!("CARGO_PKG_VERSION");
+
 /// Heartbeats within the lease of the leader's key.
 const HEARTBEATS: u64 = 4;
 /// For so many seconds a follower saves up the changes that it doesn't use.
@@ -104,6 +124,9 @@
     /// Who had asked when the poll under way was sent.
     polled_for: GatewayCall,
     store: Store<StateTag>,
+    limits: LimitsInForce,
+    /// When it may next be stored that the announced limits are in force.
+    limits_due_ms: u64,
     gateway: Gateway,
     scheduler: Scheduler,
     cloud: Cloud,
@@ -158,6 +181,7 @@
             .position(|n| *n == settings.node_name)
             .unwrap_or(0) as u64;
         let election = Election::new(&settings.node_name, incarnation, ttl_ms, rank * ttl_ms / 30);
+        let limits = LimitsInForce::new(&site.state);
         let store = Store::new(site.state.rps, site.state.write_rps);
         let cloud = Cloud::new(site.cloud.rps, site.cloud.list_lag_s);
         let peers = settings
@@ -176,6 +200,7 @@
                 unreachable: false,
                 follows_ms: None,
                 writes_per_s: 0.0,
+                version: String::new(),
             })
             .collect();
         let workers = &site.workers;
@@ -206,6 +231,8 @@
             cancellations,
             polled_for: 0,
             store,
+            limits,
+            limits_due_ms: 0,
             cloud,
             catalog: None,
             catalog_stored: false,
@@ -319,6 +346,9 @@
             self.store.submit(retag(call, StateTag::Gateway));
         }
         self.announced.extend(gateway.announced);
+        if let Some(size) = gateway.refused {
+            self.submission_refused(now, size);
+        }
         if gateway.poll {
             self.cancellations.wanted();
         }
@@ -356,6 +386,9 @@
         for (tag, call) in scheduler.workers {
             self.send(CallTag::Worker(term, tag), call, out);
         }
+        if let Some(size) = scheduler.refused {
+            self.transaction_refused(now, size);
+        }
         let change = if let Some(why) = scheduler.resign {
             log::error!("leader gives up its term: {why}");
             let mut calls = Vec::new();
@@ -384,10 +417,9 @@
     /// Answers who had asked about jobs when the poll was sent.
     fn answer_polled(&mut self, now: Now, told: bool, out: &mut Vec<Effect>) {
         let mut gateway = GatewayOut::default();
-        let cancellations = &self.cancellations;
-        let standing = |id: &JobId| told.then(|| cancellations.standing(id));
+        let records = told.then_some(&self.cancellations);
         self.gateway
-            .polled(now, self.polled_for, standing, &mut gateway);
+            .polled(now, self.polled_for, records, &mut gateway);
         self.take_gateway(now, gateway, out);
     }
 
@@ -439,6 +471,8 @@
             StateTag::Gateway(number) => {
                 let mut gateway = GatewayOut::default();
                 self.gateway.answered(now, number, answer, &mut gateway);
+                self.gateway
+                    .judge_read(now, &self.cancellations, &mut gateway);
                 self.take_gateway(now, gateway, out);
             }
             StateTag::Scheduler(term, call) => {
@@ -460,6 +494,7 @@
                 }
             }
             StateTag::WriteProxied => {}
+            StateTag::WriteLimits => self.limits_written(&answer),
             StateTag::Cancellations(call) => {
                 let mut calls = Vec::new();
                 let before = self.cancellations.read_ms();
@@ -513,6 +548,7 @@
             self.take_scheduler(now, scheduler, out);
         }
         self.maintain_catalog(now);
+        self.maintain_limits(now);
         let mut gateway = GatewayOut::default();
         wake = wake.min(self.gateway.tick(now, &mut gateway));
         self.take_gateway(now, gateway, out);
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -1,11 +1,12 @@
 //! What controllers tell each other: heartbeats, and whether a leader should step
 //! aside.
 
-use super::{CallTag, Node, Peer};
+use super::{CallTag, Node, Peer, VERSION};
 use crate::election::Role;
 use crate::gateway::TaskCounts;
 use crate::http::MAX_PEER_BODY;
 use crate::ids::{JobId, Term};
+use crate::limits::Evidence;
 use crate::msg::{Call, Effect, Now, Reply, Target};
 use crate::peer::{self, Heartbeat, HeartbeatAnswer, JobCount, PEER_PATH};
 use crate::scheduler::SchedulerOut;
@@ -48,8 +49,12 @@
                 let ours = heartbeat.leader == self.settings.node_name
                     && Term(heartbeat.term) == self.election.known_term();
                 peer.follows_ms = ours.then_some(now.ms);
+                peer.note_version(&heartbeat.version);
             }
         }
+        if heartbeat.limits_lowered {
+            self.learn_limits(now, Evidence::Peer);
+        }
         let known = |name: &str| self.peers.iter().any(|p| p.name == name);
         if heartbeat.state_reachable && known(&heartbeat.node) && known(&heartbeat.leader) {
             let (leader, term) = (heartbeat.leader.as_str(), Term(heartbeat.term));
@@ -206,6 +211,8 @@
             cursor: None,
             confirmations: None,
             reports: Vec::new(),
+            limits_lowered: self.limits.lowered(),
+            version: VERSION.to_string(),
         };
         self.cancelled_here = false;
         if self.scheduler.leading() && !self.election.in_doubt() {
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -100,7 +100,7 @@
         if cut_off && others_reach {
             return Reply::later(503, "the state service can't be reached from here", 1);
         }
-        Reply::json(200, &serde_json::json!({ "ready": true }))
+        Reply::json(200, &self.described())
     }
 
     pub(super) fn on_report(&mut self, now: Now, conn: ConnId, body: &[u8], out: &mut Vec<Effect>) {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -43,6 +43,12 @@
     /// came.
     #[prost(bytes = "vec", repeated, tag = "7")]
     pub reports: Vec<Vec<u8>>,
+    /// The sender knows that the state service's announced limits are in force.
+    #[prost(bool, tag = "13")]
+    pub limits_lowered: bool,
+    /// The sender's version; versions before 0.2 leave it out.
+    #[prost(string, tag = "14")]
+    pub version: String,
 }
 
 /// Progress of a job, for display.
--- a/src/scheduler/changes.rs
+++ b/src/scheduler/changes.rs
@@ -55,6 +55,7 @@
                     self.groups.add(&id, shape);
                 }
                 self.jobs.insert(id.clone(), job);
+                self.await_needs(now, &id);
             }
         }
         self.round_wanted = true;
@@ -85,6 +86,7 @@
             }
         }
         self.groups.touch(id);
+        self.cancel_dependents(now, id);
     }
 
     pub(super) fn watch(&mut self, now: Now, out: &mut SchedulerOut) {
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -2,20 +2,17 @@
 //! jobs' changes as the limits allow. An unclear one is sent again, letter by
 //! letter, until the state service says what became of it.
 
-use super::jobs::shard_key;
+use super::batch::FINAL_CHANGES;
 use super::{Scheduler, SchedulerCall, SchedulerOut, CALL_TIMEOUT_MS};
 use crate::election::LEADER_KEY;
-use crate::gateway::{final_key, job_key, Final, FinalRecord};
-use crate::ids::{Attempt, JobId};
+use crate::ids::JobId;
 use crate::msg::Now;
 use crate::store::{self, Answer, Urgency, WriteBudget};
 use crate::wire::{Item, RevisionOnly, Txn};
-use lilacfork_replicas::record::GroupRecord;
 
-/// Room for headers and guards below the protocol's 64 KiB.
-const TXN_BYTES: usize = 52 * 1024;
-/// A job's end takes two changes: one record comes, one goes.
-const FINAL_CHANGES: usize = 2;
+/// What the state service refuses and nothing explains is tried again after so many
+/// report intervals.
+const HELD_BACK_REPORTS: u64 = 30;
 /// When too few changes can be afforded, this long passes until the next look.
 const SAVE_UP_MS: u64 = 50;
 const RETRY_MS: u64 = 200;
@@ -35,34 +32,9 @@
     urgent: bool,
 }
 
-#[derive(Debug)]
-struct ShardWrite {
-    job: JobId,
-    shard: u32,
-    assigned: Vec<(u32, Attempt)>,
-    ended: Vec<(u32, Attempt)>,
-    groups: Vec<GroupRecord>,
-}
-
-#[derive(Debug)]
-pub struct Batch {
-    write: u64,
-    txn: Txn,
-    shards: Vec<ShardWrite>,
-    finished: Vec<(JobId, Final)>,
-    /// Placements of jobs that are over once this is stored.
-    litter: Vec<String>,
-    /// Key whose value names this write, if it was carried out.
-    witness: String,
-    sent: bool,
-    unclear: bool,
-    failed: Vec<String>,
-    due_ms: u64,
-}
-
 impl Scheduler {
     /// Partial results are stored at leisure: one write then takes several.
-    fn leisure_ms(&self) -> u64 {
+    pub(super) fn leisure_ms(&self) -> u64 {
         self.report_ms()
     }
 
@@ -125,6 +97,9 @@
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
+            if now.ms < job.held_back_until_ms {
+                continue;
+            }
             if job.ending().is_some() {
                 unwritten.changes += FINAL_CHANGES;
             } else {
@@ -145,7 +120,7 @@
     /// would hold up what turns out to be urgent meanwhile; and one that is put
     /// together late takes more of a job's changes with one write.
     fn most_changes(&self, now: Now, unwritten: &Unwritten, budget: WriteBudget) -> Option<usize> {
-        let txn_ops = self.settings.site.state.txn_ops;
+        let txn_ops = self.limits.txn_ops;
         // Submissions may take whatever comes into the bucket.
         let long_enough = self
             .saving_since_ms
@@ -157,104 +132,6 @@
         (budget.now >= wanted).then_some(txn_ops)
     }
 
-    fn build_batch(&mut self, now: Now, jobs: Vec<JobId>, max_ops: usize) -> Option<Batch> {
-        let leisure_ms = self.leisure_ms();
-        self.writes += 1;
-        let write = (self.term.0 << 32) | self.writes;
-        let mut batch = Batch {
-            write,
-            txn: Txn::default().guard(LEADER_KEY, self.key_version),
-            shards: Vec::new(),
-            finished: Vec::new(),
-            litter: Vec::new(),
-            witness: String::new(),
-            sent: false,
-            unclear: false,
-            failed: Vec::new(),
-            due_ms: 0,
-        };
-        let mut bytes = 0;
-        // What doesn't fit waits for the next one.
-        for id in jobs {
-            let Some(job) = self.jobs.get_mut(&id) else {
-                continue;
-            };
-            if batch.txn.writes.len() + FINAL_CHANGES > max_ops || bytes > TXN_BYTES {
-                break;
-            }
-            if let Some(state) = job.ending() {
-                let record = FinalRecord {
-                    state,
-                    tasks: job.spec.tasks,
-                    write,
-                };
-                let value = serde_json::to_value(record).unwrap_or_default();
-                batch.txn = std::mem::take(&mut batch.txn)
-                    .guard(job_key(&id), job.version)
-                    .put(final_key(&id), value)
-                    .delete(job_key(&id));
-                if batch.witness.is_empty() {
-                    batch.witness = final_key(&id);
-                }
-                let stored = job.shards.iter().enumerate();
-                let stored = stored.filter(|(_, shard)| shard.version > 0);
-                let keys = stored.map(|(n, _)| shard_key(&id, n as u32));
-                batch.litter.extend(keys);
-                job.finishing = true;
-                batch.finished.push((id, state));
-                bytes += 200;
-                continue;
-            }
-            let mut guarded = false;
-            for n in 0..job.shards.len() as u32 {
-                if batch.txn.writes.len() >= max_ops || bytes > TXN_BYTES {
-                    break;
-                }
-                let shard = &job.shards[n as usize];
-                if !shard.due(now, leisure_ms) {
-                    continue;
-                }
-                let key = shard_key(&id, n);
-                let mut record = job.record(n, write, &self.settings.site.zones);
-                let range = n * job.shard_size..(n + 1) * job.shard_size;
-                let groups = self.groups.get(&id).map(|g| g.records(range.clone()));
-                record.groups = groups.unwrap_or_default();
-                batch.shards.push(ShardWrite {
-                    job: id.clone(),
-                    shard: n,
-                    assigned: record.assigned.iter().map(|r| (r.0, r.1)).collect(),
-                    ended: job
-                        .unstored
-                        .iter()
-                        .filter(|(task, _)| range.contains(task))
-                        .copied()
-                        .collect(),
-                    groups: record.groups.clone(),
-                });
-                let targets = record.groups.iter().flat_map(|g| &g.intent);
-                let targets: usize = targets.map(|i| i.targets.len()).sum();
-                bytes += 100 + record.done.len() + 60 * (record.assigned.len() + targets);
-                let mut txn = std::mem::take(&mut batch.txn);
-                if !guarded {
-                    // Whoever cancelled the job meanwhile wins.
-                    txn = txn.guard(job_key(&id), job.version);
-                    guarded = true;
-                }
-                batch.txn = txn.guard(key.clone(), job.shards[n as usize].version).put(
-                    key.clone(),
-                    serde_json::to_value(record).unwrap_or_default(),
-                );
-                if batch.witness.is_empty() {
-                    batch.witness = key;
-                }
-                let shard = &mut job.shards[n as usize];
-                shard.dirty_ms = None;
-                shard.urgent = false;
-            }
-        }
-        (!batch.txn.writes.is_empty()).then_some(batch)
-    }
-
     pub(super) fn on_commit(&mut self, now: Now, answer: &Answer, out: &mut SchedulerOut) {
         let Some(batch) = self.batch.as_mut() else {
             return;
@@ -284,6 +161,11 @@
                     self.conflicted(now, out);
                 }
             }
+            Answer::Status(400, _) => {
+                out.refused = Some(batch.size());
+                self.refused_jobs = batch.jobs();
+                self.take_back(now);
+            }
             Answer::Status(status, _) => {
                 log::error!("commit refused with status {status}");
                 out.resign = Some("a commit was refused");
@@ -341,7 +223,9 @@
             let Some(job) = self.jobs.get_mut(&write.job) else {
                 continue;
             };
-            job.shards[write.shard as usize].version = version;
+            if let Some(shard) = job.shards.get_mut(write.shard) {
+                shard.version = version;
+            }
             for (task, attempt) in write.assigned {
                 if let Some(assign) = job.assigns.get_mut(&task) {
                     if assign.attempt == attempt && !assign.recorded {
@@ -355,11 +239,14 @@
             }
             self.group_records_stored(&write.job, &write.groups);
         }
+        self.most_jobs = self.most_jobs.saturating_mul(2);
         self.cleanup.extend(batch.litter);
         for (id, state) in batch.finished {
             self.over.insert(id.clone(), now.ms + OVER_MS);
             self.forgive_unless_succeeded(&id);
             self.groups.remove(&id);
+            self.forget_pipeline(&id);
+            self.need_over(now, &id, state, now.wall);
             if let Some(job) = self.jobs.remove(&id) {
                 log::info!(
                     "job {id} over state={state:?} class={} after_ms={}",
@@ -370,6 +257,25 @@
         }
     }
 
+    /// No limit that is known explains why the last transaction was refused. It goes
+    /// in halves, until what is wrong stands alone; that is held back, and
+    /// everything else goes on.
+    pub fn refused_without_cause(&mut self, now: Now) {
+        let refused = std::mem::take(&mut self.refused_jobs);
+        if refused.is_empty() {
+            return;
+        }
+        let [alone] = refused.as_slice() else {
+            self.most_jobs = (refused.len() / 2).max(1);
+            return;
+        };
+        log::error!("job {alone}: the state service refuses its record, held back");
+        let pause_ms = self.report_ms() * HELD_BACK_REPORTS;
+        if let Some(job) = self.jobs.get_mut(alone) {
+            job.held_back_until_ms = now.ms + pause_ms;
+        }
+    }
+
     /// The batch was certainly not carried out; its contents are due again.
     fn take_back(&mut self, now: Now) {
         self.changed = true;
@@ -378,7 +284,9 @@
         };
         for write in batch.shards {
             if let Some(job) = self.jobs.get_mut(&write.job) {
-                job.touch(write.shard * job.shard_size, now.ms, true);
+                if let Some(shard) = job.shards.get_mut(write.shard) {
+                    shard.touch(now.ms, true);
+                }
             }
         }
         for (id, _) in batch.finished {
@@ -412,10 +320,11 @@
     pub(super) fn clean_up(&mut self, now: Now, out: &mut SchedulerOut) {
         // Litter waits while there is more to write than the service takes.
         let busy = self.batch.is_some() || (self.changed && self.cleanup.len() < MOST_LITTER);
-        if self.cleanup.is_empty() || self.cleaning || busy {
+        let too_soon = now.ms < self.cleanup_due_ms;
+        if self.cleanup.is_empty() || self.cleaning || busy || too_soon {
             return;
         }
-        let max = self.settings.site.state.txn_ops.min(self.cleanup.len());
+        let max = self.limits.txn_ops.min(self.cleanup.len());
         let keys: Vec<String> = self.cleanup.drain(..max).collect();
         let mut txn = Txn::default().guard(LEADER_KEY, self.key_version);
         for key in &keys {
--- a/src/scheduler/deadlines.rs
+++ b/src/scheduler/deadlines.rs
@@ -83,6 +83,8 @@
         if job.cancelled.is_some()
             || job.pending.is_empty()
             || job.stale
+            || job.unreadable
+            || job.needs_open
             || !job.failures.may_retry(now.ms)
         {
             return None;
--- a/src/scheduler/job_table.rs
+++ b/src/scheduler/job_table.rs
@@ -28,13 +28,15 @@
 impl Listed {
     fn of(job: &Job) -> Listed {
         let cancelled = job.cancelled.is_some();
+        let readable = !job.stale && !job.unreadable;
+        let counts = !cancelled && !job.needs_open;
         Listed {
-            waiting: !cancelled && !job.pending.is_empty() && !job.stale,
+            waiting: !cancelled && !job.needs_open && !job.pending.is_empty() && readable,
             unwritten: !job.stale && !job.finishing && job.has_unwritten(),
             stale: job.stale,
             stopping: cancelled && !job.assigns.is_empty(),
             assigned: job.assigns.len(),
-            left: (!cancelled).then(|| job.spec.tasks - job.done.len() as u32),
+            left: counts.then(|| job.spec.tasks - job.done.len() as u32),
         }
     }
 }
--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -1,121 +1,21 @@
 //! Jobs as the leader holds them, and what of them is stored.
 
 use super::job_table::Listed;
+use super::shards::{read_ranges, write_ranges, Row, ShardName, ShardRecord, Shards};
 use crate::faults::FailureHistory;
 use crate::gateway::{Final, JobRecord};
-use crate::ids::{Attempt, JobId, MachineId, Session, TaskRef, Token};
-use crate::msg::Now;
+use crate::ids::{Attempt, MachineId, Session, TaskRef, Token};
 use crate::placement::{Resources, ZoneUse};
 use crate::wire::{JobSpec, Kind, TaskPhase};
-use lilacfork_replicas::record::GroupRecord;
 use lilacfork_replicas::shape::Shape;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-/// Prefix of the placement records.
-pub const PLACEMENT_PREFIX: &str = "p/";
-
-/// The key of a range's placement record.
-pub fn shard_key(id: &JobId, shard: u32) -> String {
-    format!("{PLACEMENT_PREFIX}{id}/{shard}")
-}
-
-/// The job and range of such a key.
-pub fn parse_shard_key(key: &str) -> Option<(JobId, u32)> {
-    let (job, shard) = key.strip_prefix(PLACEMENT_PREFIX)?.rsplit_once('/')?;
-    Some((JobId::new(job), shard.parse().ok()?))
-}
-
 /// So many finished tasks make a job's usual run time.
 const SIBLINGS: u32 = 3;
 /// A run so many times as long as usual is the machine's fault: sound ones of
 /// a type differ by a tenth.
 const FAR_SLOWER: u64 = 3;
-/// Bytes that one assignment may take in a stored record, generously.
-const ROW_BYTES: f64 = 80.0;
-
-/// Tasks per stored record, so that a full one stays under `value_kb`.
-pub fn tasks_per_record(value_kb: f64) -> u32 {
-    ((value_kb * 1024.0 / ROW_BYTES) as u32).clamp(16, 4096)
-}
-
-/// Task, attempt, machine, session, index of the zone in the settings.
-pub type Row = (u32, Attempt, MachineId, Session, u32);
-
-/// The placement record of a range of a job's tasks.
-#[derive(Clone, PartialEq, Debug, Default, Serialize, Deserialize)]
-pub struct ShardRecord {
-    /// The next attempt; attempts are never reused within a shard.
-    #[serde(rename = "n")]
-    pub next: Attempt,
-    /// Names the write, so that its author knows it again.
-    #[serde(rename = "w")]
-    pub write: u64,
-    /// Done tasks as ranges: `0-4,7`.
-    #[serde(rename = "d", default, skip_serializing_if = "String::is_empty")]
-    pub done: String,
-    /// The tasks that may be on a machine.
-    #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
-    pub assigned: Vec<Row>,
-    /// Failed probes of a job that fails everywhere, plus one; 0: it doesn't.
-    #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
-    pub failures: u32,
-    /// Replica groups of which more has to be said than where their parts are.
-    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
-    pub groups: Vec<GroupRecord>,
-}
-
-fn is_zero(count: &u32) -> bool {
-    *count == 0
-}
-
-/// Task numbers, in order, as ranges: `0-4,7`.
-pub fn write_ranges(tasks: impl Iterator<Item = u32>) -> String {
-    let mut text = String::new();
-    let mut run: Option<(u32, u32)> = None;
-    let mut put = |run: (u32, u32)| {
-        if !text.is_empty() {
-            text.push(',');
-        }
-        text.push_str(&run.0.to_string());
-        if run.1 > run.0 {
-            text.push('-');
-            text.push_str(&run.1.to_string());
-        }
-    };
-    for t in tasks {
-        match run {
-            Some((from, to)) if t == to + 1 => run = Some((from, t)),
-            Some(old) => {
-                put(old);
-                run = Some((t, t));
-            }
-            None => run = Some((t, t)),
-        }
-    }
-    if let Some(last) = run {
-        put(last);
-    }
-    text
-}
-
-/// The inverse; `None` for anything that `write_ranges` wouldn't write.
-pub fn read_ranges(text: &str, limit: u32) -> Option<Vec<u32>> {
-    let mut tasks = Vec::new();
-    if text.is_empty() {
-        return Some(tasks);
-    }
-    for part in text.split(',') {
-        let (from, to) = part.split_once('-').unwrap_or((part, part));
-        let (from, to): (u32, u32) = (from.parse().ok()?, to.parse().ok()?);
-        if from > to || to >= limit {
-            return None;
-        }
-        tasks.extend(from..=to);
-    }
-    Some(tasks)
-}
 
 /// How to stop a task that runs or may run.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -170,25 +70,6 @@
     }
 }
 
-#[derive(Clone, Debug, Default)]
-pub struct Shard {
-    /// Version of the stored record; 0: none.
-    pub version: u64,
-    pub next: Attempt,
-    /// Something has to be written; since when.
-    pub dirty_ms: Option<u64>,
-    /// It has to be written soon, not at leisure.
-    pub urgent: bool,
-}
-
-impl Shard {
-    /// Whether it should be written now.
-    pub fn due(&self, now: Now, leisure_ms: u64) -> bool {
-        self.dirty_ms
-            .is_some_and(|since| self.urgent || now.ms >= since + leisure_ms)
-    }
-}
-
 /// An unfinished job, as the leader holds it.
 #[derive(Debug)]
 pub struct Job {
@@ -204,10 +85,18 @@
     pub version: u64,
     /// How its tasks form replicas that span machines; `None`: they don't.
     pub shape: Option<Shape>,
-    /// Tasks per placement record.
-    pub shard_size: u32,
+    /// Since when its aims count, time of day: its submission, or the end of the last
+    /// job that it needs.
+    pub ready: u64,
+    /// A job that it needs isn't known to be done.
+    pub needs_open: bool,
     /// Its placement records.
-    pub shards: Vec<Shard>,
+    pub shards: Shards,
+    /// A placement record of it can't be read: what it may have on machines isn't
+    /// known, so nothing of it is placed.
+    pub unreadable: bool,
+    /// The state service refused its record: until when it isn't written again.
+    pub held_back_until_ms: u64,
     /// The tasks that may be on a machine.
     pub assigns: BTreeMap<u32, Assign>,
     /// The tasks that are done.
@@ -254,10 +143,13 @@
             shape,
             need: record.spec.need(),
             submitted: record.submitted,
+            ready: record.submitted,
+            needs_open: false,
             cancelled: record.cancelled,
             version,
-            shard_size,
-            shards: vec![Shard::default(); tasks.div_ceil(shard_size) as usize],
+            shards: Shards::new(tasks, shard_size),
+            unreadable: false,
+            held_back_until_ms: 0,
             assigns: BTreeMap::new(),
             done: BTreeSet::new(),
             pending: (0..tasks).collect(),
@@ -295,7 +187,7 @@
     /// What a cancelled job's tasks do needs no record: whoever leads next stops
     /// them all.
     pub fn has_unwritten(&self) -> bool {
-        let dirty = |shard: &Shard| shard.dirty_ms.is_some();
+        let dirty = |shard: &super::shards::Shard| shard.dirty_ms.is_some();
         self.ending().is_some() || (self.cancelled.is_none() && self.shards.iter().any(dirty))
     }
 
@@ -317,15 +209,14 @@
 
     /// The record that holds the task has to be written.
     pub fn touch(&mut self, task: u32, now_ms: u64, urgent: bool) {
-        if let Some(shard) = self.shards.get_mut((task / self.shard_size) as usize) {
-            shard.dirty_ms.get_or_insert(now_ms);
-            shard.urgent |= urgent;
+        if let Some(shard) = self.shards.holding_mut(task) {
+            shard.touch(now_ms, urgent);
         }
     }
 
     /// The next attempt of the shard that holds this task.
     pub fn next_attempt(&mut self, task: u32) -> Option<Attempt> {
-        let shard = self.shards.get_mut((task / self.shard_size) as usize)?;
+        let shard = self.shards.holding_mut(task)?;
         shard.next = Attempt(shard.next.0 + 1);
         Some(shard.next)
     }
@@ -341,16 +232,6 @@
         slow
     }
 
-    /// One new attempt for tasks of every shard.
-    pub fn common_attempt(&mut self) -> Attempt {
-        let latest = self.shards.iter().map(|s| s.next).max().unwrap_or_default();
-        let next = Attempt(latest.0 + 1);
-        for shard in &mut self.shards {
-            shard.next = next;
-        }
-        next
-    }
-
     /// Where the job's tasks may be, for spread and samePlace.
     pub fn zone_use(&self) -> ZoneUse {
         let mut zones = ZoneUse::default();
@@ -360,19 +241,24 @@
         zones
     }
 
-    /// What is to be stored of a range now.
-    pub fn record(&self, shard: u32, write: u64, zones: &[String]) -> ShardRecord {
-        let range = shard * self.shard_size..(shard + 1) * self.shard_size;
+    /// What is to be stored of a record's tasks now.
+    pub fn record(&self, number: usize, write: u64, zones: &[String]) -> ShardRecord {
+        let zone_of = |a: &Assign| zones.iter().position(|z| **z == *a.zone).unwrap_or(0) as u32;
+        let stretches = self.shards.tasks_of(number);
+        let done = stretches.iter().flat_map(|s| self.done.range(s.clone()));
+        let assigned = stretches.iter().flat_map(|s| self.assigns.range(s.clone()));
         ShardRecord {
-            next: self.shards[shard as usize].next,
+            next: self.shards.get(number).map_or(Attempt(0), |s| s.next),
             write,
-            done: write_ranges(self.done.range(range.clone()).copied()),
-            assigned: self
-                .assigns
-                .range(range)
-                .map(|(task, a)| {
-                    let zone = zones.iter().position(|z| **z == *a.zone).unwrap_or(0) as u32;
-                    (*task, a.attempt, a.machine.clone(), a.session, zone)
+            uniform: self.shards.uniform(),
+            done: write_ranges(done.copied()),
+            assigned: assigned
+                .map(|(task, assign)| Row {
+                    task: *task,
+                    attempt: assign.attempt,
+                    machine: assign.machine.clone(),
+                    session: assign.session,
+                    zone: zone_of(assign),
                 })
                 .collect(),
             failures: self.failures.to_record(),
@@ -380,40 +266,89 @@
         }
     }
 
-    /// Takes over what an earlier leader stored. `false`: not readable.
-    pub fn restore(
-        &mut self,
-        shard: u32,
-        version: u64,
-        record: ShardRecord,
-        zones: &[String],
-    ) -> bool {
-        let Some(slot) = self.shards.get_mut(shard as usize) else {
-            return false;
-        };
-        slot.version = version;
-        slot.next = record.next;
-        let Some(done) = read_ranges(&record.done, self.spec.tasks) else {
-            return false;
+    /// Tasks that have to stay in one record: the parts of a replica.
+    pub fn inseparable(&self) -> u32 {
+        self.shape.map_or(1, |shape| shape.parts())
+    }
+
+    /// Takes over what earlier leaders stored, all of it.
+    pub fn restore(&mut self, mut stored: Vec<StoredShard>, zones: &[String]) {
+        // How the job was cut is told by its records, not by today's settings.
+        let uniform = stored.iter().map(|s| s.record.uniform).find(|z| *z > 0);
+        if let Some(uniform) = uniform.filter(|z| *z != self.shards.uniform()) {
+            self.shards = Shards::new(self.spec.tasks, uniform);
+        }
+        // What is finer holds, so it comes last.
+        stored.sort_by_key(|s| match s.name {
+            ShardName::Uniform(_) => 0,
+            ShardName::Tasks { first, last } => u32::MAX - (last - first),
+        });
+        for shard in stored {
+            if self.restore_shard(shard, zones).is_none() {
+                self.unreadable = true;
+            }
+        }
+    }
+
+    /// `None`: the record doesn't fit the job.
+    fn restore_shard(&mut self, stored: StoredShard, zones: &[String]) -> Option<()> {
+        let StoredShard {
+            name,
+            version,
+            record,
+        } = stored;
+        let number = match name {
+            ShardName::Uniform(number) => number as usize,
+            ShardName::Tasks { first, last } => {
+                self.forget_tasks(first..last.checked_add(1)?);
+                self.shards.carve(first..last + 1)?
+            }
         };
+        let shard = self.shards.get_mut(number)?;
+        shard.version = version;
+        shard.next = record.next;
+        let done = read_ranges(&record.done, self.spec.tasks)?;
         self.failures.restore(record.failures);
         for task in done {
             self.pending.remove(&task);
             self.done.insert(task);
             self.failures.succeeded();
         }
-        for (task, attempt, machine, session, zone) in record.assigned {
-            self.pending.remove(&task);
-            let zone = zones.get(zone as usize).map_or("", |z| z.as_str());
+        let mut fits = true;
+        for row in record.assigned {
+            fits &= self.shards.holding(row.task) == Some(number);
+            self.pending.remove(&row.task);
+            let zone = zones.get(row.zone as usize).map_or("", |z| z.as_str());
+            let bound = Assign::new(row.attempt, row.machine, row.session, Rc::from(zone));
             self.assigns.insert(
-                task,
+                row.task,
                 Assign {
                     recorded: true,
                     inherited: true,
-                    ..Assign::new(attempt, machine, session, Rc::from(zone))
+                    ..bound
                 },
             );
         }
-        true
+        fits.then_some(())
     }
+
+    /// What a coarser record said of these tasks doesn't hold.
+    fn forget_tasks(&mut self, tasks: std::ops::Range<u32>) {
+        for task in tasks.start..tasks.end.min(self.spec.tasks) {
+            self.assigns.remove(&task);
+            self.done.remove(&task);
+            self.pending.insert(task);
+        }
+    }
+}
+
+/// A placement record as it was read.
+#[derive(Debug)]
+pub struct StoredShard {
+    /// Which record it is.
+    pub name: ShardName,
+    /// Its version.
+    pub version: u64,
+    /// What it holds.
+    pub record: ShardRecord,
 }
--- a/src/scheduler/learned_record.rs
+++ b/src/scheduler/learned_record.rs
@@ -63,6 +63,12 @@
     pub estimates: Vec<LearnedValue>,
 }
 
+impl LearnedRecord {
+    fn bytes(&self) -> usize {
+        serde_json::to_vec(self).map_or(usize::MAX, |text| text.len())
+    }
+}
+
 /// When the record was stored last, and what it held.
 #[derive(Debug, Default)]
 pub(super) struct LearnedStore {
@@ -128,7 +134,14 @@
         store.writing = true;
         store.samples_stored = samples;
         store.due_ms = now.ms + pause_ms;
-        let record = self.learning.to_record(now.wall, MOST_VALUES);
+        let most_bytes = self.limits.value_bytes;
+        let mut record = self.learning.to_record(now.wall, MOST_VALUES);
+        // Half a hint is better than one that isn't taken.
+        let too_long = |record: &LearnedRecord| record.bytes() > most_bytes;
+        while too_long(&record) && record.boots.len() + record.estimates.len() > 0 {
+            record.boots.truncate(record.boots.len() / 2);
+            record.estimates.truncate(record.estimates.len() / 2);
+        }
         let value = serde_json::to_value(record).unwrap_or_default();
         let txn = Txn::default()
             .guard(LEADER_KEY, self.key_version)
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -1,6 +1,7 @@
 //! The leader's loop: it joins stored jobs, the fleet's reports, the policy
 //! and the cloud. A plain struct: messages and time in, messages out.
 
+mod batch;
 mod books;
 mod changes;
 mod coming;
@@ -21,6 +22,7 @@
 mod learned_record;
 mod machines;
 mod moves;
+mod pipelines;
 mod placing;
 mod preempt;
 mod recovery;
@@ -28,17 +30,20 @@
 mod replica_groups;
 mod reports;
 mod rounds;
+mod shards;
 mod teams;
 
-pub use jobs::{
-    parse_shard_key, read_ranges, shard_key, tasks_per_record, write_ranges, Job, ShardRecord,
-    PLACEMENT_PREFIX,
+pub use jobs::{Job, StoredShard};
+pub use shards::{
+    parse_shard_key, read_ranges, shard_key, tasks_per_record, write_ranges, Row, ShardName,
+    ShardRecord, Shards, PLACEMENT_PREFIX,
 };
 
 use crate::cloud::{Cloud, Offer};
 use crate::fleet::Fleet;
 use crate::gateway::TaskCounts;
 use crate::ids::{JobId, MachineId, Revision, Session, TaskRef, Term};
+use crate::limits::{Limits, LimitsInForce, RequestSize};
 use crate::msg::{Call, ConnId, Now, Reply};
 use crate::options::Options;
 use crate::rooms::{Rooms, Slot};
@@ -46,13 +51,15 @@
 use crate::store::{self, Answer, StateCall, Urgency, WriteBudget};
 use crate::usage::Purpose;
 use crate::wire::{Catalog, ListedMachine, Txn};
-use commit::Batch;
+use batch::Batch;
 use forecasts::Expected;
 use job_table::JobTable;
 use jobs::{Assign, StopPlan};
 use learn::Learning;
 use learned_record::LearnedStore;
 use lilacfork_replicas::groups::{GroupId, Groups};
+use pipelines::Pipelines;
+use recovery::HalfRead;
 use rounds::Round;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -78,6 +85,8 @@
     ListProxied,
     /// The removal of these records.
     Cleanup(Vec<String>),
+    /// How this job, which others need, has ended.
+    ReadNeed(JobId),
     /// What the leader before has learned.
     ReadLearned,
     /// The write of what was learned.
@@ -131,7 +140,9 @@
             | SchedulerCall::ListPlacements
             | SchedulerCall::ListProxied
             | SchedulerCall::ReadLearned => Purpose::Recovery,
-            SchedulerCall::Watch | SchedulerCall::ReadJob(_) => Purpose::Changes,
+            SchedulerCall::Watch | SchedulerCall::ReadJob(_) | SchedulerCall::ReadNeed(_) => {
+                Purpose::Changes
+            }
             SchedulerCall::Commit
             | SchedulerCall::CheckCommit
             | SchedulerCall::Cleanup(_)
@@ -174,6 +185,8 @@
     pub resign: Option<&'static str>,
     /// A report showed a term above ours.
     pub superseded: bool,
+    /// The state service refused a transaction of this size as malformed.
+    pub refused: Option<RequestSize>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -211,6 +224,8 @@
     key_version: u64,
     elected_ms: u64,
     jobs: JobTable,
+    /// Jobs that need others.
+    pipelines: Pipelines,
     /// Replicas that span machines.
     groups: Groups,
     /// The machines of which the round under way has promised room to the next
@@ -220,7 +235,16 @@
     rooms: Rooms,
     learning: Learning,
     learned_store: LearnedStore,
+    /// Tasks in each placement record of a job that has none yet.
     shard_size: u32,
+    /// What the state service takes.
+    limits: Limits,
+    /// The jobs of the last transaction that it refused as malformed.
+    refused_jobs: Vec<JobId>,
+    /// So many jobs go into a transaction at most.
+    most_jobs: usize,
+    /// Loading: a job's placement records until all of them are read.
+    half_read: Option<HalfRead>,
     /// Loading: where the lists have got to.
     list_after: Option<String>,
     watch_from: Option<Revision>,
@@ -236,6 +260,7 @@
     writes: u64,
     cleanup: Vec<String>,
     cleaning: bool,
+    cleanup_due_ms: u64,
     round_wanted: bool,
     round_ms: u64,
     round_gap_ms: u64,
@@ -295,6 +320,7 @@
     /// Leads nothing yet.
     pub fn new(settings: Rc<Settings>, options: Options) -> Self {
         let shard_size = tasks_per_record(settings.site.state.value_kb);
+        let limits = LimitsInForce::new(&settings.site.state);
         let groups = Groups::new(replica_groups::timing(&settings, &options));
         let window_ms = (settings.site.workers.lease_s * 9000.0) as u64;
         let learning = Learning::new(options.learning_rate, window_ms);
@@ -307,6 +333,7 @@
             key_version: 0,
             elected_ms: 0,
             jobs: JobTable::default(),
+            pipelines: Pipelines::default(),
             groups,
             group_holds: BTreeMap::new(),
             fleet: Fleet::default(),
@@ -314,6 +341,10 @@
             learning,
             learned_store: LearnedStore::default(),
             shard_size,
+            limits: limits.current(),
+            refused_jobs: Vec::new(),
+            most_jobs: usize::MAX,
+            half_read: None,
             list_after: None,
             watch_from: None,
             watching: false,
@@ -325,6 +356,7 @@
             writes: 0,
             cleanup: Vec::new(),
             cleaning: false,
+            cleanup_due_ms: 0,
             round_wanted: false,
             round_ms: 0,
             round_gap_ms: ROUND_GAP_MS,
@@ -364,6 +396,11 @@
         self.round_wanted = true;
     }
 
+    /// The state service takes this from now on.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     /// Every cancellation confirmed up to then is known.
     pub fn informed(&mut self, watermark_ms: Option<u64>) {
         self.informed_ms = self.informed_ms.max(watermark_ms.unwrap_or(0));
@@ -412,6 +449,7 @@
         }
         self.stage = Stage::Idle;
         self.jobs.clear();
+        self.pipelines.clear();
         self.groups.clear();
         self.group_holds.clear();
         self.fleet.clear();
@@ -419,6 +457,9 @@
         self.round = None;
         self.consolidated_to = None;
         self.list_after = None;
+        self.half_read = None;
+        self.refused_jobs.clear();
+        self.most_jobs = usize::MAX;
         self.watch_from = None;
         self.watching = false;
         self.batch = None;
@@ -493,11 +534,19 @@
             (_, SchedulerCall::Commit) => self.on_commit(now, &answer, out),
             (_, SchedulerCall::CheckCommit) => self.on_check_commit(now, &answer, out),
             (_, SchedulerCall::ReadJob(id)) => self.on_read_job(now, &id, &answer, out),
+            (_, SchedulerCall::ReadNeed(need)) => self.on_need(now, &need, &answer),
             (_, SchedulerCall::ListProxied) => self.on_proxied(now, &answer),
             (_, SchedulerCall::Cleanup(keys)) => {
                 self.cleaning = false;
+                if answer.status() == Some(400) {
+                    out.refused = Some(RequestSize {
+                        changes: keys.len(),
+                        largest_value: 0,
+                    });
+                }
                 if answer.status() != Some(200) {
                     self.cleanup.extend(keys);
+                    self.cleanup_due_ms = now.ms + RETRY_MS;
                 }
             }
         }
@@ -526,6 +575,7 @@
         }
         self.watch(now, out);
         self.read_stale(now, out);
+        self.read_needs(now, out);
         let every = (self.report_ms() as f64 * ROUND_REPORTS) as u64;
         // What scales in or looks after machines can wait for its turn; a
         // rush of rounds only places what has come and rents for it.
--- a/src/scheduler/placing.rs
+++ b/src/scheduler/placing.rs
@@ -149,7 +149,7 @@
         let mut done = Placed::default();
         // The tasks of a gang know each other by their common attempt.
         let shared = match wanted.spec.kind {
-            Kind::Group => self.jobs.get_mut(id).map(|job| job.common_attempt()),
+            Kind::Group => self.jobs.get_mut(id).map(|job| job.shards.common_attempt()),
             _ => None,
         };
         let team = wanted.spec.team.clone();
@@ -317,6 +317,7 @@
         let machine = self.fleet.get_mut(&id)?;
         // Whatever the index says: this is what is written.
         let sound = job.pending.contains(&task.index)
+            && !job.needs_open
             && machine.takes_work(now.ms, fresh_ms)
             && machine.free().holds(&job.need);
         if !sound {
--- a/src/scheduler/recovery.rs
+++ b/src/scheduler/recovery.rs
@@ -2,8 +2,8 @@
 //! stored.
 
 use super::{
-    parse_shard_key, Scheduler, SchedulerCall, SchedulerOut, ShardRecord, Stage, PLACEMENT_PREFIX,
-    RETRY_MS,
+    parse_shard_key, Scheduler, SchedulerCall, SchedulerOut, ShardRecord, Stage, StoredShard,
+    PLACEMENT_PREFIX, RETRY_MS,
 };
 use crate::cloud::Offer;
 use crate::fleet::{Machine, Phase};
@@ -13,6 +13,7 @@
 use crate::placement::Resources;
 use crate::store::{self, Answer, Urgency};
 use crate::wire::{Item, Items};
+use lilacfork_replicas::record::GroupRecord;
 use std::rc::Rc;
 
 impl Scheduler {
@@ -56,9 +57,11 @@
             self.list(now, out);
             return;
         }
+        self.restore_job(now);
         self.stage = Stage::Active;
         self.round_wanted = true;
         self.changed = true;
+        self.needs_after_loading(now);
         self.jobs.refresh();
         let stopping: Vec<JobId> = self.jobs.stopping().iter().cloned().collect();
         for id in stopping {
@@ -73,30 +76,59 @@
         );
     }
 
-    pub(super) fn restore(&mut self, now: Now, item: Item) {
-        let Some((id, shard)) = parse_shard_key(&item.key) else {
+    /// Takes a placement record in. All of a job's come one after the other.
+    fn restore(&mut self, now: Now, item: Item) {
+        let Some((id, name)) = parse_shard_key(&item.key) else {
             return;
         };
+        if self.half_read.as_ref().is_some_and(|read| read.job != id) {
+            self.restore_job(now);
+        }
         let Some(job) = self.jobs.get_mut(&id) else {
             // Its job is over; the record is only litter.
             self.cleanup.push(item.key);
             return;
         };
-        let mut record = match serde_json::from_value::<ShardRecord>(item.value) {
-            Ok(record) => record,
-            Err(e) => {
-                log::error!("placement record {} can't be read: {e}", item.key);
-                return;
-            }
+        let record = serde_json::from_value::<ShardRecord>(item.value);
+        let (Some(name), Ok(record)) = (name, record) else {
+            log::error!("placement record {} can't be read, its job waits", item.key);
+            job.unreadable = true;
+            return;
+        };
+        let read = self.half_read.get_or_insert_with(|| HalfRead {
+            job: id,
+            records: Vec::new(),
+        });
+        read.records.push(StoredShard {
+            name,
+            version: item.version,
+            record,
+        });
+    }
+
+    /// All placement records of a job are read.
+    fn restore_job(&mut self, now: Now) {
+        let Some(HalfRead {
+            job: id,
+            mut records,
+        }) = self.half_read.take()
+        else {
+            return;
         };
-        let groups = std::mem::take(&mut record.groups);
-        if !job.restore(shard, item.version, record, &self.settings.site.zones) {
-            log::error!("placement record {} doesn't fit its job", item.key);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let groups = records.iter_mut();
+        let groups: Vec<GroupRecord> = groups
+            .flat_map(|stored| std::mem::take(&mut stored.record.groups))
+            .collect();
+        job.restore(records, &self.settings.site.zones);
+        if job.unreadable {
+            log::error!("placement records of {id} don't fit it, it waits");
         }
-        let range = shard * job.shard_size..(shard + 1) * job.shard_size;
         let tasks: Vec<(TaskRef, MachineId, Rc<str>)> = job
             .assigns
-            .range(range)
+            .iter()
             .map(|(task, a)| (job.task(*task), a.machine.clone(), a.zone.clone()))
             .collect();
         let need = job.need;
@@ -119,3 +151,10 @@
         }
     }
 }
+
+/// Placement records of one job, as far as they are read.
+#[derive(Debug)]
+pub(super) struct HalfRead {
+    job: JobId,
+    records: Vec<StoredShard>,
+}
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -225,7 +225,7 @@
         };
         if phase != TaskPhase::Fetching && assign.running_since_ms.is_none() {
             assign.running_since_ms = Some(now.ms);
-            let waited_ms = now.wall.saturating_sub(job.submitted);
+            let waited_ms = now.wall.saturating_sub(job.ready);
             assign.late = self
                 .settings
                 .start_aim_ms(&job.spec)
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -35,6 +35,12 @@
 /// requests up to a quarter of the whole.
 const LEAST_RAM_MB: f64 = 8.0;
 
+/// A job's end takes two changes, and a transaction should hold more than one.
+const LEAST_TXN_OPS: usize = 4;
+
+/// A job's own record, cut down to what its cancellation needs, fits into this.
+const LEAST_NEXT_VALUE_KB: f64 = 2.0;
+
 /// The platform's settings of one controller.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
@@ -162,6 +168,44 @@
     pub value_kb: f64,
     /// Changes in a transaction.
     pub txn_ops: usize,
+    /// The limits that it will have at some later time, without notice.
+    #[serde(default)]
+    pub next: Option<NextStateLimits>,
+}
+
+/// Announced limits of the state service. What isn't named stays as it is.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+pub struct NextStateLimits {
+    /// Requests per second.
+    pub rps: Option<f64>,
+    /// Changes per second.
+    pub write_rps: Option<f64>,
+    /// The size of a value.
+    pub value_kb: Option<f64>,
+    /// Changes in a transaction.
+    pub txn_ops: Option<usize>,
+}
+
+impl NextStateLimits {
+    fn check(&self) -> Result<(), (&'static str, &'static str)> {
+        let rates = [
+            ("settings.state.next.rps", self.rps),
+            ("settings.state.next.write_rps", self.write_rps),
+        ];
+        for (key, value) in rates {
+            if value.is_some_and(|v| !v.is_finite() || v <= 0.0) {
+                return Err((key, "must be a number above 0"));
+            }
+        }
+        let holds = |v: f64| v.is_finite() && v >= LEAST_NEXT_VALUE_KB;
+        if self.value_kb.is_some_and(|v| !holds(v)) {
+            return Err(("settings.state.next.value_kb", "must be at least 2"));
+        }
+        if self.txn_ops.is_some_and(|ops| ops < LEAST_TXN_OPS) {
+            return Err(("settings.state.next.txn_ops", "must be at least 4"));
+        }
+        Ok(())
+    }
 }
 
 /// The cloud's limits.
@@ -240,9 +284,12 @@
         if !site.cloud.list_lag_s.is_finite() || site.cloud.list_lag_s < 0.0 {
             return Err(("settings.cloud.list_lag_s", "must be 0 or more"));
         }
-        if site.state.txn_ops < 4 {
+        if site.state.txn_ops < LEAST_TXN_OPS {
             return Err(("settings.state.txn_ops", "must be at least 4"));
         }
+        if let Some(next) = &site.state.next {
+            next.check()?;
+        }
         let bounds = site.limits.bounds();
         if bounds.worker_connections(self.peers.len()).is_none() {
             return Err((
--- a/src/store.rs
+++ b/src/store.rs
@@ -2,6 +2,7 @@
 //! of every call, and a clear word on what became of each.
 
 use crate::ids::Revision;
+use crate::limits::Limits;
 use crate::msg::{Call, CallError, Now, Outcome, Target};
 use crate::wire::{RevisionOnly, Txn};
 use std::collections::{HashMap, VecDeque};
@@ -207,6 +208,12 @@
         }
     }
 
+    /// The service takes other rates from now on; shares have to be set anew.
+    pub fn set_limits(&mut self, limits: &Limits) {
+        self.rps = limits.rps;
+        self.write_rps = limits.write_rps;
+    }
+
     /// This controller's share of what the service takes from all of them, and
     /// for how many seconds unused changes are saved up.
     pub fn set_share(&mut self, now: Now, share: f64, saved_s: f64) {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,7 +3,8 @@
 
 use crate::ids::{Attempt, JobId, Session, TaskRef, Token};
 use crate::placement::Resources;
-use serde::{Deserialize, Serialize};
+use lilacfork_pipelines::needs;
+use serde::{Deserialize, Deserializer, Serialize};
 use std::rc::Rc;
 
 /// Users' submissions; a job's own path starts with it.
@@ -106,10 +107,23 @@
     /// When it should be done, after its submission.
     #[serde(rename = "echeanceS", default, skip_serializing_if = "Option::is_none")]
     pub deadline_s: Option<f64>,
+    /// Jobs that have to be done before any of its tasks starts.
+    #[serde(
+        rename = "attend",
+        default,
+        skip_serializing_if = "Vec::is_empty",
+        deserialize_with = "null_is_none"
+    )]
+    pub needs: Vec<JobId>,
 }
 
 const MAX_TASKS: u32 = 100_000;
 
+/// A list that may be null.
+fn null_is_none<'de, D: Deserializer<'de>>(source: D) -> Result<Vec<JobId>, D::Error> {
+    Ok(Option::<Vec<JobId>>::deserialize(source)?.unwrap_or_default())
+}
+
 impl JobSpec {
     /// What one task takes of its machine.
     pub fn need(&self) -> Resources {
@@ -153,6 +167,10 @@
                 return Err(format!("{name}: empty or too long"));
             }
         }
+        if !spec.needs.iter().all(|need| valid_job_id(need.as_str())) {
+            return Err("attend: not a job id".into());
+        }
+        needs::check(&spec.id, &spec.needs).map_err(|e| format!("attend: {e}"))?;
         Ok(spec)
     }
 }
