--- a/tests/observer.rs
+++ b/tests/observer.rs
@@ -152,3 +152,57 @@
     let show = ask(Verb::Show, "run-1", 20);
     breaks("went_back", o.answered(30, &show, 200, "cancelled"));
 }
+
+/// `run-2` needs `run-1`, `run-3` needs `run-2`.
+fn chain() -> Observer {
+    let mut o = accepted(array("run-1", 2));
+    for (id, need) in [("run-2", "run-1"), ("run-3", "run-2")] {
+        let mut spec = array(id, 1);
+        spec["attend"] = json!([need]);
+        o.submitted(&spec);
+        o.answered(20, &ask(Verb::Submit, id, 15), 201, "pending")
+            .unwrap();
+    }
+    o
+}
+
+#[test]
+fn a_task_that_starts_before_a_needed_job_is_done_is_seen() {
+    let mut o = chain();
+    let start = on("run-2/0", "vm-a", "a");
+    o.finished("run-1/0");
+    breaks("too_early", o.starts(30, start, [].into_iter()));
+    o.finished("run-1/1");
+    assert!(o.starts(30, start, [].into_iter()).is_ok());
+    let next = on("run-3/0", "vm-a", "a");
+    breaks("too_early", o.starts(30, next, [].into_iter()));
+}
+
+#[test]
+fn a_job_that_outlives_the_cancellation_of_one_it_needs_is_seen() {
+    for job in ["run-2", "run-3"] {
+        let mut o = chain();
+        let show = ask(Verb::Show, job, 31_500);
+        breaks("went_back", o.answered(900, &show, 200, "cancelled"));
+        o.cancel_asked("run-1");
+        let cancel = ask(Verb::Cancel, "run-1", 995);
+        o.answered(1000, &cancel, 200, "cancelled").unwrap();
+        assert!(o.answered(31_000, &show, 200, "pending").is_ok());
+        breaks("orphaned", o.answered(31_001, &show, 200, "pending"));
+        assert!(o.answered(31_002, &show, 200, "cancelled").is_ok());
+        let again = ask(Verb::Show, job, 31_600);
+        breaks("went_back", o.answered(31_700, &again, 200, "pending"));
+    }
+}
+
+#[test]
+fn a_job_cancelled_with_one_that_was_called_done_is_seen() {
+    let mut o = chain();
+    o.cancel_asked("run-1");
+    o.finished("run-1/0");
+    o.finished("run-1/1");
+    let cancel = ask(Verb::Cancel, "run-1", 995);
+    o.answered(1000, &cancel, 200, "done").unwrap();
+    let show = ask(Verb::Show, "run-2", 1100);
+    breaks("went_back", o.answered(1200, &show, 200, "cancelled"));
+}
--- /dev/null
+++ b/tests/pipelines.rs
@@ -0,0 +1,371 @@
+//! Kept traces: jobs that need others, and the troubles that they meet. The observer
+//! checks `too_early` and `orphaned` beside the other rules on each.
+
+mod world;
+
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use world::scenes::{cut_off, heal, up};
+use world::{array, Fate, World, CANCEL_MS};
+
+/// A short job that needs these.
+fn needing(id: &str, needs: &[&str]) -> Value {
+    let mut spec = array(id, 2);
+    spec["cpus"] = json!(1.0);
+    spec["gpus"] = json!(0.0);
+    spec["memoryGb"] = json!(1.0);
+    spec["attend"] = json!(needs);
+    spec
+}
+
+fn submit_all(w: &mut World, jobs: &[(&str, &[&str])]) {
+    for (n, (id, needs)) in jobs.iter().enumerate() {
+        assert_eq!(w.submit(n % 3, &needing(id, needs)), 201, "{id}");
+    }
+}
+
+/// What every node says of every job, asked in one moment.
+fn told(w: &mut World, ids: &[&str]) -> Vec<(u16, String)> {
+    let mut asked = Vec::new();
+    for id in ids {
+        for node in 0..w.nodes.len() {
+            asked.push(w.ask(node, "GET", &format!("/v2/runs/{id}"), Value::Null));
+        }
+    }
+    w.run_for(1800);
+    asked.iter().map(|user| w.answer(*user)).collect()
+}
+
+/// Asked until everybody answers, all nodes say the same of each job.
+fn settle(w: &mut World, ids: &[&str], state: &str) {
+    for _ in 0..40 {
+        let all = told(w, ids);
+        if all.iter().all(|(status, said)| *status == 200 && said == state) {
+            return;
+        }
+        w.run_for(1000);
+    }
+    panic!("{ids:?} aren't all {state}: {:?}", told(w, ids));
+}
+
+const DIAMOND: [(&str, &[&str]); 5] = [
+    ("run-1", &[]),
+    ("run-2", &["run-1"]),
+    ("run-3", &["run-1"]),
+    ("run-4", &["run-2", "run-3"]),
+    ("run-5", &["run-4", "run-1"]),
+];
+const DIAMOND_IDS: [&str; 5] = ["run-1", "run-2", "run-3", "run-4", "run-5"];
+
+/// A pipeline costs the state service as many changes as the same jobs without needs.
+#[test]
+fn a_pipeline_runs_in_order_and_costs_no_more_changes_than_single_jobs() {
+    let mut changes = Vec::new();
+    for needs_kept in [true, false] {
+        let mut w = up(3);
+        let before = w.state.changes;
+        for (id, needs) in DIAMOND {
+            let needs = if needs_kept { needs } else { &[] };
+            assert_eq!(w.submit(1, &needing(id, needs)), 201);
+        }
+        w.run_for(1000);
+        let waiting = w.on_machines("run-2") + w.on_machines("run-5");
+        assert_eq!(waiting, if needs_kept { 0 } else { 4 });
+        w.run_for(40_000);
+        settle(&mut w, &DIAMOND_IDS, "done");
+        w.run_for(5000);
+        changes.push(w.state.changes - before);
+    }
+    let (pipeline, single) = (changes[0], changes[1]);
+    assert!(pipeline <= single + DIAMOND.len() - 1, "{changes:?}");
+}
+
+#[test]
+fn what_a_submission_may_name() {
+    let mut w = up(3);
+    assert_eq!(w.submit(0, &needing("run-1", &[])), 201);
+    let cases = [
+        (json!(["run-1"]), 201),
+        (json!(null), 201),
+        (json!([]), 201),
+        (json!("run-1"), 400),
+        (json!(["run-1", 7]), 400),
+        (json!(["../leader/key"]), 400),
+        (json!(["run-1", "run-1"]), 400),
+        (json!(["run-own-7"]), 400),
+        (json!(["run-nobody"]), 422),
+        (json!(["run-1", "run-nobody"]), 422),
+    ];
+    for (n, (needs, status)) in cases.into_iter().enumerate() {
+        let mut spec = needing(&format!("run-own-{n}"), &[]);
+        spec["attend"] = needs.clone();
+        assert_eq!(w.submit(n % 3, &spec), status, "{needs}");
+        assert_eq!(w.poll(0, &format!("run-own-{n}")).0 == 200, status == 201);
+    }
+    // What was accepted stays so, whatever a repeat names; the first one counts.
+    for needs in [json!(["run-nobody"]), json!(["run-own-0"]), json!(7)] {
+        let mut again = needing("run-own-0", &[]);
+        again["attend"] = needs;
+        for node in 0..3 {
+            assert_eq!(w.submit(node, &again), 200);
+        }
+    }
+    w.run_for(30_000);
+    settle(&mut w, &["run-1", "run-own-0"], "done");
+    // Over, and forgotten by a process that has just begun.
+    w.kill(1);
+    w.start(1);
+    w.run_for(4000);
+    let mut again = needing("run-own-0", &["run-nobody"]);
+    assert_eq!(w.submit(1, &again), 200);
+    again["id"] = json!("run-late");
+    again["attend"] = json!(["run-own-0", "run-1"]);
+    assert_eq!(w.submit(1, &again), 201);
+    w.run_for(8000);
+    settle(&mut w, &["run-late"], "done");
+}
+
+/// A service may be named: it ends by being cancelled only, and takes the job along.
+#[test]
+fn a_job_that_needs_a_service_is_cancelled_with_it() {
+    let mut w = up(3);
+    assert_eq!(w.submit(0, &world::service("run-s", 2)), 201);
+    assert_eq!(w.submit(1, &needing("run-1", &["run-s"])), 201);
+    w.run_for(10_000);
+    assert_eq!(w.on_machines("run-1"), 0);
+    assert_eq!(w.cancel(2, "run-s").1, "cancelled");
+    settle(&mut w, &["run-1"], "cancelled");
+}
+
+/// Deeper and wider than any transaction.
+#[test]
+fn a_cancellation_reaches_all_that_need_the_job() {
+    let mut w = up(3);
+    let mut long = needing("run-0", &[]);
+    long["pieces"] = json!(1);
+    w.run_ms = 600_000;
+    assert_eq!(w.submit(0, &long), 201);
+    let mut ids = Vec::new();
+    for n in 1..40 {
+        let id = format!("run-{n}");
+        // A chain of 20, and 19 jobs that need its fifth.
+        let need = if n <= 20 { n - 1 } else { 5 };
+        let need = format!("run-{need}");
+        assert_eq!(w.submit(n % 3, &needing(&id, &[&need])), 201);
+        ids.push(id);
+    }
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    assert_eq!(w.cancel(1, "run-0").1, "cancelled");
+    // At once, on all nodes, from the records of those that are needed.
+    let all = told(&mut w, &ids);
+    assert!(all.iter().all(|(_, state)| state == "cancelled"), "{all:?}");
+    // What needs a cancelled job is cancelled from the start, however late it comes.
+    w.run_for(CANCEL_MS * 3);
+    for node in 0..3 {
+        let id = format!("run-late-{node}");
+        let user = w.ask(node, "POST", "/v2/runs", needing(&id, &["run-7", "run-33"]));
+        w.run_for(2000);
+        assert_eq!(w.answer(user), (201, "cancelled".into()));
+        settle(&mut w, &[&id], "cancelled");
+    }
+    let left = w.state.items.keys().filter(|key| key.starts_with("j/"));
+    assert_eq!(left.count(), 0, "all of them are over");
+}
+
+/// The leader ends at any moment of a cascade, or of a stage's end.
+#[test]
+fn a_leader_that_ends_at_any_step_loses_nothing() {
+    for cancels in [true, false] {
+        for delay in (0..600).step_by(20) {
+            let mut w = up(3);
+            w.run_ms = if cancels { 600_000 } else { 2500 };
+            submit_all(&mut w, &DIAMOND);
+            let leader = w.leader().unwrap();
+            if cancels {
+                w.run_for(3000);
+                let path = "/v2/runs/run-1/abort";
+                w.ask((leader + 1) % 3, "POST", path, Value::Null);
+            } else {
+                w.run_for(2600);
+            }
+            w.run_for(delay);
+            w.kill(leader);
+            w.run_for(3000);
+            w.start(leader);
+            w.run_for(30_000);
+            let state = if cancels { "cancelled" } else { "done" };
+            settle(&mut w, &DIAMOND_IDS, state);
+        }
+    }
+}
+
+/// The state service refuses the leader alone as the job is cancelled, and then goes
+/// away from everybody for longer than `cancel_s`.
+#[test]
+fn after_an_outage_nobody_calls_a_dependent_pending() {
+    for gap in [0, 20, 100, 300, 1000, 2500] {
+        let mut w = up(3);
+        w.run_ms = 600_000;
+        submit_all(&mut w, &DIAMOND);
+        w.run_for(2000);
+        let leader = w.leader().unwrap();
+        cut_off(&mut w, leader, Fate::Refuse, false);
+        let user = w.ask((leader + 1) % 3, "POST", "/v2/runs/run-1/abort", Value::Null);
+        w.run_for(gap);
+        w.state.away = true;
+        for _ in 0..12 {
+            for (status, state) in told(&mut w, &DIAMOND_IDS[1..]) {
+                assert!(status == 503 || state == "cancelled", "{status} {state}");
+            }
+            w.run_for(2000);
+        }
+        heal(&mut w);
+        w.state_returns();
+        if w.answer(user).0 != 200 {
+            assert_eq!(w.cancel(0, "run-1").1, "cancelled");
+        }
+        settle(&mut w, &DIAMOND_IDS, "cancelled");
+        // Processes that know nothing read it from the records alone.
+        for n in 0..3 {
+            w.kill(n);
+            w.start(n);
+        }
+        settle(&mut w, &DIAMOND_IDS, "cancelled");
+    }
+}
+
+/// A dependent comes at the very moment at which the job that it needs ends or is
+/// cancelled: one of the two orders, and every job ends.
+#[test]
+fn a_dependent_that_comes_as_its_need_ends_follows_it() {
+    for cancels in [true, false] {
+        for offset in (0..400).step_by(10) {
+            let mut w = up(3);
+            w.run_ms = 1000;
+            assert_eq!(w.submit(0, &needing("run-1", &[])), 201);
+            w.run_for(if cancels { 300 } else { 1000 });
+            if cancels {
+                w.ask(2, "POST", "/v2/runs/run-1/abort", Value::Null);
+            }
+            w.run_for(offset);
+            let submitted = w.ask(1, "POST", "/v2/runs", needing("run-2", &["run-1"]));
+            w.run_for(15_000);
+            assert_eq!(w.answer(submitted).0, 201);
+            let state = if cancels { "cancelled" } else { "done" };
+            settle(&mut w, &["run-1", "run-2"], state);
+        }
+    }
+}
+
+#[derive(Default)]
+struct RandomDay {
+    rng: fastrand::Rng,
+    jobs: Vec<String>,
+    submitted: u32,
+    users: BTreeMap<u64, String>,
+}
+
+impl RandomDay {
+    fn submit(&mut self, w: &mut World) {
+        self.submitted += 1;
+        let id = format!("run-{}", self.submitted);
+        let mut needs: Vec<&str> = Vec::new();
+        for _ in 0..self.rng.usize(0..4) {
+            if let Some(need) = self.rng.choice(&self.jobs) {
+                if !needs.contains(&need.as_str()) {
+                    needs.push(need);
+                }
+            }
+        }
+        let user = w.ask(self.rng.usize(0..3), "POST", "/v2/runs", needing(&id, &needs));
+        self.users.insert(user, id);
+    }
+
+    /// Users name jobs only that they were told are accepted.
+    fn hear(&mut self, w: &World) {
+        let answered = self.users.iter().filter(|(user, _)| w.answer(**user).0 > 0);
+        let answered: Vec<u64> = answered.map(|(user, _)| *user).collect();
+        for user in answered {
+            let id = self.users.remove(&user).unwrap();
+            if w.answer(user).0 == 201 {
+                self.jobs.push(id);
+            }
+        }
+    }
+
+    fn trouble(&mut self, w: &mut World) {
+        let node = self.rng.usize(0..3);
+        match self.rng.u32(0..8) {
+            0 => w.kill(node),
+            1 => {
+                w.frozen.insert(node, w.now + self.rng.u64(500..9000));
+            }
+            2 => {
+                let mut rng = self.rng.fork();
+                w.hook = Box::new(move |_, _, call| match rng.u32(0..12) {
+                    0 if call.path == "/txn" => Fate::LoseAnswer,
+                    1 if call.path == "/txn" => Fate::Late(rng.u64(1500..8000)),
+                    2 => Fate::SlowAnswer(rng.u64(1..400)),
+                    _ => Fate::Pass,
+                });
+            }
+            3 => cut_off(w, node, Fate::Refuse, self.rng.bool()),
+            4 if !w.state.away => w.state.away = true,
+            _ => {
+                heal(w);
+                if w.state.away {
+                    w.state_returns();
+                }
+                (0..3).for_each(|n| if w.nodes[n].is_none() { w.start(n) });
+            }
+        }
+    }
+}
+
+/// Random graphs, submissions, cancellations, ends, leaders, outages, lost answers
+/// and late writes: no rule is broken, and every job ends.
+#[test]
+fn random_days_of_pipelines_break_no_rule_and_every_job_ends() {
+    for seed in 0..16 {
+        let mut w = up(3);
+        let mut day = RandomDay {
+            rng: fastrand::Rng::with_seed(seed),
+            ..RandomDay::default()
+        };
+        w.run_ms = 1500;
+        for step in 0..120 {
+            day.hear(&w);
+            match day.rng.u32(0..10) {
+                0..5 => day.submit(&mut w),
+                5 | 6 => {
+                    if let Some(id) = day.rng.choice(&day.jobs).cloned() {
+                        let path = format!("/v2/runs/{id}");
+                        for node in 0..3 {
+                            w.ask(node, "GET", &path, Value::Null);
+                        }
+                    }
+                }
+                7 => {
+                    if let Some(id) = day.rng.choice(&day.jobs).cloned() {
+                        let path = format!("/v2/runs/{id}/abort");
+                        w.ask(step % 3, "POST", &path, Value::Null);
+                    }
+                }
+                _ => day.trouble(&mut w),
+            }
+            w.run_for(day.rng.u64(5..900));
+        }
+        heal(&mut w);
+        if w.state.away {
+            w.state_returns();
+        }
+        (0..3).for_each(|n| if w.nodes[n].is_none() { w.start(n) });
+        w.run_for(90_000);
+        day.hear(&w);
+        for id in &day.jobs {
+            let (status, state) = w.poll(0, id);
+            let over = state == "done" || state == "cancelled";
+            assert!(over, "seed {seed}: {id} is {status} {state}");
+        }
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -20,12 +20,12 @@
 use lilacfork::node::Node;
 use lilacfork::options::Options;
 use lilacfork::reactor::Handler;
-use lilacfork::settings::Settings;
+use lilacfork::settings::{NextStateLimits, Settings};
 use observer::{Observer, Placed, Question};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-pub use state::State;
+pub use state::{SizeLimits, State};
 pub use workers::Worker;
 
 pub const SETTINGS: &str = r#"
@@ -237,6 +237,8 @@
     /// How long an image is fetched.
     pub fetch_ms: u64,
     options: Options,
+    /// The state service's later limits, as settings announce them.
+    announced: Option<NextStateLimits>,
     /// Jobs, or tasks of them, that were submitted with a mistake: their tasks fail everywhere.
     pub broken: BTreeSet<String>,
     /// Nodes that stand still, and until when.
@@ -266,15 +268,25 @@
     /// Controllers that are told that they have this share of a core: with very
     /// little their rounds take many slices.
     pub fn with_cores(nodes: usize, cores: f64) -> World {
-        World::with(nodes, cores, Options::default())
+        World::with(nodes, cores, Options::default(), None)
+    }
+
+    /// Controllers that are told of lower limits of the state service to come.
+    pub fn announcing(nodes: usize, limits: NextStateLimits) -> World {
+        World::with(nodes, CORES, Options::default(), Some(limits))
     }
 
     /// Controllers with settings of their operators.
     pub fn with_options(nodes: usize, options: Options) -> World {
-        World::with(nodes, CORES, options)
+        World::with(nodes, CORES, options, None)
     }
 
-    fn with(nodes: usize, cores: f64, options: Options) -> World {
+    fn with(
+        nodes: usize,
+        cores: f64,
+        options: Options,
+        announced: Option<NextStateLimits>,
+    ) -> World {
         let mut world = World {
             cores,
             recounts: 0,
@@ -304,6 +316,7 @@
             run_ms: 3000,
             fetch_ms: 0,
             options,
+            announced,
             broken: BTreeSet::new(),
             frozen: BTreeMap::new(),
             answers_first: false,
@@ -324,6 +337,7 @@
         let incarnation = self.epochs[n] * 100 + n as u64 + 1;
         let mut settings = settings(&format!("n-{n}"), self.epochs.len());
         settings.site.limits.cores = self.cores;
+        settings.site.state.next = self.announced.clone();
         self.nodes[n] = Some(Node::new(settings, self.options.clone(), incarnation));
         self.wake(n, self.now + 1);
     }
--- a/tests/world/observer.rs
+++ b/tests/world/observer.rs
@@ -92,6 +92,35 @@
         self.cancel_asked.insert(job.to_string());
     }
 
+    fn needs(&self, job: &str) -> impl Iterator<Item = &str> {
+        let needs = self.specs.get(job).and_then(|s| s["attend"].as_array());
+        needs.into_iter().flatten().filter_map(Value::as_str)
+    }
+
+    /// The jobs that this one needs, directly or through others.
+    fn all_needs<'a>(&'a self, job: &'a str) -> BTreeSet<&'a str> {
+        let mut found = BTreeSet::new();
+        let mut left = vec![job];
+        while let Some(job) = left.pop() {
+            left.extend(self.needs(job).filter(|need| found.insert(*need)));
+        }
+        found
+    }
+
+    /// All tasks of the job have completed.
+    fn is_done(&self, job: &str) -> bool {
+        let all = self.specs.get(job).and_then(|s| s["pieces"].as_u64());
+        let finished = self.finished.get(job).map_or(0, BTreeSet::len);
+        all.is_some_and(|all| finished as u64 >= all)
+    }
+
+    fn cancelled_by_its_user(&self, job: &str) -> bool {
+        let mut with_it = self.all_needs(job).into_iter().chain([job]);
+        // A cancellation that was answered with done takes nobody along.
+        let done = |job: &str| matches!(self.finals.get(job), Some((told, _)) if told == "done");
+        with_it.any(|job| self.cancel_asked.contains(job) && !done(job))
+    }
+
     /// A task has completed by itself.
     pub fn finished(&mut self, task: &str) {
         if let Some((job, index)) = task.rsplit_once('/') {
@@ -139,11 +168,11 @@
                     return Err(format!("not_done: {job} has {finished} of {all} at {now}"));
                 }
             }
-            "cancelled" if !self.cancel_asked.contains(job) => {
+            "cancelled" if !self.cancelled_by_its_user(job) => {
                 return Err(format!("went_back: {job} is cancelled, its user didn't"));
             }
             "cancelled" => {}
-            _ => return Ok(()),
+            _ => return self.orphaned(now, job, state),
         }
         self.finals
             .entry(job.clone())
@@ -151,6 +180,18 @@
         Ok(())
     }
 
+    fn orphaned(&self, now: u64, job: &str, state: &str) -> Verdict {
+        for need in self.all_needs(job) {
+            let told = self.confirmed_ms(need);
+            if let Some(at) = told.filter(|at| now > at + self.cancel_ms) {
+                return Err(format!(
+                    "orphaned: {job} is {state} at {now}, {need} cancelled at {at}"
+                ));
+            }
+        }
+        Ok(())
+    }
+
     /// A task starts while all these are on machines.
     pub fn starts<'a>(
         &mut self,
@@ -179,6 +220,9 @@
         let Some(spec) = self.specs.get(start.job()) else {
             return Err(format!("invented: {task} of no job starts"));
         };
+        if let Some(need) = self.needs(start.job()).find(|need| !self.is_done(need)) {
+            return Err(format!("too_early: {task} starts before {need} is done"));
+        }
         self.place(spec, start, others.clone())?;
         self.quota(spec, start, others)
     }
--- a/tests/world/state.rs
+++ b/tests/world/state.rs
@@ -16,6 +16,19 @@
     pub away: bool,
     /// Watches stay open and say nothing.
     pub mute_watches: bool,
+    /// What it takes; anything above is refused.
+    pub limits: Option<SizeLimits>,
+    /// Puts and deletes that it has carried out.
+    pub changes: usize,
+    /// Requests that were refused as too large.
+    pub too_large: usize,
+}
+
+/// How large a transaction and a value may be.
+#[derive(Clone, Copy, Debug)]
+pub struct SizeLimits {
+    pub value_bytes: usize,
+    pub txn_ops: usize,
 }
 
 impl State {
@@ -214,9 +227,19 @@
             );
         }
         let writes = body["writes"].as_array().cloned().unwrap_or_default();
+        if let Some(limits) = self.state.limits {
+            let bytes = |w: &Value| w.get("v").map_or(0, |v| v.to_string().len());
+            let guards = body["guards"].as_array().map_or(0, Vec::len);
+            let large = writes.iter().any(|w| bytes(w) > limits.value_bytes);
+            if large || writes.len() > limits.txn_ops || guards > limits.txn_ops * 4 {
+                self.state.too_large += 1;
+                return ok(400, json!({"error": "too large"}));
+            }
+        }
         assert!(writes.len() <= 16, "too many writes in a transaction");
         assert!(call.body.len() <= 64 * 1024, "transaction too large");
         self.state.revision += 1;
+        self.state.changes += writes.len();
         let revision = self.state.revision;
         for write in &writes {
             if let Some(key) = write["set"].as_str() {
