Test two versions on one set of data, and limits that fall while tasks run

Need: each fault that was found in the sources is confirmed by a test: a record that is refused took the lead from one leader after the other; records cut under other settings weren't read; a cancellation dropped what a later version wrote.

A job held back is ended all the same when it is cancelled.

--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -97,7 +97,7 @@
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            if now.ms < job.held_back_until_ms {
+            if now.ms < job.held_back_until_ms && job.ending().is_none() {
                 continue;
             }
             if job.ending().is_some() {
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -40,7 +40,10 @@
 fn settle(w: &mut World, ids: &[&str], state: &str) {
     for _ in 0..40 {
         let all = told(w, ids);
-        if all.iter().all(|(status, said)| *status == 200 && said == state) {
+        if all
+            .iter()
+            .all(|(status, said)| *status == 200 && said == state)
+        {
             return;
         }
         w.run_for(1000);
@@ -210,7 +213,12 @@
         w.run_for(2000);
         let leader = w.leader().unwrap();
         cut_off(&mut w, leader, Fate::Refuse, false);
-        let user = w.ask((leader + 1) % 3, "POST", "/v2/runs/run-1/abort", Value::Null);
+        let user = w.ask(
+            (leader + 1) % 3,
+            "POST",
+            "/v2/runs/run-1/abort",
+            Value::Null,
+        );
         w.run_for(gap);
         w.state.away = true;
         for _ in 0..12 {
@@ -257,6 +265,35 @@
     }
 }
 
+/// A leader ended between the records of a job's end and of its dependent's: whoever
+/// leads next ends the dependent, or starts it, without being asked.
+#[test]
+fn a_dependent_that_an_earlier_leader_left_is_gone_on_with() {
+    for (over, state) in [("c", "cancelled"), ("d", "done")] {
+        let mut w = World::new(3);
+        w.add_machine("vm-a", "a", false, true);
+        w.observer.submitted(&needing("run-1", &[]));
+        (0..2).for_each(|n| w.observer.finished(&format!("run-1/{n}")));
+        if over == "c" {
+            w.observer.cancel_asked("run-1");
+        }
+        let spec = needing("run-2", &["run-1"]);
+        w.observer.submitted(&spec);
+        let records = [
+            ("f/run-1", json!({"s": over, "n": 2, "w": 5})),
+            ("j/run-2", json!({"spec": spec, "t": 1_000_000})),
+        ];
+        for (key, record) in records {
+            w.state.revision += 1;
+            let revision = w.state.revision;
+            w.state.items.insert(key.into(), (record, revision, None));
+        }
+        w.run_for(20_000);
+        assert!(!w.state.items.contains_key("j/run-2"), "{over}");
+        settle(&mut w, &["run-2"], state);
+    }
+}
+
 #[derive(Default)]
 struct RandomDay {
     rng: fastrand::Rng,
@@ -277,7 +314,12 @@
                 }
             }
         }
-        let user = w.ask(self.rng.usize(0..3), "POST", "/v2/runs", needing(&id, &needs));
+        let user = w.ask(
+            self.rng.usize(0..3),
+            "POST",
+            "/v2/runs",
+            needing(&id, &needs),
+        );
         self.users.insert(user, id);
     }
 
@@ -316,7 +358,11 @@
                 if w.state.away {
                     w.state_returns();
                 }
-                (0..3).for_each(|n| if w.nodes[n].is_none() { w.start(n) });
+                (0..3).for_each(|n| {
+                    if w.nodes[n].is_none() {
+                        w.start(n)
+                    }
+                });
             }
         }
     }
@@ -359,7 +405,11 @@
         if w.state.away {
             w.state_returns();
         }
-        (0..3).for_each(|n| if w.nodes[n].is_none() { w.start(n) });
+        (0..3).for_each(|n| {
+            if w.nodes[n].is_none() {
+                w.start(n)
+            }
+        });
         w.run_for(90_000);
         day.hear(&w);
         for id in &day.jobs {
--- /dev/null
+++ b/tests/versions.rs
@@ -0,0 +1,381 @@
+//! Two versions on one set of data, and limits of the state service that fall while
+//! the service runs.
+
+mod world;
+
+use lilacfork::gateway::JobRecord;
+use lilacfork::ids::JobId;
+use lilacfork::scheduler::{
+    parse_shard_key, read_ranges, shard_key, tasks_per_record, Job, ShardName, ShardRecord, Shards,
+    StoredShard,
+};
+use lilacfork::settings::{NextStateLimits, Settings};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use world::{array, service, SizeLimits, World, SETTINGS};
+
+const LOWERED: SizeLimits = SizeLimits {
+    value_bytes: 2048,
+    txn_ops: 6,
+};
+
+fn announced() -> NextStateLimits {
+    NextStateLimits {
+        rps: None,
+        write_rps: Some(30.0),
+        value_kb: Some(2.0),
+        txn_ops: Some(6),
+    }
+}
+
+/// A small task, many of which stand on one machine.
+fn many(id: &str, tasks: u32) -> Value {
+    let mut spec = array(id, tasks);
+    spec["cpus"] = json!(0.5);
+    spec["gpus"] = json!(0.0);
+    spec["memoryGb"] = json!(1.0);
+    spec
+}
+
+/// Three controllers and machines with room for 400 small tasks.
+fn wide(next: Option<NextStateLimits>) -> World {
+    let mut w = match next {
+        Some(next) => World::announcing(3, next),
+        None => World::new(3),
+    };
+    for n in 0..4 {
+        w.add_machine(&format!("vm-{n}"), "a", false, true);
+    }
+    w.run_until(5000);
+    w
+}
+
+/// Where a job's tasks are, by its records: those that are done, and the others with
+/// attempt and machine.
+type Facts = BTreeMap<String, (Vec<u32>, Vec<(u32, u64, String)>)>;
+
+/// How version 0.1 reads the records: ranges of a length that it works out from its
+/// settings, and nothing that it doesn't know.
+fn read_by_the_old_version(w: &World) -> Facts {
+    let tasks_per_record = tasks_per_record(32.0) as u64;
+    let mut facts = Facts::new();
+    for (key, (record, ..)) in &w.state.items {
+        let Some((job, number)) = key.strip_prefix("p/").and_then(|k| k.rsplit_once('/')) else {
+            continue;
+        };
+        let tasks = w.state.items[&format!("j/{job}")].0["spec"]["pieces"].as_u64();
+        let number: u64 = number.parse().expect("a number");
+        assert!(number < tasks.unwrap().div_ceil(tasks_per_record), "{key}");
+        let (done, assigned) = facts.entry(job.into()).or_default();
+        let ranges = record["d"].as_str().unwrap_or("");
+        done.extend(read_ranges(ranges, tasks.unwrap() as u32).expect("ranges"));
+        for row in record["a"].as_array().into_iter().flatten() {
+            let task = row[0].as_u64().unwrap();
+            assert_eq!(task / tasks_per_record, number, "{key}");
+            assert_eq!(row.as_array().unwrap().len(), 5);
+            let machine = row[2].as_str().unwrap().to_string();
+            assigned.push((task as u32, row[1].as_u64().unwrap(), machine));
+        }
+    }
+    facts
+}
+
+/// How this version reads them.
+fn read_by_this_version(w: &World) -> Facts {
+    let mut facts = Facts::new();
+    for (key, (record, version, _)) in w.state.items.iter().filter(|(k, _)| k.starts_with("j/")) {
+        let record: JobRecord = serde_json::from_value(record.clone()).unwrap();
+        let mut job = Job::new(record, *version, tasks_per_record(32.0), 0);
+        let prefix = key.replace("j/", "p/") + "/";
+        let stored = w.state.items.iter().filter(|(k, _)| k.starts_with(&prefix));
+        let stored = stored.map(|(key, (record, version, _))| StoredShard {
+            name: parse_shard_key(key).and_then(|(_, name)| name).expect(key),
+            version: *version,
+            record: serde_json::from_value::<ShardRecord>(record.clone()).expect(key),
+        });
+        job.restore(stored.collect(), &["a".into(), "b".into()]);
+        assert!(!job.unreadable, "{key}");
+        let rows = job.assigns.iter();
+        let rows = rows.map(|(task, a)| (*task, a.attempt.0, a.machine.to_string()));
+        let known = (job.done.iter().copied().collect(), rows.collect());
+        if known != Default::default() {
+            facts.insert(key[2..].into(), known);
+        }
+    }
+    facts
+}
+
+/// Makes of the records what version 0.1 leaves behind when it has written them all.
+fn rewrite_by_the_old_version(w: &mut World) {
+    for (key, (record, ..)) in &mut w.state.items {
+        let Some(fields) = record.as_object_mut() else {
+            continue;
+        };
+        let new = match key.split_once('/').map(|(prefix, _)| prefix) {
+            Some("p") => "z",
+            Some("f") => "t",
+            Some("leader") => "limits_lowered",
+            _ => continue,
+        };
+        fields.remove(new);
+    }
+}
+
+#[test]
+fn each_version_reads_the_others_records_as_the_same_facts() {
+    let mut w = wide(Some(announced()));
+    w.run_ms = 12_000;
+    assert_eq!(w.submit(0, &many("run-1", 150)), 201);
+    assert_eq!(w.submit(1, &many("run-2", 3)), 201);
+    assert_eq!(w.submit(2, &service("run-3", 4)), 201);
+    let mut seen = 0;
+    // Upgraded, back to the old version, upgraded again, and so on.
+    for step in 0..12 {
+        let facts = read_by_this_version(&w);
+        assert_eq!(read_by_the_old_version(&w), facts);
+        seen += facts.values().map(|(_, rows)| rows.len()).sum::<usize>();
+        if step % 3 == 2 {
+            (0..3).for_each(|n| w.kill(n));
+            rewrite_by_the_old_version(&mut w);
+            assert_eq!(read_by_this_version(&w), facts);
+            (0..3).for_each(|n| w.start(n));
+        }
+        w.run_for(1700);
+    }
+    assert!(seen > 300, "{seen} places were compared");
+    w.run_for(20_000);
+    assert_eq!(w.poll(1, "run-1").1, "done");
+    assert_eq!(w.on_machines("run-3"), 4);
+}
+
+/// A leader once took a refused record for the end of its term, and so did the next.
+#[test]
+fn limits_that_fall_while_tasks_run_cost_no_task_and_no_leader() {
+    // The leader ends as long after the limits fell, at every step of the cut.
+    for kill_after in (0..1500).step_by(75).map(Some).chain([None]) {
+        let mut w = wide(Some(announced()));
+        w.run_ms = 9000;
+        assert_eq!(w.submit(0, &many("run-1", 200)), 201);
+        w.run_for(3000);
+        assert_eq!(w.on_machines("run-1"), 200);
+        w.state.limits = Some(LOWERED);
+        let term = w.state.items["leader/term"].0["term"].clone();
+        assert_eq!(w.submit(1, &many("run-2", 150)), 201);
+        assert_eq!(w.submit(1, &many("run-3", 70)), 201);
+        if let Some(delay) = kill_after {
+            w.run_for(delay);
+            let leader = w.leader().unwrap();
+            w.kill(leader);
+            w.run_for(5000);
+            w.start(leader);
+        }
+        w.run_for(1000);
+        assert_eq!(w.cancel(0, "run-3").1, "cancelled");
+        w.run_for(45_000);
+        for id in ["run-1", "run-2"] {
+            assert_eq!(w.poll(2, id).1, "done", "{id} {kill_after:?}");
+        }
+        let starts = w.trace.iter().filter(|line| line.contains(" run-1/"));
+        assert_eq!(starts.count(), 200, "each task once, {kill_after:?}");
+        if kill_after.is_none() {
+            assert_eq!(w.state.items["leader/term"].0["term"], term);
+        }
+        // Whoever leads later knows.
+        let refused = w.state.too_large;
+        assert!(refused > 0, "the first refusal told it");
+        for _ in 0..2 {
+            let leader = w.leader().unwrap();
+            w.kill(leader);
+            w.run_for(6000);
+            w.start(leader);
+            w.run_for(3000);
+            let id = format!("run-{}", w.now);
+            assert_eq!(w.submit(0, &many(&id, 120)), 201);
+            w.run_for(30_000);
+            assert_eq!(w.poll(1, &id).1, "done");
+        }
+        assert_eq!(w.state.too_large, refused, "{kill_after:?}");
+    }
+}
+
+/// The announced limits become those of the settings, and processes start with them.
+#[test]
+fn records_cut_under_other_settings_are_read_as_they_were_cut() {
+    let mut w = wide(Some(announced()));
+    w.run_ms = 15_000;
+    assert_eq!(w.submit(0, &many("run-1", 200)), 201);
+    w.run_for(3000);
+    w.state.limits = Some(LOWERED);
+    let mut now = world::settings("n-0", 3).site.state;
+    now.value_kb = 2.0;
+    now.txn_ops = 6;
+    w.set_state_limits(now);
+    (0..3).for_each(|n| {
+        w.kill(n);
+        w.start(n);
+    });
+    w.run_for(30_000);
+    assert_eq!(w.poll(0, "run-1").1, "done");
+    assert_eq!(
+        w.trace.iter().filter(|l| l.contains(" run-1/")).count(),
+        200
+    );
+}
+
+/// Nobody announced it: what is refused is held back, and everything else goes on.
+#[test]
+fn what_is_refused_without_a_cause_is_held_back_alone() {
+    let mut w = wide(None);
+    w.run_ms = 2000;
+    w.state.limits = Some(LOWERED);
+    let term = w.state.items["leader/term"].0["term"].clone();
+    assert_eq!(w.submit(0, &many("run-large", 200)), 201);
+    for n in 0..12 {
+        assert_eq!(w.submit(n % 3, &many(&format!("run-{n}"), 3)), 201);
+    }
+    w.run_for(20_000);
+    for n in 0..12 {
+        assert_eq!(w.poll(0, &format!("run-{n}")).1, "done");
+    }
+    assert_eq!(w.state.items["leader/term"].0["term"], term);
+    assert_eq!(w.poll(0, "run-large").1, "pending");
+    assert_eq!(w.cancel(0, "run-large").1, "cancelled");
+    w.run_for(5000);
+    assert!(w.state.items.contains_key("f/run-large"));
+}
+
+/// A record of a form that only a later version knows: what it says isn't guessed.
+#[test]
+fn a_job_with_a_record_that_cannot_be_read_waits() {
+    for key in ["p/run-1/0:7", "p/run-1/0"] {
+        let mut w = World::new(3);
+        w.add_machine("vm-a", "a", false, true);
+        let spec = array("run-1", 2);
+        w.observer.submitted(&spec);
+        for (key, record) in [
+            ("j/run-1", json!({"spec": spec, "t": 1_000_000})),
+            (key, json!({"later": true})),
+        ] {
+            w.state.revision += 1;
+            let revision = w.state.revision;
+            w.state.items.insert(key.into(), (record, revision, None));
+        }
+        w.run_for(15_000);
+        assert_eq!(w.submit(0, &array("run-3", 2)), 201);
+        w.run_for(15_000);
+        assert_eq!(w.poll(0, "run-3").1, "done");
+        assert_eq!(w.poll(0, "run-1").1, "pending");
+        assert!(w.state.items.contains_key(key));
+    }
+}
+
+/// Records that only a later version knows to be fields survive a cancellation.
+#[test]
+fn a_cancellation_keeps_what_it_does_not_know() {
+    let mut w = wide(None);
+    w.run_ms = 60_000;
+    assert_eq!(w.submit(0, &array("run-1", 1)), 201);
+    let (record, version, _) = w.state.items.get_mut("j/run-1").expect("its record");
+    record["later"] = json!({"kept": [1, 2]});
+    let version = *version;
+    w.run_for(100);
+    assert_eq!(w.state.items["j/run-1"].1, version);
+    let path = "/v2/runs/run-1/abort";
+    w.ask(1, "POST", path, Value::Null);
+    w.run_for(10);
+    let (record, ..) = &w.state.items["j/run-1"];
+    assert_eq!(record["later"], json!({"kept": [1, 2]}));
+    assert!(record["c"].is_number());
+}
+
+#[test]
+fn a_submission_that_could_not_be_stored_later_is_refused_at_once() {
+    let mut w = wide(Some(announced()));
+    assert_eq!(w.submit(0, &many("run-0", 1)), 201);
+    let mut spec = many("run-1", 1);
+    spec["gammes"] = json!((0..400).map(|n| format!("type-{n}")).collect::<Vec<_>>());
+    spec["gammes"][0] = json!("g8");
+    assert_eq!(w.submit(0, &spec), 422);
+    spec["gammes"] = json!(null);
+    spec["attend"] = json!(["run-0"]);
+    assert_eq!(w.submit(0, &spec), 201);
+}
+
+#[test]
+fn ranges_are_cut_into_finer_ones_that_hold_for_their_tasks() {
+    let tasks = 1000;
+    let mut shards = Shards::new(tasks, 409);
+    let mut rng = fastrand::Rng::with_seed(7);
+    for _ in 0..200 {
+        let number = rng.usize(..shards.len());
+        let unit = 4;
+        let before: u32 = shards
+            .tasks_of(number)
+            .iter()
+            .map(|r| r.end - r.start)
+            .sum();
+        let split = shards.split(number, rng.u32(1..200), unit);
+        assert_eq!(split, before > unit);
+        // Each task is held by one record, whose key names it.
+        let mut held = vec![0; tasks as usize];
+        for number in 0..shards.len() {
+            let name = shards.get(number).unwrap().name;
+            let key = shard_key(&JobId::new("run-1"), name);
+            assert_eq!(
+                parse_shard_key(&key),
+                Some((JobId::new("run-1"), Some(name)))
+            );
+            for task in shards.tasks_of(number).into_iter().flatten() {
+                held[task as usize] += 1;
+                assert_eq!(shards.holding(task), Some(number));
+                if let ShardName::Tasks { first, last } = name {
+                    assert!((first..=last).contains(&task));
+                }
+            }
+        }
+        assert!(held.iter().all(|count| *count == 1));
+    }
+    assert!(shards.len() > 100);
+}
+
+#[test]
+fn announced_limits_are_checked() {
+    let with = |line: &str| {
+        let next = format!("[settings.state.next]\n{line}\n[settings.cloud]");
+        SETTINGS.replace("[settings.cloud]", &next)
+    };
+    for fine in [
+        "",
+        "value_kb = 2.0",
+        "rps = 1.5\ntxn_ops = 4",
+        "later = true",
+    ] {
+        assert!(Settings::parse(&with(fine), "test").is_ok(), "{fine}");
+    }
+    for (line, key) in [
+        ("value_kb = 1.0", "settings.state.next.value_kb"),
+        ("value_kb = nan", "settings.state.next.value_kb"),
+        ("txn_ops = 3", "settings.state.next.txn_ops"),
+        ("rps = 0.0", "settings.state.next.rps"),
+        ("write_rps = -1.0", "settings.state.next.write_rps"),
+    ] {
+        let error = Settings::parse(&with(line), "test")
+            .unwrap_err()
+            .to_string();
+        assert!(error.starts_with(&format!("test: {key}: ")), "{error}");
+    }
+}
+
+/// Every full deployment's file names the version that runs in production, for good.
+#[test]
+fn the_version_in_production_is_a_whole_commit_id() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/service.toml");
+    let text = std::fs::read_to_string(file).expect("the deploy file");
+    let deploy: toml::Table = toml::from_str(&text).expect("TOML");
+    let commit = deploy["production"].as_str().expect("production");
+    assert_eq!(commit.len(), 40);
+    assert!(commit
+        .bytes()
+        .all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f')));
+    assert!(deploy["build"].is_str() && deploy["run"].is_str());
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -20,7 +20,7 @@
 use lilacfork::node::Node;
 use lilacfork::options::Options;
 use lilacfork::reactor::Handler;
-use lilacfork::settings::{NextStateLimits, Settings};
+use lilacfork::settings::{NextStateLimits, Settings, StateLimits};
 use observer::{Observer, Placed, Question};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -237,8 +237,8 @@
     /// How long an image is fetched.
     pub fetch_ms: u64,
     options: Options,
-    /// The state service's later limits, as settings announce them.
-    announced: Option<NextStateLimits>,
+    /// What settings say of the state service, if not the usual.
+    state_limits: Option<StateLimits>,
     /// Jobs, or tasks of them, that were submitted with a mistake: their tasks fail everywhere.
     pub broken: BTreeSet<String>,
     /// Nodes that stand still, and until when.
@@ -272,10 +272,17 @@
     }
 
     /// Controllers that are told of lower limits of the state service to come.
-    pub fn announcing(nodes: usize, limits: NextStateLimits) -> World {
+    pub fn announcing(nodes: usize, next: NextStateLimits) -> World {
+        let mut limits = settings("n-0", nodes).site.state;
+        limits.next = Some(next);
         World::with(nodes, CORES, Options::default(), Some(limits))
     }
 
+    /// From now on nodes are started with this said of the state service.
+    pub fn set_state_limits(&mut self, limits: StateLimits) {
+        self.state_limits = Some(limits);
+    }
+
     /// Controllers with settings of their operators.
     pub fn with_options(nodes: usize, options: Options) -> World {
         World::with(nodes, CORES, options, None)
@@ -285,7 +292,7 @@
         nodes: usize,
         cores: f64,
         options: Options,
-        announced: Option<NextStateLimits>,
+        state_limits: Option<StateLimits>,
     ) -> World {
         let mut world = World {
             cores,
@@ -316,7 +323,7 @@
             run_ms: 3000,
             fetch_ms: 0,
             options,
-            announced,
+            state_limits,
             broken: BTreeSet::new(),
             frozen: BTreeMap::new(),
             answers_first: false,
@@ -337,7 +344,9 @@
         let incarnation = self.epochs[n] * 100 + n as u64 + 1;
         let mut settings = settings(&format!("n-{n}"), self.epochs.len());
         settings.site.limits.cores = self.cores;
-        settings.site.state.next = self.announced.clone();
+        if let Some(limits) = &self.state_limits {
+            settings.site.state = limits.clone();
+        }
         self.nodes[n] = Some(Node::new(settings, self.options.clone(), incarnation));
         self.wake(n, self.now + 1);
     }
