Never write over a placement record that can't be read, nor take tasks from it that the job lacks

Cause: a record that didn't fit its job was written over by the next placement, and a task that it named beyond the job's last counted as one of its done ones.

Change: such a job's placements aren't written, and such tasks aren't taken over. The tests kill leaders while coarse and fine records both stand, and end all processes at once.

--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -188,7 +188,9 @@
     /// them all.
     pub fn has_unwritten(&self) -> bool {
         let dirty = |shard: &super::shards::Shard| shard.dirty_ms.is_some();
-        self.ending().is_some() || (self.cancelled.is_none() && self.shards.iter().any(dirty))
+        // A record that couldn't be read must not be written over.
+        let may_be_written = self.cancelled.is_none() && !self.unreadable;
+        self.ending().is_some() || (may_be_written && self.shards.iter().any(dirty))
     }
 
     /// How many of its tasks are seen running.
@@ -317,6 +319,9 @@
         let mut fits = true;
         for row in record.assigned {
             fits &= self.shards.holding(row.task) == Some(number);
+            if row.task >= self.spec.tasks {
+                continue;
+            }
             self.pending.remove(&row.task);
             let zone = zones.get(row.zone as usize).map_or("", |z| z.as_str());
             let bound = Assign::new(row.attempt, row.machine, row.session, Rc::from(zone));
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -97,6 +97,11 @@
         assert!(!job.unreadable, "{key}");
         let rows = job.assigns.iter();
         let rows = rows.map(|(task, a)| (*task, a.attempt.0, a.machine.to_string()));
+        let both = job
+            .done
+            .iter()
+            .filter(|task| job.assigns.contains_key(task));
+        assert_eq!(both.count(), 0, "{key}: done, and on a machine");
         let known = (job.done.iter().copied().collect(), rows.collect());
         if known != Default::default() {
             facts.insert(key[2..].into(), known);
@@ -151,26 +156,33 @@
 /// A leader once took a refused record for the end of its term, and so did the next.
 #[test]
 fn limits_that_fall_while_tasks_run_cost_no_task_and_no_leader() {
-    // The leader ends as long after the limits fell, at every step of the cut.
-    for kill_after in (0..1500).step_by(75).map(Some).chain([None]) {
+    let mut half_cut = 0;
+    // The leader ends as long after the limits fell: as new records are cut, and as
+    // stored ones are, when their tasks end.
+    let moments = (0..1500).step_by(150).chain((5400..9000).step_by(200));
+    for kill_after in moments.map(Some).chain([None]) {
         let mut w = wide(Some(announced()));
         w.run_ms = 9000;
+        w.stagger_ms = 40;
         assert_eq!(w.submit(0, &many("run-1", 200)), 201);
         w.run_for(3000);
         assert_eq!(w.on_machines("run-1"), 200);
         w.state.limits = Some(LOWERED);
         let term = w.state.items["leader/term"].0["term"].clone();
         assert_eq!(w.submit(1, &many("run-2", 150)), 201);
-        assert_eq!(w.submit(1, &many("run-3", 70)), 201);
         if let Some(delay) = kill_after {
             w.run_for(delay);
             let leader = w.leader().unwrap();
             w.kill(leader);
+            half_cut += usize::from(is_half_cut(&w, "run-1"));
+            read_by_this_version(&w);
             w.run_for(5000);
             w.start(leader);
         }
         w.run_for(1000);
-        assert_eq!(w.cancel(0, "run-3").1, "cancelled");
+        assert_eq!(w.submit(2, &many("run-3", 70)), 201);
+        w.run_for(2000);
+        assert_eq!(w.cancel(2, "run-3").1, "cancelled");
         w.run_for(45_000);
         for id in ["run-1", "run-2"] {
             assert_eq!(w.poll(2, id).1, "done", "{id} {kill_after:?}");
@@ -180,22 +192,42 @@
         if kill_after.is_none() {
             assert_eq!(w.state.items["leader/term"].0["term"], term);
         }
-        // Whoever leads later knows.
-        let refused = w.state.too_large;
-        assert!(refused > 0, "the first refusal told it");
-        for _ in 0..2 {
-            let leader = w.leader().unwrap();
-            w.kill(leader);
-            w.run_for(6000);
-            w.start(leader);
-            w.run_for(3000);
-            let id = format!("run-{}", w.now);
-            assert_eq!(w.submit(0, &many(&id, 120)), 201);
-            w.run_for(30_000);
-            assert_eq!(w.poll(1, &id).1, "done");
-        }
-        assert_eq!(w.state.too_large, refused, "{kill_after:?}");
+        assert!(w.state.too_large > 0, "the first refusal told it");
+    }
+    assert!(half_cut > 2, "{half_cut} leaders ended within a cut");
+}
+
+/// Whether a job's placements stand in a coarse record and in finer ones.
+fn is_half_cut(w: &World, id: &str) -> bool {
+    let prefix = format!("p/{id}/");
+    let names = w.state.items.keys().filter_map(|k| k.strip_prefix(&prefix));
+    let (fine, coarse): (Vec<_>, Vec<_>) = names.partition(|name| name.contains('-'));
+    !fine.is_empty() && !coarse.is_empty()
+}
+
+/// Later leaders know it from the one before, and processes that know nothing from
+/// the record that it left.
+#[test]
+fn limits_that_fell_are_known_to_every_later_leader() {
+    let mut w = wide(Some(announced()));
+    w.state.limits = Some(LOWERED);
+    assert_eq!(w.submit(0, &many("run-1", 200)), 201);
+    w.run_for(10_000);
+    let refused = w.state.too_large;
+    assert!(refused > 0);
+    for all_end in [false, true] {
+        let leader = w.leader().unwrap();
+        let ends: Vec<usize> = if all_end { vec![0, 1, 2] } else { vec![leader] };
+        ends.iter().for_each(|n| w.kill(*n));
+        w.run_for(6000);
+        ends.iter().for_each(|n| w.start(*n));
+        w.run_for(6000);
+        let id = format!("run-{}", w.now);
+        assert_eq!(w.submit(0, &many(&id, 200)), 201);
+        w.run_for(30_000);
+        assert_eq!(w.poll(1, &id).1, "done");
     }
+    assert_eq!(w.state.too_large, refused);
 }
 
 /// The announced limits become those of the settings, and processes start with them.
@@ -214,12 +246,15 @@
         w.kill(n);
         w.start(n);
     });
-    w.run_for(30_000);
+    w.run_for(5000);
+    // What was there is started again elsewhere, and nothing else.
+    let lost = w.workers["vm-0"].tasks.len();
+    assert!(lost > 0);
+    w.workers.get_mut("vm-0").unwrap().silent = true;
+    w.run_for(90_000);
     assert_eq!(w.poll(0, "run-1").1, "done");
-    assert_eq!(
-        w.trace.iter().filter(|l| l.contains(" run-1/")).count(),
-        200
-    );
+    let starts = w.trace.iter().filter(|l| l.contains(" run-1/"));
+    assert_eq!(starts.count(), 200 + lost);
 }
 
 /// Nobody announced it: what is refused is held back, and everything else goes on.
@@ -247,14 +282,21 @@
 /// A record of a form that only a later version knows: what it says isn't guessed.
 #[test]
 fn a_job_with_a_record_that_cannot_be_read_waits() {
-    for key in ["p/run-1/0:7", "p/run-1/0"] {
+    // One that named a task too many was written over, and that task counted as one
+    // of the job's.
+    let too_far = json!({"n": 2, "w": 1, "a": [[0, 1, "vm-a", 1, 0], [700, 1, "vm-a", 1, 0]]});
+    for (key, record) in [
+        ("p/run-1/0:7", json!({"later": true})),
+        ("p/run-1/0", json!({"later": true})),
+        ("p/run-1/0", too_far),
+    ] {
         let mut w = World::new(3);
         w.add_machine("vm-a", "a", false, true);
         let spec = array("run-1", 2);
         w.observer.submitted(&spec);
         for (key, record) in [
             ("j/run-1", json!({"spec": spec, "t": 1_000_000})),
-            (key, json!({"later": true})),
+            (key, record.clone()),
         ] {
             w.state.revision += 1;
             let revision = w.state.revision;
@@ -265,7 +307,7 @@
         w.run_for(15_000);
         assert_eq!(w.poll(0, "run-3").1, "done");
         assert_eq!(w.poll(0, "run-1").1, "pending");
-        assert!(w.state.items.contains_key(key));
+        assert_eq!(w.state.items[key].0, record, "not written over");
     }
 }
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -234,6 +234,8 @@
     /// Starts carried out, as people read them: time, machine, task, attempt.
     pub trace: Vec<String>,
     pub run_ms: u64,
+    /// So much longer runs each task than the one before it in its job.
+    pub stagger_ms: u64,
     /// How long an image is fetched.
     pub fetch_ms: u64,
     options: Options,
@@ -321,6 +323,7 @@
             looked_ms: 0,
             trace: Vec::new(),
             run_ms: 3000,
+            stagger_ms: 0,
             fetch_ms: 0,
             options,
             state_limits,
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -238,10 +238,12 @@
                         self.at(self.now + self.fetch_ms, fetched);
                     }
                     if !service || fails {
+                        let index = task.rsplit_once('/').and_then(|(_, n)| n.parse().ok());
+                        let later = self.stagger_ms * index.unwrap_or(0u64);
                         let after = if fails {
                             self.fetch_ms + 100
                         } else {
-                            self.run_ms * self.workers[name].slowness
+                            (self.run_ms + later) * self.workers[name].slowness
                         };
                         let finish = Action::Finish {
                             machine: name.into(),
