Serve pipelines by their end: earlier jobs inherit its deadline and priority

Need: users set the deadline and the priority that they care about on the last job.

Change: the dates of a job that needs others, less the learned time of the jobs between, order those that it needs; their priority is the highest of what needs them. Worked out when a later job comes or one ends, for what it needs and no more.

--- a/pipelines/src/lib.rs
+++ b/pipelines/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`standing`]: how a job stands by the jobs that it needs, from records alone;
 //!   any controller can tell.
 //! - [`graph`]: who needs whom among the jobs that a leader holds.
+//! - [`urgency`]: how urgent a job is by those that need it.
 
 #![deny(missing_docs)]
 #![warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
@@ -12,3 +13,4 @@
 pub mod graph;
 pub mod needs;
 pub mod standing;
+pub mod urgency;
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -245,8 +245,7 @@
             self.over.insert(id.clone(), now.ms + OVER_MS);
             self.forgive_unless_succeeded(&id);
             self.groups.remove(&id);
-            self.forget_pipeline(&id);
-            self.need_over(now, &id, state, now.wall);
+            self.stage_over(now, &id, state);
             if let Some(job) = self.jobs.remove(&id) {
                 log::info!(
                     "job {id} over state={state:?} class={} after_ms={}",
--- a/src/scheduler/deadlines.rs
+++ b/src/scheduler/deadlines.rs
@@ -1,6 +1,6 @@
 //! The order in which waiting work is served.
 
-use super::{JobId, Scheduler};
+use super::{Job, JobId, Scheduler};
 use crate::ids::TaskRef;
 use crate::msg::Now;
 use crate::wire::{JobSpec, Priority};
@@ -32,19 +32,35 @@
 }
 
 impl Scheduler {
-    /// The time of day that orders a job in the queue.
-    pub(super) fn deadline_of(&self, now: Now, spec: &JobSpec, submitted: u64) -> u64 {
+    /// The time of day that orders a job in the queue: its own, or that by which it
+    /// has to be done for what needs it.
+    fn deadline_of(&self, now: Now, job: &Job) -> u64 {
+        let own = self.own_deadline(now, job);
+        let run_ms = self.run_ms(&job.spec);
+        let inherited = job.inherited.as_ref();
+        let mut dates = inherited.into_iter().flat_map(|urgency| &urgency.dates);
+        let in_time = dates.find(|date| now.wall + run_ms <= **date);
+        in_time.map_or(own, |date| own.min(*date))
+    }
+
+    /// How long one of its tasks is expected to run.
+    fn run_ms(&self, spec: &JobSpec) -> u64 {
+        (spec.estimate_s * self.learning.bias(&spec.class) * 1000.0) as u64
+    }
+
+    fn own_deadline(&self, now: Now, job: &Job) -> u64 {
+        let (spec, submitted) = (&job.spec, job.submitted);
         let Some(deadline_s) = spec.deadline_s else {
             let ms = match self.settings.wait_objective_ms(&spec.class) {
                 Some(ms) => ms,
                 // The design's: twice the estimate.
                 None => (spec.estimate_s * 2000.0) as u64,
             };
-            return submitted + ms;
+            return job.ready + ms;
         };
         // What can't be on time any more would only make others late too:
         // it goes for the next deadline that still means something.
-        let run_ms = (spec.estimate_s * self.learning.bias(&spec.class) * 1000.0) as u64;
+        let run_ms = self.run_ms(spec);
         let at = |times: f64| submitted + (deadline_s * times * 1000.0) as u64;
         let class = &spec.class;
         let mut dates: Vec<u64> = self
@@ -54,10 +70,10 @@
             .map(at)
             .collect();
         let finish = self.settings.finish_objectives_ms(class);
-        dates.extend(finish.map(|ms| submitted + ms));
+        dates.extend(finish.map(|ms| job.ready + ms));
         // Tasks that should begin by some time should end a run later.
         let begin_ms = self.settings.wait_objective_ms(class);
-        dates.extend(begin_ms.map(|ms| submitted + ms + run_ms));
+        dates.extend(begin_ms.map(|ms| job.ready + ms + run_ms));
         dates.sort_unstable();
         let in_time = dates.into_iter().find(|date| now.wall + run_ms <= *date);
         in_time.unwrap_or_else(|| at(LAST_DEADLINE))
@@ -102,14 +118,15 @@
         } else {
             job.spec.priority
         };
-        let (spec, submitted) = (job.spec.clone(), job.submitted);
-        let submission = (submitted, id.clone());
+        let deadline = self.deadline_of(now, job);
+        let spec = job.spec.clone();
+        let submission = (job.submitted, id.clone());
         let teams = self.jobs.teams();
         let within = teams.is_within(&self.settings, &spec.team, &submission, &mut self.examined);
         Some(QueueKey {
             priority,
             beyond: !is_moving && !within,
-            deadline: self.deadline_of(now, &spec, submitted),
+            deadline,
             number,
         })
     }
--- /dev/null
+++ b/src/scheduler/inheritance.rs
@@ -0,0 +1,69 @@
+//! A pipeline has one deadline, at its end. What comes before inherits it, less what
+//! the later jobs are expected to take, and the priority of what needs it.
+
+use super::Scheduler;
+use crate::ids::JobId;
+use crate::wire::{JobSpec, Priority};
+use lilacfork_pipelines::urgency::StageUrgency;
+use std::rc::Rc;
+
+impl Scheduler {
+    /// How urgent a job makes those that it needs.
+    fn urgency_before(&self, id: &JobId) -> Option<StageUrgency<Priority>> {
+        let job = self.jobs.get(id).filter(|job| job.cancelled.is_none())?;
+        let times = self.settings.deadline_times(&job.spec.class);
+        let deadline_ms = job.spec.deadline_s.map(|s| s * 1000.0);
+        let date = |times: &f64| Some(job.submitted + (deadline_ms? * times) as u64);
+        let own = StageUrgency {
+            priority: job.own_priority,
+            dates: times.iter().filter_map(date).collect(),
+        };
+        let all = match job.inherited.clone() {
+            Some(inherited) => own.and(inherited),
+            None => own,
+        };
+        // Its end has to be seen and stored before the next job may start.
+        let takes_ms = (self.learning.stage_s(&job.spec) * 1000.0) as u64 + self.report_ms();
+        Some(all.before(takes_ms))
+    }
+
+    /// What needs these jobs has changed: works out anew how urgent they are, and
+    /// those that they need in turn.
+    pub(super) fn inherit(&mut self, mut changed: Vec<JobId>) {
+        while let Some(id) = changed.pop() {
+            let dependents = self.pipelines.graph.dependents_of(&id);
+            let urgencies = dependents.filter_map(|dependent| self.urgency_before(dependent));
+            let inherited = urgencies.reduce(StageUrgency::and);
+            self.examined += 1;
+            if self
+                .jobs
+                .get(&id)
+                .is_some_and(|job| job.inherited != inherited)
+            {
+                self.set_inherited(&id, inherited);
+                changed.extend(self.pipelines.graph.needs_of(&id).cloned());
+            }
+        }
+    }
+
+    fn set_inherited(&mut self, id: &JobId, inherited: Option<StageUrgency<Priority>>) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let most = inherited.as_ref().map(|urgency| urgency.priority);
+        let priority = most.map_or(job.own_priority, |most| most.min(job.own_priority));
+        job.inherited = inherited;
+        if job.spec.priority == priority {
+            return;
+        }
+        job.spec = Rc::new(JobSpec {
+            priority,
+            ..JobSpec::clone(&job.spec)
+        });
+        for assign in job.assigns.values() {
+            // What may give way to whom is filed by machine.
+            self.fleet.get_mut(&assign.machine);
+        }
+        self.round_wanted = true;
+    }
+}
--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -6,7 +6,8 @@
 use crate::gateway::{Final, JobRecord};
 use crate::ids::{Attempt, MachineId, Session, TaskRef, Token};
 use crate::placement::{Resources, ZoneUse};
-use crate::wire::{JobSpec, Kind, TaskPhase};
+use crate::wire::{JobSpec, Kind, Priority, TaskPhase};
+use lilacfork_pipelines::urgency::StageUrgency;
 use lilacfork_replicas::shape::Shape;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -90,6 +91,11 @@
     pub ready: u64,
     /// A job that it needs isn't known to be done.
     pub needs_open: bool,
+    /// The priority that its user gave it; `spec` holds the one that it is served by,
+    /// which may be that of a job that needs it.
+    pub own_priority: Priority,
+    /// How urgent the jobs that need it make it.
+    pub inherited: Option<StageUrgency<Priority>>,
     /// Its placement records.
     pub shards: Shards,
     /// A placement record of it can't be read: what it may have on machines isn't
@@ -145,6 +151,8 @@
             submitted: record.submitted,
             ready: record.submitted,
             needs_open: false,
+            own_priority: record.spec.priority,
+            inherited: None,
             cancelled: record.cancelled,
             version,
             shards: Shards::new(tasks, shard_size),
--- a/src/scheduler/learn.rs
+++ b/src/scheduler/learn.rs
@@ -9,6 +9,10 @@
 /// How many times above or below what is known a sample may count.
 const OUTLIER: f64 = 3.0;
 
+/// Before anything is known, a job of a pipeline is taken to need so many times the
+/// estimate for one task: some of its tasks take longer, and start later.
+const STAGE_ESTIMATES: f64 = 2.0;
+
 /// A mean that moves by a fixed share, fed with samples that are clamped to
 /// a few times what it knows or began with.
 #[derive(Clone, Copy, Debug)]
@@ -72,6 +76,8 @@
     rate: f64,
     boots: BTreeMap<Rc<str>, Boots>,
     bias: BTreeMap<Rc<str>, Learned>,
+    /// Whole time of a job over the estimate for one task, by class.
+    stages: BTreeMap<Rc<str>, Learned>,
     arrivals: BTreeMap<Rc<str>, Arrivals>,
     since: u64,
     window_ms: u64,
@@ -95,6 +101,7 @@
             rate,
             boots: BTreeMap::new(),
             bias: BTreeMap::new(),
+            stages: BTreeMap::new(),
             arrivals: BTreeMap::new(),
             since: 0,
             window_ms,
@@ -162,6 +169,23 @@
         }
     }
 
+    /// A job of a pipeline took so long from when it might start.
+    pub fn stage_took(&mut self, spec: &JobSpec, took_s: f64) {
+        if spec.estimate_s > 0.0 {
+            let rate = self.rate / 2.0;
+            self.stages
+                .entry(spec.class.clone())
+                .or_insert_with(|| Learned::new(STAGE_ESTIMATES, rate))
+                .sample(took_s / spec.estimate_s);
+        }
+    }
+
+    /// How long a job of a pipeline is expected to take from when it may start.
+    pub fn stage_s(&self, spec: &JobSpec) -> f64 {
+        let learned = self.stages.get(&spec.class);
+        spec.estimate_s * learned.map_or(STAGE_ESTIMATES, |l| l.value)
+    }
+
     /// How many samples were taken since the process began.
     pub fn samples(&self) -> u64 {
         self.samples
--- a/src/scheduler/pipelines.rs
+++ b/src/scheduler/pipelines.rs
@@ -38,6 +38,7 @@
         }
         job.needs_open = true;
         self.pipelines.graph.add(id, &spec.needs);
+        self.inherit(spec.needs.clone());
         // While the records are still being read, nobody can tell what isn't there.
         if self.stage == Stage::Active {
             self.look_for_needs(now, id);
@@ -79,6 +80,8 @@
         }
         for id in &waiting {
             self.look_for_needs(now, id);
+            let needs = self.pipelines.graph.needs_of(id).cloned().collect();
+            self.inherit(needs);
         }
     }
 
@@ -135,9 +138,20 @@
         self.changed = true;
     }
 
-    /// The job is over: it needs nothing any more.
-    pub(super) fn forget_pipeline(&mut self, id: &JobId) {
+    /// A job is over, and that is stored: it needs nothing any more, and what needs it
+    /// goes on or is cancelled.
+    pub(super) fn stage_over(&mut self, now: Now, id: &JobId, state: Final) {
+        let graph = &self.pipelines.graph;
+        let in_pipeline = graph.waits(id) || graph.is_needed(id);
+        let needs: Vec<JobId> = graph.needs_of(id).cloned().collect();
+        let job = self.jobs.get(id).filter(|_| state == Final::Done);
+        if let Some(job) = job.filter(|job| in_pipeline || !job.spec.needs.is_empty()) {
+            let took_ms = now.wall.saturating_sub(job.ready);
+            self.learning.stage_took(&job.spec, took_ms as f64 / 1000.0);
+        }
         self.pipelines.graph.forget_needs(id);
+        self.inherit(needs);
+        self.need_over(now, id, state, now.wall);
     }
 
     /// Reads how needed jobs ended that aren't held here.
