Judge every name of a submission, also beside a cancelled one; raise pipelines late

Change: each name has to be known as accepted first. A job is served by the priority of what needs it only once a rental wouldn't be there in time any more.

--- a/src/gateway/needs.rs
+++ b/src/gateway/needs.rs
@@ -28,9 +28,9 @@
 }
 
 impl Gateway {
-    /// What the records, and what can't change any more, say of jobs that are needed.
-    fn judge_needs(&self, needs: &[JobId], records: &Cancellations) -> Verdict {
-        judge(needs, |need| match self.facts.get(need) {
+    /// What the records, and what can't change any more, say of a job that is needed.
+    fn known_of<'a>(&self, need: &JobId, records: &'a Cancellations) -> NeedKnown<'a> {
+        match self.facts.get(need) {
             Some(Fact::Over(Final::Done, _)) => NeedKnown::Done,
             Some(Fact::Over(Final::Cancelled, _)) => NeedKnown::Cancelled,
             _ => match records.standing(need) {
@@ -38,7 +38,15 @@
                 Standing::Unfinished => NeedKnown::Unfinished(records.needs(need)),
                 Standing::None => NeedKnown::Unread,
             },
-        })
+        }
+    }
+
+    fn is_unread(&self, need: &JobId, records: &Cancellations) -> bool {
+        matches!(self.known_of(need, records), NeedKnown::Unread)
+    }
+
+    fn judge_needs(&self, needs: &[JobId], records: &Cancellations) -> Verdict {
+        judge(needs, |need| self.known_of(need, records))
     }
 
     /// A job's record stands, and doesn't say that it is cancelled.
@@ -75,7 +83,15 @@
             self.give_up(task, out);
             return;
         };
-        match self.judge_needs(&submission.spec.needs, records) {
+        let needs = &submission.spec.needs;
+        // That one is cancelled says nothing of whether the others were ever accepted.
+        let named = needs.iter().filter(|need| self.is_unread(need, records));
+        let named: Vec<JobId> = named.cloned().collect();
+        if !named.is_empty() {
+            self.read_needs(now, number, task, named, out);
+            return;
+        }
+        match self.judge_needs(needs, records) {
             Verdict::Unread(needs) => self.read_needs(now, number, task, needs, out),
             verdict => {
                 task.born_cancelled = verdict == Verdict::Cancelled;
--- a/src/scheduler/deadlines.rs
+++ b/src/scheduler/deadlines.rs
@@ -95,6 +95,7 @@
         number: u64,
     ) -> Option<QueueKey> {
         self.examined += 1;
+        self.raise_if_pressed(now, id);
         let job = self.jobs.get(id)?;
         if job.cancelled.is_some()
             || job.pending.is_empty()
--- a/src/scheduler/inheritance.rs
+++ b/src/scheduler/inheritance.rs
@@ -3,6 +3,7 @@
 
 use super::Scheduler;
 use crate::ids::JobId;
+use crate::msg::Now;
 use crate::wire::{JobSpec, Priority};
 use lilacfork_pipelines::urgency::StageUrgency;
 use std::rc::Rc;
@@ -50,9 +51,36 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let most = inherited.as_ref().map(|urgency| urgency.priority);
-        let priority = most.map_or(job.own_priority, |most| most.min(job.own_priority));
         job.inherited = inherited;
+        if job.inherited.is_none() {
+            let own = job.own_priority;
+            self.serve_by(id, own);
+        }
+    }
+
+    /// A job that others need keeps its own priority as long as there is time: small
+    /// idle work would displace what others wait for. Once a rental wouldn't be there
+    /// in time any more, it is served by the priority of what needs it.
+    pub(super) fn raise_if_pressed(&mut self, now: Now, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let Some(urgency) = &job.inherited else {
+            return;
+        };
+        let takes_s = self.learning.stage_s(&job.spec) + self.slowest_boot_s();
+        let latest = now.wall + (takes_s * 1000.0) as u64;
+        let pressed = urgency.dates.first().is_some_and(|date| *date < latest);
+        if pressed && urgency.priority < job.spec.priority {
+            let priority = urgency.priority;
+            self.serve_by(id, priority);
+        }
+    }
+
+    fn serve_by(&mut self, id: &JobId, priority: Priority) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
         if job.spec.priority == priority {
             return;
         }
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -105,6 +105,18 @@
         assert_eq!(w.submit(n % 3, &spec), status, "{needs}");
         assert_eq!(w.poll(0, &format!("run-own-{n}")).0 == 200, status == 201);
     }
+    // A cancelled job beside a name that nobody knows once let the name pass.
+    assert_eq!(w.submit(0, &needing("run-2", &[])), 201);
+    assert_eq!(w.cancel(1, "run-2").1, "cancelled");
+    for (n, needs) in [["run-2", "run-nobody"], ["run-nobody", "run-2"]]
+        .iter()
+        .enumerate()
+    {
+        for node in 0..3 {
+            let spec = needing(&format!("run-both-{n}"), needs);
+            assert_eq!(w.submit(node, &spec), 422);
+        }
+    }
     // What was accepted stays so, whatever a repeat names; the first one counts.
     for needs in [json!(["run-nobody"]), json!(["run-own-0"]), json!(7)] {
         let mut again = needing("run-own-0", &[]);
