Give the scale run pipelines, limits that fall, and rules for both

Change: a class may come after others of its pipeline; users submit its jobs once those are accepted. A fault brings the announced limits into force; the stand-in refuses values that are too large. The checker knows too_early and orphaned, each tried on a broken history.

--- a/scale/src/checker.rs
+++ b/scale/src/checker.rs
@@ -36,6 +36,11 @@
     IncompleteServes,
     /// What is left of an incomplete replica stays on machines for too long.
     LeftAlone,
+    /// A task starts before all jobs that its job needs are done.
+    TooEarly,
+    /// A job is called pending or running too long after one that it needs was
+    /// cancelled.
+    Orphaned,
 }
 
 /// A broken rule.
@@ -152,6 +157,13 @@
 
     fn answered(&mut self, at_us: u64, name: &str, verb: Verb, status: u16, state: &str) {
         let tasks = self.spec(name).map_or(0, |spec| spec.tasks);
+        let needs = self.all_needs(name);
+        let with_need = needs.iter().any(|need| self.job(need).cancel_asked);
+        let most_us = (self.scenario.workers.cancel_s * 1e6) as u64;
+        let orphaned = needs.iter().any(|need| {
+            let since_us = self.job(need).cancelled_us;
+            since_us.is_some_and(|since_us| at_us > since_us + most_us)
+        });
         let job = self.job(name);
         let mut broken = Vec::new();
         match status {
@@ -164,8 +176,11 @@
                 if job.told.as_ref().is_some_and(|told| told != state) {
                     broken.push(Rule::WentBack);
                 }
+                if orphaned && matches!(state, "pending" | "running") {
+                    broken.push(Rule::Orphaned);
+                }
                 if state == "cancelled" {
-                    if !job.cancel_asked {
+                    if !job.cancel_asked && !with_need {
                         broken.push(Rule::WentBack);
                     }
                     job.cancelled_us.get_or_insert(at_us);
@@ -226,6 +241,29 @@
             }
         }
         self.not_cancelled(at_us, &job, name);
+        if !spec.needs.iter().all(|need| self.is_done(need.as_str())) {
+            self.breaks(Rule::TooEarly, at_us, name);
+        }
+    }
+
+    /// The jobs that this one needs, directly or through others.
+    fn all_needs(&mut self, job: &str) -> BTreeSet<String> {
+        let mut found = BTreeSet::new();
+        let mut left = vec![job.to_string()];
+        while let Some(job) = left.pop() {
+            for need in self.spec(&job).into_iter().flat_map(|spec| spec.needs) {
+                if found.insert(need.to_string()) {
+                    left.push(need.to_string());
+                }
+            }
+        }
+        found
+    }
+
+    /// All tasks of the job have completed.
+    fn is_done(&mut self, job: &str) -> bool {
+        let tasks = self.spec(job).map_or(0, |spec| spec.tasks);
+        self.job(job).finished.len() as u32 >= tasks
     }
 
     /// A task is on a machine at this time: it may be.
--- a/scale/src/control.rs
+++ b/scale/src/control.rs
@@ -26,6 +26,8 @@
         /// For how long.
         for_ms: u64,
     },
+    /// State service: the announced limits come into force.
+    LowerLimits,
     /// Workers: these machines come up after a while.
     Boot {
         /// The machines' numbers.
--- a/scale/src/harness.rs
+++ b/scale/src/harness.rs
@@ -483,6 +483,9 @@
                 let controller = Some(self.leader());
                 self.state.tell(&PartCommand::Refuse { controller, for_ms });
             }
+            FaultKind::LimitsFall => {
+                self.state.tell(&PartCommand::LowerLimits);
+            }
             FaultKind::Replace => self.hit_machines(fault, now, Step::Replace),
             FaultKind::Silent => self.hit_machines(fault, now, |m| Step::Silence(m, for_ms)),
         }
@@ -668,6 +671,13 @@
         "[settings.workers]\nreport_s = {:.2}\nlease_s = {:.2}\ncancel_s = {:.2}\n[settings.state]\nrps = {:.1}\nwrite_rps = {:.1}\nvalue_kb = {:.1}\ntxn_ops = {}\n[settings.cloud]\nrps = {:.1}\nlist_lag_s = {:.1}\n[settings.limits]\ncores = {:.3}\nram_mb = {:.1}\nmax_connections = {}\n",
         w.report_s, w.lease_s, w.cancel_s, s.state.rps, s.state.write_rps, s.state.value_kb, s.state.txn_ops, s.cloud.rps, s.cloud.list_lag_s, c.cores, c.ram_mb, c.max_connections
     );
+    if let Some(next) = &s.state.next {
+        let _ = write!(
+            text,
+            "[settings.state.next]\nwrite_rps = {:.1}\nvalue_kb = {:.1}\ntxn_ops = {}\n",
+            next.write_rps, next.value_kb, next.txn_ops
+        );
+    }
     text
 }
 
--- a/scale/src/scenario.rs
+++ b/scale/src/scenario.rs
@@ -107,6 +107,20 @@
     /// So much later each answer goes out, in milliseconds.
     #[serde(default)]
     pub answer_ms: f64,
+    /// The limits that a fault `limits_fall` brings into force.
+    pub next: Option<NextStateSettings>,
+}
+
+/// Limits of the stand-in state service that settings announce.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NextStateSettings {
+    /// Changes per second.
+    pub write_rps: f64,
+    /// The size of a value.
+    pub value_kb: f64,
+    /// Changes in a transaction.
+    pub txn_ops: u32,
 }
 
 /// The stand-in cloud.
@@ -185,6 +199,10 @@
     /// Share of its jobs that their users cancel early.
     #[serde(default)]
     pub cancelled: f64,
+    /// Classes that come earlier in a pipeline: each job needs those of its number, and
+    /// is submitted once they are accepted.
+    #[serde(default)]
+    pub after: Vec<String>,
 }
 
 /// A fault at a set time.
@@ -228,6 +246,8 @@
     StateDown,
     /// The state service refuses the leader alone for `for_s`.
     StateRefusesLeader,
+    /// The state service's announced limits come into force.
+    LimitsFall,
     /// Machines die; the cloud lists them as failed.
     Replace,
     /// Machines reach nobody, nor are reached, for `for_s`, and come back.
@@ -326,6 +346,16 @@
             Some(zone) => self.zones.contains(zone),
             None => f.kind != FaultKind::ZoneCut,
         };
+        let earlier = |n: usize, name: &String| self.classes[..n].iter().any(|c| c.name == *name);
+        let classes = self.classes.iter().enumerate();
+        let sound = |(n, c): (usize, &ClassSettings)| c.after.iter().all(|name| earlier(n, name));
+        if !classes.map(sound).all(|sound| sound) {
+            return Some(("class.after", "must name classes that stand before it"));
+        }
+        let falls = |f: &FaultSettings| f.kind == FaultKind::LimitsFall;
+        if self.state.next.is_none() && self.faults.iter().any(falls) {
+            return Some(("state.next", "must say to what the limits fall"));
+        }
         if !self.faults.iter().all(zone_known) {
             return Some(("fault.zone", "must be one of the zones"));
         }
@@ -345,6 +375,9 @@
         }
         self.state.rps *= times.max(0.2);
         self.state.write_rps *= times.max(0.2);
+        if let Some(next) = &mut self.state.next {
+            next.write_rps *= times.max(0.2);
+        }
         self
     }
 
@@ -452,10 +485,31 @@
             checkpoint_s: 0.0,
             save_s: 0.0,
             deadline_s: class.deadline_runs.map(|runs| runs * class.run_s[1]),
-            needs: Vec::new(),
+            needs: self.needs(class_index, number),
         })
     }
 
+    fn needs(&self, class: usize, number: u32) -> Vec<JobId> {
+        let after = self.classes[class].after.iter();
+        let earlier = after.filter_map(|name| self.classes.iter().position(|c| c.name == *name));
+        earlier
+            .map(|class| JobId::new(&Scenario::job_name(class, number)))
+            .collect()
+    }
+
+    /// The jobs that need this one directly.
+    pub fn dependents(&self, job: &str) -> Vec<String> {
+        let Some((class, number)) = self.job_number(job) else {
+            return Vec::new();
+        };
+        let name = &self.classes[class].name;
+        let later = self.classes.iter().enumerate();
+        let later = later.filter(|(_, c)| c.after.contains(name));
+        later
+            .map(|(class, _)| Scenario::job_name(class, number))
+            .collect()
+    }
+
     /// Parts of the job's replicas; `None`: they don't span machines.
     pub fn parts(&self, job: &str) -> Option<u32> {
         let (class, _) = self.job_number(job)?;
--- a/scale/src/state.rs
+++ b/scale/src/state.rs
@@ -267,6 +267,15 @@
         Reply::json(200, &page)
     }
 
+    fn lower_limits(&mut self) {
+        let Some(next) = self.settings.next.clone() else {
+            return;
+        };
+        self.writes = Rate::new(next.write_rps);
+        self.settings.value_kb = next.value_kb;
+        self.settings.txn_ops = next.txn_ops;
+    }
+
     fn transaction(&mut self, now: u64, body: &[u8]) -> Reply {
         let Ok(txn) = serde_json::from_slice::<TxnBody>(body) else {
             return Reply::error(400, "malformed");
@@ -278,6 +287,12 @@
             self.count("refused", 1.0);
             return Reply::error(429, "too many changes");
         }
+        let most_bytes = (self.settings.value_kb * 1024.0) as usize;
+        let large = |w: &WriteBody| w.v.as_ref().is_some_and(|v| v.get().len() > most_bytes);
+        if txn.writes.iter().any(large) {
+            self.count("too_large", 1.0);
+            return Reply::error(400, "value too large");
+        }
         let held = |key: &str| self.items.get(key).map_or(0, |item| item.revision);
         let failed: Vec<&str> = txn
             .guards
@@ -467,8 +482,10 @@
     }
 
     fn command(&mut self, _: &mut Net, command: &Command) -> io::Result<()> {
-        if let Command::Refuse { controller, for_ms } = command {
-            self.refuse(*controller, *for_ms);
+        match command {
+            Command::Refuse { controller, for_ms } => self.refuse(*controller, *for_ms),
+            Command::LowerLimits => self.lower_limits(),
+            _ => {}
         }
         Ok(())
     }
--- a/scale/src/users.rs
+++ b/scale/src/users.rs
@@ -7,9 +7,10 @@
 use crate::part::{Part, PartConfig};
 use crate::scenario::Scenario;
 use hdrhistogram::Histogram;
+use lilacfork::ids::JobId;
 use lilacfork::wire::{Kind, READY, USER_JOBS};
 use serde::Deserialize;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::io;
 use std::net::SocketAddrV4;
 
@@ -86,6 +87,8 @@
     accepted_ms: Histogram<u64>,
     submitted: u64,
     accepted: u64,
+    /// Accepted jobs that others need.
+    accepted_needs: HashSet<String>,
     failed_answers: u64,
 }
 
@@ -115,6 +118,7 @@
             accepted_ms: Histogram::new(3).map_err(io::Error::other)?,
             submitted: 0,
             accepted: 0,
+            accepted_needs: HashSet::new(),
             failed_answers: 0,
             scenario,
         })
@@ -123,6 +127,11 @@
     /// Submits what is due of a class, and says when the next job comes.
     fn arrivals(&mut self, net: &mut Net, class: usize, now: u64) -> io::Result<()> {
         let settings = self.scenario.classes[class].clone();
+        if !settings.after.is_empty() {
+            // Its jobs come with those that they need.
+            self.next_us[class] = u64::MAX;
+            return Ok(());
+        }
         let warm_us = (self.scenario.warm_s * 1e6) as u64;
         let last_us = self.began_us + warm_us + (self.scenario.run_s * 1e6) as u64;
         while self.next_us[class] <= now && now < last_us {
@@ -245,7 +254,12 @@
         let running = body
             .running
             .filter(|_| self.scenario.parts(&job.name).is_some());
+        let waits = self
+            .scenario
+            .job(&job.name)
+            .is_some_and(|s| !s.needs.is_empty());
         let news = !fine
+            || waits
             || job.failed
             || state != job.told
             || running != job.running
@@ -284,6 +298,7 @@
             job.told = state;
             job.running = running;
         }
+        let accepted = (verb == Verb::Submit && fine).then(|| job.name.clone());
         if job.stage == Stage::Over {
             net.close_link(link);
             self.jobs.remove(&link);
@@ -293,6 +308,26 @@
             }
             self.timers.insert((next_us, link));
         }
+        match accepted {
+            Some(name) => self.submit_dependents(net, name, now),
+            None => Ok(()),
+        }
+    }
+
+    /// Submits the jobs of a pipeline of which this was the last need to be accepted.
+    fn submit_dependents(&mut self, net: &mut Net, name: String, now: u64) -> io::Result<()> {
+        let dependents = self.scenario.dependents(&name);
+        if dependents.is_empty() {
+            return Ok(());
+        }
+        self.accepted_needs.insert(name);
+        for dependent in dependents {
+            let needs = self.scenario.job(&dependent).map(|spec| spec.needs);
+            let accepted = |need: &JobId| self.accepted_needs.contains(need.as_str());
+            if needs.is_some_and(|needs| needs.iter().all(accepted)) {
+                self.submit_first(net, dependent, now)?;
+            }
+        }
         Ok(())
     }
 
--- a/scale/tests/checker.rs
+++ b/scale/tests/checker.rs
@@ -329,3 +329,64 @@
     assert!((figures.alone_gpu_s - 28.0).abs() < 0.1, "{figures:?}");
     assert!((figures.alone_most_s - 14.0).abs() < 0.1, "{figures:?}");
 }
+
+/// Jobs of one pipeline: the second needs the first, the third the second.
+fn pipeline() -> Scenario {
+    let mut scenario = scenario();
+    for (name, after) in [("one", None), ("two", Some("one")), ("three", Some("two"))] {
+        let mut class = scenario.classes[2].clone();
+        class.name = name.into();
+        class.after = after.into_iter().map(String::from).collect();
+        scenario.classes.push(class);
+    }
+    scenario
+}
+
+#[test]
+fn pipelines_are_judged() {
+    let first = pipeline().classes.len() - 3;
+    let [one, two, three] = [0, 1, 2].map(|n| Scenario::job_name(first + n, 7));
+    let judge = |later: Vec<(u64, Event)>| {
+        let all = [&one, &two, &three].map(|job| (1, submitted(job)));
+        let taken = [&one, &two, &three].map(|job| (2, accepted(job)));
+        let events = all.into_iter().chain(taken).chain(later).collect();
+        let (broken, _) = Checker::judge(&pipeline(), &history(events));
+        broken.into_iter().map(|b| b.rule).collect::<Vec<_>>()
+    };
+    let run = |job: &str, at| {
+        (0..2)
+            .flat_map(move |task| {
+                let job = job.to_string();
+                [
+                    (at, started(&job, task, 0)),
+                    (at + 1, finished(&job, task)),
+                    (at + 1, left(&job, task, 0)),
+                ]
+            })
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(
+        judge([run(&one, 3), run(&two, 6), run(&three, 9)].concat()),
+        []
+    );
+    let half = vec![
+        (3, started(&one, 0, 0)),
+        (4, finished(&one, 0)),
+        (5, started(&two, 0, 0)),
+    ];
+    assert_eq!(judge(half), [Rule::TooEarly]);
+    let cancel = vec![
+        (3, Event::CancelAsked { job: one.clone() }),
+        (4, answered(&one, Verb::Cancel, 200, "cancelled")),
+    ];
+    let said = |at, state| vec![(at, answered(&three, Verb::Show, 200, state))];
+    assert_eq!(
+        judge([cancel.clone(), said(40, "pending"), said(41, "cancelled")].concat()),
+        []
+    );
+    assert_eq!(
+        judge([cancel, said(50, "pending")].concat()),
+        [Rule::Orphaned]
+    );
+    assert_eq!(judge(said(5, "cancelled")), [Rule::WentBack]);
+}
--- a/scale/tests/scenario.rs
+++ b/scale/tests/scenario.rs
@@ -5,6 +5,7 @@
 
 const PLANNED: &str = include_str!("../scenarios/planned.toml");
 const FAULTS: &str = include_str!("../scenarios/faults.toml");
+const PIPELINES: &str = include_str!("../scenarios/pipelines.toml");
 
 fn planned() -> Scenario {
     Scenario::parse(PLANNED).expect("the shipped scenario")
@@ -29,6 +30,10 @@
         wrong("run_s = [300.0, 900.0]", "run_s = [9.0, 3.0]").0,
         "class.run_s"
     );
+    let later = PIPELINES.replacen("after = [\"scan\"]", "after = [\"report\"]", 1);
+    assert_eq!(Scenario::parse(&later).expect_err("later").0, "class.after");
+    let untold = PIPELINES.replace("[state.next]", "[[class]]");
+    assert!(Scenario::parse(&untold).is_err());
     let cut = format!("{PLANNED}\n[[fault]]\nat_s = 1.0\nkind = \"zone_cut\"\nzone = \"moon\"\n");
     assert_eq!(
         Scenario::parse(&cut).expect_err("no such zone").0,
@@ -38,7 +43,7 @@
 
 #[test]
 fn shipped_scenarios_fit_into_the_bounds() {
-    for text in [PLANNED, FAULTS] {
+    for text in [PLANNED, FAULTS, PIPELINES] {
         let scenario = Scenario::parse(text).expect("the shipped scenario");
         assert!(check_size(&scenario, Some(20_000)).is_ok());
         let error = check_size(&scenario, Some(1024)).expect_err("too few files");
