--- a/replicas/src/groups.rs
+++ b/replicas/src/groups.rs
@@ -82,6 +82,16 @@
     pub replica: Replica,
 }
 
+impl GroupId {
+    /// This replica of this job.
+    pub fn new(job: &JobId, replica: Replica) -> GroupId {
+        GroupId {
+            job: job.clone(),
+            replica,
+        }
+    }
+}
+
 impl fmt::Display for GroupId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}#{}", self.job, self.replica.0)
@@ -164,10 +174,8 @@
     /// Something of a task, which may be a part, has changed.
     pub fn touch_task(&mut self, job: &JobId, task: u32) {
         if let Some(groups) = self.jobs.get(job) {
-            self.touched.insert(GroupId {
-                job: job.clone(),
-                replica: groups.shape.replica_of(task),
-            });
+            self.touched
+                .insert(GroupId::new(job, groups.shape.replica_of(task)));
         }
     }
 
@@ -179,10 +187,8 @@
     /// Something of all the job's groups may have changed.
     pub fn touch(&mut self, job: &JobId) {
         let groups = self.jobs.get(job).into_iter().flat_map(JobGroups::iter);
-        self.touched.extend(groups.map(|group| GroupId {
-            job: job.clone(),
-            replica: group.replica(),
-        }));
+        self.touched
+            .extend(groups.map(|group| GroupId::new(job, group.replica())));
     }
 
     /// Time has passed: machines may be silent, and times be over.
--- a/scale/src/scenario.rs
+++ b/scale/src/scenario.rs
@@ -347,9 +347,8 @@
             None => f.kind != FaultKind::ZoneCut,
         };
         let earlier = |n: usize, name: &String| self.classes[..n].iter().any(|c| c.name == *name);
-        let classes = self.classes.iter().enumerate();
-        let sound = |(n, c): (usize, &ClassSettings)| c.after.iter().all(|name| earlier(n, name));
-        if !classes.map(sound).all(|sound| sound) {
+        let mut classes = self.classes.iter().enumerate();
+        if !classes.all(|(n, class)| class.after.iter().all(|name| earlier(n, name))) {
             return Some(("class.after", "must name classes that stand before it"));
         }
         let falls = |f: &FaultSettings| f.kind == FaultKind::LimitsFall;
--- a/src/options.rs
+++ b/src/options.rs
@@ -2,6 +2,7 @@
 //! platform's file, so that one file suits every deployment. An unknown key is
 //! an error: a misspelt one must not pass for a default.
 
+use crate::limits::LimitsInForce;
 use crate::scheduler::tasks_per_record;
 use crate::settings::Site;
 use lilacfork_replicas::classes::Classes;
@@ -141,7 +142,8 @@
 
     /// Checks what only makes sense together with the platform's settings.
     pub fn check(&self, site: &Site, file: &str) -> Result<(), OptionsError> {
-        let most = tasks_per_record(site.state.value_kb);
+        let least = LimitsInForce::new(&site.state).least();
+        let most = tasks_per_record(least.value_bytes as f64 / 1024.0);
         for (class, parts) in self.replica_classes.iter() {
             let known = site
                 .objectives
--- a/src/scheduler/coming.rs
+++ b/src/scheduler/coming.rs
@@ -38,6 +38,13 @@
         .then(a.memory_gb.total_cmp(&b.memory_gb))
 }
 
+impl Alike {
+    /// Whether each of these machines holds a task of the job and is in this zone.
+    fn holds_in(&self, spec: &JobSpec, need: &Resources, zone: &str) -> bool {
+        self.free.holds(need) && *self.offer.zone == *zone && allows_offer(spec, &self.offer)
+    }
+}
+
 impl ComingRooms {
     /// So many machines with this much free are coming.
     pub(super) fn add(&mut self, offer: &Offer, free: Resources, count: u32) {
@@ -75,10 +82,9 @@
 
     /// How many machines that are coming to a zone each hold a task of the job.
     pub(super) fn fitting(&self, spec: &JobSpec, need: &Resources, zone: &str) -> u32 {
-        let fits = |kind: &&Alike| {
-            kind.free.holds(need) && *kind.offer.zone == *zone && allows_offer(spec, &kind.offer)
-        };
-        self.kinds.iter().filter(fits).map(|kind| kind.count).sum()
+        let fitting = self.kinds.iter();
+        let fitting = fitting.filter(|kind| kind.holds_in(spec, need, zone));
+        fitting.map(|kind| kind.count).sum()
     }
 
     /// Takes room for a task each on up to so many different machines that are
@@ -93,10 +99,7 @@
         let mut left = most;
         let mut taken = Vec::new();
         for kind in &mut self.kinds {
-            let fits = kind.free.holds(need)
-                && *kind.offer.zone == *zone
-                && allows_offer(spec, &kind.offer);
-            if fits {
+            if kind.holds_in(spec, need, zone) {
                 let count = kind.count.min(left);
                 kind.count -= count;
                 left -= count;
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -148,23 +148,21 @@
                     .unwrap_or_default();
                 if batch.unclear {
                     // Perhaps an earlier copy of it went through.
-                    let call = store::get(&batch.witness, CALL_TIMEOUT_MS);
-                    self.ask(
-                        now,
-                        Urgency::Placement,
-                        call,
-                        0,
-                        SchedulerCall::CheckCommit,
-                        out,
-                    );
+                    self.check_commit(now, out);
                 } else {
                     self.conflicted(now, out);
                 }
             }
             Answer::Status(400, _) => {
                 out.refused = Some(batch.size());
-                self.refused_jobs = batch.jobs();
-                self.take_back(now);
+                if batch.unclear {
+                    // An earlier copy may have been taken, before the limits fell.
+                    self.refused_jobs.clear();
+                    self.check_commit(now, out);
+                } else {
+                    self.refused_jobs = batch.jobs();
+                    self.take_back(now);
+                }
             }
             Answer::Status(status, _) => {
                 log::error!("commit refused with status {status}");
@@ -201,18 +199,20 @@
         } else if answer.status() == Some(404) {
             self.conflicted(now, out);
         } else {
-            let call = store::get(&batch.witness, CALL_TIMEOUT_MS);
-            self.ask(
-                now,
-                Urgency::Placement,
-                call,
-                0,
-                SchedulerCall::CheckCommit,
-                out,
-            );
+            self.check_commit(now, out);
         }
     }
 
+    /// Reads whether the transaction in flight was carried out.
+    fn check_commit(&mut self, now: Now, out: &mut SchedulerOut) {
+        let Some(batch) = self.batch.as_ref() else {
+            return;
+        };
+        let call = store::get(&batch.witness, CALL_TIMEOUT_MS);
+        let tag = SchedulerCall::CheckCommit;
+        self.ask(now, Urgency::Placement, call, 0, tag, out);
+    }
+
     /// Now it is stored: tasks may start, results may be forgotten by their
     /// workers.
     fn committed(&mut self, now: Now, version: u64) {
--- a/src/scheduler/group_placing.rs
+++ b/src/scheduler/group_placing.rs
@@ -36,10 +36,7 @@
         let mut wanted = Wanted::new(job, deadline);
         wanted.zones = job.zone_use();
         for replica in self.waiting_groups(now, job_id) {
-            let id = GroupId {
-                job: job_id.clone(),
-                replica,
-            };
+            let id = GroupId::new(job_id, replica);
             if !self.place_group(now, &id, &mut wanted, round) {
                 return;
             }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -16,6 +16,7 @@
 mod group_placing;
 mod group_room;
 mod group_search;
+mod health;
 mod inheritance;
 mod job_table;
 mod jobs;
--- a/src/scheduler/replica_groups.rs
+++ b/src/scheduler/replica_groups.rs
@@ -65,10 +65,7 @@
     pub(super) fn restore_groups(&mut self, now: Now, job: &JobId, records: Vec<GroupRecord>) {
         let timing = self.groups.timing();
         for record in records {
-            let id = GroupId {
-                job: job.clone(),
-                replica: Replica(record.replica),
-            };
+            let id = GroupId::new(job, Replica(record.replica));
             if let Some(intent) = &record.intent {
                 let parts = intent.targets.len();
                 log::info!("replica {id} was to move, parts={parts}: looking at it");
@@ -83,10 +80,7 @@
     /// These rows of a job's groups are stored.
     pub(super) fn group_records_stored(&mut self, job: &JobId, records: &[GroupRecord]) {
         for record in records {
-            let id = GroupId {
-                job: job.clone(),
-                replica: Replica(record.replica),
-            };
+            let id = GroupId::new(job, Replica(record.replica));
             let group = self.groups.group_mut(&id);
             if let (Some(group), Some(intent)) = (group, &record.intent) {
                 group.stored(intent);
@@ -277,10 +271,7 @@
                 let whole = parts
                     .iter()
                     .all(|part| part.map(|assign| assign.attempt) == generation);
-                let group = GroupId {
-                    job: id.clone(),
-                    replica: group.replica(),
-                };
+                let group = GroupId::new(id, group.replica());
                 // Its parts may have changed since it was looked at, in which case it
                 // is to be looked at before anybody is told.
                 if (generation.is_none() || !whole) && !self.groups.is_touched(&group) {
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -1,12 +1,12 @@
 //! Workers' reports: what they prove, and what the workers are told.
 
 use super::{Assign, Scheduler, SchedulerOut, StopPlan};
-use crate::cloud::{Cloud, Offer};
+use crate::cloud::Offer;
 use crate::fleet::{Machine, Phase};
 use crate::ids::{Attempt, JobId, MachineId, TaskRef, Token};
 use crate::msg::{ConnId, Now, Reply};
 use crate::wire::{Command, EndReason, Report, ReportAnswer, ReportTo, ReportedTask, TaskPhase};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::rc::Rc;
 
 /// A start or stop that shows no effect is sent again after this share of
@@ -19,16 +19,6 @@
 /// For so many report intervals after the moment up to which all cancellations
 /// are known, tasks may be started.
 const START_REPORTS: u64 = 2;
-/// When most machines of a zone are silent, they are waited for this many
-/// times as long.
-const CUT_PATIENCE: f64 = 2.5;
-/// A leader that hears none of its workers for so many report intervals is
-/// unreachable.
-const UNREACHABLE_REPORTS: f64 = 2.5;
-/// Share of `cancel_s` after which a machine that shares its zone's silence is
-/// returned over a cancelled task. Its lease ends before that by itself, or
-/// somebody who knows of the cancellation renews it and stops the task.
-const CUT_CANCEL_SHARE: f64 = 0.9;
 
 /// How a worker's word came.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -40,14 +30,6 @@
     Answer,
 }
 
-/// How silence is judged in a zone.
-struct Silence {
-    /// Most of its machines are silent.
-    silent: bool,
-    limit_ms: u64,
-    excused_ms: u64,
-}
-
 impl Scheduler {
     /// A worker's report: an answer goes out in any case, and with it the
     /// `stops` of cancelled jobs' tasks, whether or not the job is known yet.
@@ -506,220 +488,6 @@
         commands
     }
 
-    /// Looks after every machine and every stop that is due.
-    pub(super) fn check_machines(&mut self, now: Now, cloud: &mut Cloud) {
-        self.fleet.forget_gone(now.ms);
-        self.over.retain(|_, until| now.ms < *until);
-        self.jobs.refresh();
-        let cancelled: Vec<_> = self.jobs.stopping().iter().cloned().collect();
-        for id in &cancelled {
-            self.enforce_cancel(now, id);
-        }
-        let lease_ms = self.lease_ms();
-        let silent_ms = self.silent_limits(now);
-        let cancel_ms = self.settings.site.workers.cancel_s * 1000.0;
-        let mut give_up = self.late_boots(now);
-        let mut drain = Vec::new();
-        for machine in self.fleet.iter() {
-            if machine.phase != Phase::Up {
-                continue;
-            }
-            let Some(zone) = silent_ms.get(&machine.offer.zone) else {
-                continue;
-            };
-            let heard_ms = machine
-                .heard_ms
-                .max(machine.proxied_ms)
-                .max(zone.excused_ms);
-            // In an outage followers can't tell whose leases they renew, and
-            // nothing could be placed anew in any case.
-            let blind = self
-                .state_failed_ms
-                .is_some_and(|at| now.ms < at + lease_ms / 2);
-            if !blind && now.ms > heard_ms + zone.limit_ms {
-                give_up.push((machine.id.clone(), "silent"));
-            } else if machine
-                .unresponsive_since_ms
-                .is_some_and(|at| now.ms > at + lease_ms)
-            {
-                give_up.push((machine.id.clone(), "unresponsive"));
-            } else if machine.notice_until_ms.is_some() && !machine.tasks.is_empty() {
-                drain.push(machine.id.clone());
-            }
-            let share = if zone.silent && now.ms > machine.heard_ms + lease_ms / 2 {
-                CUT_CANCEL_SHARE.max(self.options.cancel_share)
-            } else {
-                self.options.cancel_share
-            };
-            let overdue = machine.tasks.iter().any(|task| {
-                self.jobs.get(&task.job).is_some_and(|job| {
-                    job.cancelled.is_some()
-                        && job
-                            .assigns
-                            .get(&task.index)
-                            .and_then(|a| a.stop)
-                            .is_some_and(|s| now.ms as f64 > s.since_ms as f64 + cancel_ms * share)
-                })
-            });
-            // Who renews a lease for us stops cancelled tasks itself.
-            let looked_after = now.ms < machine.proxied_ms + lease_ms;
-            if overdue && !looked_after {
-                give_up.push((machine.id.clone(), "doesn't stop a cancelled task"));
-            }
-        }
-        for (id, why) in give_up {
-            if let Some(machine) = self.fleet.get_mut(&id) {
-                log::info!("machine {id} given up: {why}");
-                machine.phase = Phase::Releasing;
-            }
-        }
-        for id in drain {
-            self.drain(now, &id);
-        }
-        for machine in self.fleet.iter() {
-            if machine.phase == Phase::Releasing {
-                cloud.release(machine.id.clone());
-            }
-        }
-        self.close_silent(now);
-    }
-
-    /// Silence alone changes what a machine may get: the index of rooms has to be
-    /// told.
-    fn close_silent(&mut self, now: Now) {
-        let fresh_ms = self.fresh_ms();
-        let silent = |m: &&Machine| m.is_open() && !m.takes_work(now.ms, fresh_ms);
-        let silent: Vec<MachineId> = self
-            .fleet
-            .iter()
-            .filter(silent)
-            .map(|m| m.id.clone())
-            .collect();
-        for id in &silent {
-            self.fleet.get_mut(id);
-        }
-    }
-
-    /// Machines that should have come up long ago; what that says of boots is
-    /// learned.
-    fn late_boots(&mut self, now: Now) -> Vec<(MachineId, &'static str)> {
-        // A new leader may know an old machine by the list alone: it has to
-        // have had time to report.
-        let listen_ms = self.silence_ms();
-        let late: Vec<MachineId> = self
-            .fleet
-            .iter()
-            .filter(|m| m.phase == Phase::Booting && now.ms > m.heard_ms + listen_ms)
-            .filter(|m| {
-                let usual_ms = self.usual_boot_ms(&m.offer) as f64;
-                now.ms > m.rented_ms + (usual_ms * self.options.late_boots) as u64
-            })
-            .map(|m| m.id.clone())
-            .collect();
-        for id in &late {
-            let Some(machine) = self.fleet.get(id).filter(|m| m.own_rental) else {
-                continue;
-            };
-            let machine_type = machine.offer.machine_type.clone();
-            let rented_ms = machine.rented_ms;
-            let waited_s = (now.ms - rented_ms) as f64 / 1000.0;
-            let nominal_s = self.nominal_boot_s(&machine_type);
-            self.learning
-                .gave_up_boot(&machine_type, nominal_s, rented_ms, waited_s);
-        }
-        late.into_iter().map(|id| (id, "never came up")).collect()
-    }
-
-    /// How long a machine may be silent by itself.
-    fn silence_ms(&self) -> u64 {
-        (self.lease_ms() as f64 * self.options.silent_leases) as u64
-    }
-
-    /// How long a zone's machines may be silent, and until when they were all
-    /// excused. When most of a zone are silent, the fault is more likely a cut
-    /// or ours, and returning them all would be the worst answer. After it
-    /// they come back one by one: those that are last must not be judged by
-    /// the silence that all of them kept.
-    fn silent_limits(&mut self, now: Now) -> BTreeMap<Rc<str>, Silence> {
-        let lease_ms = self.lease_ms();
-        let mut zones: BTreeMap<Rc<str>, (u32, u32)> = BTreeMap::new();
-        for machine in self.fleet.iter() {
-            if machine.phase == Phase::Up {
-                let (all, silent) = zones.entry(machine.offer.zone.clone()).or_default();
-                *all += 1;
-                *silent += u32::from(now.ms > machine.heard_ms + lease_ms / 2);
-            }
-        }
-        let limit_ms = self.silence_ms();
-        let cut_ms = (limit_ms as f64 * CUT_PATIENCE) as u64;
-        let still_ms = self.stood_still_ms;
-        let mut limits = BTreeMap::new();
-        for (zone, (all, silent)) in zones {
-            let silence = if silent * 2 > all && silent > 2 {
-                self.zones_silent.insert(zone.clone(), now.ms);
-                Silence {
-                    silent: true,
-                    // A controller in there renews its workers' leases for as
-                    // long as it may, and what they run lives on.
-                    limit_ms: if self.settings.has_controller(&zone) {
-                        cut_ms.max(self.settings.longest_lease_ms())
-                    } else {
-                        cut_ms
-                    },
-                    // Nor does silence count while followers can't store whose
-                    // leases they renew, or while this process stood still.
-                    excused_ms: self.state_failed_ms.unwrap_or(0).max(still_ms),
-                }
-            } else {
-                Silence {
-                    silent: false,
-                    limit_ms,
-                    excused_ms: self
-                        .zones_silent
-                        .get(&zone)
-                        .map_or(still_ms, |at| still_ms.max(*at)),
-                }
-            };
-            limits.insert(zone, silence);
-        }
-        limits
-    }
-
-    /// Nobody was heard for a while, and that was our own fault.
-    pub fn excuse_silence(&mut self, now: Now) {
-        self.stood_still_ms = now.ms;
-    }
-
-    /// Whether none of the workers is heard that report to this leader itself
-    /// (`to_us`, by zone). Those that are new to it may be on their way.
-    pub fn hears_no_worker(&self, now: Now, to_us: impl Fn(&str) -> bool) -> bool {
-        let patience_ms = (self.report_ms() as f64 * UNREACHABLE_REPORTS) as u64;
-        // Nobody can be heard by a process that stands still.
-        let listening_since_ms = self.elected_ms.max(self.stood_still_ms);
-        if !self.active() || now.ms < listening_since_ms + patience_ms {
-            return false;
-        }
-        let mut ours = self
-            .fleet
-            .iter()
-            .filter(|m| m.phase == Phase::Up && to_us(&m.offer.zone))
-            .peekable();
-        ours.peek().is_some() && ours.all(|m| now.ms > m.heard_ms + patience_ms)
-    }
-
-    /// Whether most of a zone's machines are heard, as far as it has any.
-    pub fn hears_zone(&self, now: Now, zone: &str) -> bool {
-        let heard_since_ms = now.ms.saturating_sub(self.lease_ms() / 2);
-        let (mut all, mut heard) = (0, 0);
-        for machine in self.fleet.iter() {
-            if machine.phase == Phase::Up && &*machine.offer.zone == zone {
-                all += 1;
-                heard += usize::from(machine.heard_ms >= heard_since_ms);
-            }
-        }
-        heard * 2 >= all
-    }
-
     /// Stops what a machine runs, letting it save what it can.
     pub(super) fn drain(&mut self, now: Now, id: &MachineId) {
         let tasks = self.fleet.get(id).map(|m| m.tasks.clone());
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -80,7 +80,7 @@
         changes.push(w.state.changes - before);
     }
     let (pipeline, single) = (changes[0], changes[1]);
-    assert!(pipeline <= single + DIAMOND.len() - 1, "{changes:?}");
+    assert!(pipeline < single + DIAMOND.len(), "{changes:?}");
 }
 
 #[test]
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -12,7 +12,8 @@
 use lilacfork::settings::{NextStateLimits, Settings};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
-use world::{array, service, SizeLimits, World, SETTINGS};
+use world::state::SizeLimits;
+use world::{array, service, Fate, World, SETTINGS};
 
 const LOWERED: SizeLimits = SizeLimits {
     value_bytes: 2048,
@@ -197,6 +198,32 @@
     assert!(half_cut > 2, "{half_cut} leaders ended within a cut");
 }
 
+/// The answer to a transaction is lost just before the limits fall: the repeat is
+/// refused, and says nothing of whether the first copy was carried out.
+#[test]
+fn a_repeat_that_is_refused_does_not_undo_its_first_copy() {
+    for (offset, carried_out) in (0..300).step_by(25).flat_map(|n| [(n, true), (n, false)]) {
+        let mut w = wide(Some(announced()));
+        w.run_ms = 9000;
+        let from = w.now;
+        w.hook = Box::new(move |at, _, call| {
+            let places = call.body.windows(8).any(|b| b == b"p/run-1/");
+            match call.path == "/txn" && places && at < from + 1500 {
+                true if carried_out => Fate::LoseAnswer,
+                true => Fate::LoseRequest,
+                false => Fate::Pass,
+            }
+        });
+        w.ask(0, "POST", "/v2/runs", many("run-1", 200));
+        w.run_for(offset);
+        w.state.limits = Some(LOWERED);
+        w.run_for(40_000);
+        assert_eq!(w.poll(1, "run-1").1, "done", "{offset} {carried_out}");
+        let starts = w.trace.iter().filter(|line| line.contains(" run-1/"));
+        assert_eq!(starts.count(), 200, "{offset} {carried_out}");
+    }
+}
+
 /// Whether a job's placements stand in a coarse record and in finer ones.
 fn is_half_cut(w: &World, id: &str) -> bool {
     let prefix = format!("p/{id}/");
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -10,7 +10,7 @@
 pub mod observer;
 pub mod replicas;
 pub mod scenes;
-mod state;
+pub mod state;
 mod users;
 mod workers;
 
@@ -25,7 +25,7 @@
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-pub use state::{SizeLimits, State};
+pub use state::State;
 pub use workers::Worker;
 
 pub const SETTINGS: &str = r#"
