--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -133,6 +133,8 @@
     catalog: Option<Rc<Catalog>>,
     catalog_stored: bool,
     catalog_read_ms: u64,
+    /// When it may next be written.
+    catalog_due_ms: u64,
     peers: Vec<Peer>,
     calls: HashMap<CallId, CallTag>,
     next_call: u64,
@@ -237,6 +239,7 @@
             catalog: None,
             catalog_stored: false,
             catalog_read_ms: 0,
+            catalog_due_ms: 0,
             peers,
             calls: HashMap::new(),
             next_call: 0,
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -448,3 +448,20 @@
         .all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f')));
     assert!(deploy["build"].is_str() && deploy["run"].is_str());
 }
+
+/// A catalogue that was refused was written again with every turn.
+#[test]
+fn a_catalogue_that_is_refused_is_not_written_without_a_pause() {
+    let mut w = World::new(3);
+    w.state.limits = Some(SizeLimits {
+        value_bytes: 150,
+        txn_ops: 16,
+    });
+    w.run_for(10_000);
+    assert!(w.leader().is_some());
+    assert!(
+        (1..=10).contains(&w.state.too_large),
+        "{}",
+        w.state.too_large
+    );
+}
