Test that ends whose refused repeat was carried out cost no term

Need: the mend of a refused repeat had a trace that nothing showed to fail. The stand-in judged guards before sizes, so such a repeat was never refused there.

Change: sizes come first; a trace in which seven jobs' ends are carried out, their answer is lost and the limits fall before the repeat.

Result: without the mend the leader loses its term (red), with it not.

--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -224,6 +224,38 @@
     }
 }
 
+/// The same for ends of jobs: taken for undone, they cost the leader its term.
+#[test]
+fn ends_whose_repeat_is_refused_cost_no_term() {
+    let mut w = wide(Some(announced()));
+    w.run_ms = 3000;
+    for n in 0..7 {
+        w.ask(n % 3, "POST", "/v2/runs", many(&format!("run-{n}"), 1));
+    }
+    w.run_for(1000);
+    let term = w.state.items["leader/term"].0["term"].clone();
+    let until = w.now + 3500;
+    w.hook = Box::new(move |at, _, call| {
+        let ends = call.body.windows(6).any(|b| b == b"f/run-");
+        match call.path == "/txn" && ends && at < until {
+            true => Fate::LoseAnswer,
+            false => Fate::Pass,
+        }
+    });
+    while !w.state.items.keys().any(|key| key.starts_with("f/run-")) {
+        w.run_for(10);
+    }
+    let ended = w.state.items.keys().filter(|key| key.starts_with("f/run-"));
+    assert!(ended.count() > 3, "more changes than the lower limit takes");
+    w.state.limits = Some(LOWERED);
+    w.run_for(20_000);
+    assert!(w.state.too_large > 0, "the repeat was refused");
+    for n in 0..7 {
+        assert_eq!(w.poll(1, &format!("run-{n}")).1, "done");
+    }
+    assert_eq!(w.state.items["leader/term"].0["term"], term);
+}
+
 /// Whether a job's placements stand in a coarse record and in finer ones.
 fn is_half_cut(w: &World, id: &str) -> bool {
     let prefix = format!("p/{id}/");
--- a/tests/world/state.rs
+++ b/tests/world/state.rs
@@ -206,6 +206,16 @@
             return ok(200, json!({}));
         }
         // A transaction.
+        let writes = body["writes"].as_array().cloned().unwrap_or_default();
+        if let Some(limits) = self.state.limits {
+            let bytes = |w: &Value| w.get("v").map_or(0, |v| v.to_string().len());
+            let guards = body["guards"].as_array().map_or(0, Vec::len);
+            let large = writes.iter().any(|w| bytes(w) > limits.value_bytes);
+            if large || writes.len() > limits.txn_ops || guards > limits.txn_ops * 4 {
+                self.state.too_large += 1;
+                return ok(400, json!({"error": "too large"}));
+            }
+        }
         let failed: Vec<String> = body["guards"]
             .as_array()
             .into_iter()
@@ -226,16 +236,6 @@
                 json!({"failed": failed, "tirage": self.state.revision}),
             );
         }
-        let writes = body["writes"].as_array().cloned().unwrap_or_default();
-        if let Some(limits) = self.state.limits {
-            let bytes = |w: &Value| w.get("v").map_or(0, |v| v.to_string().len());
-            let guards = body["guards"].as_array().map_or(0, Vec::len);
-            let large = writes.iter().any(|w| bytes(w) > limits.value_bytes);
-            if large || writes.len() > limits.txn_ops || guards > limits.txn_ops * 4 {
-                self.state.too_large += 1;
-                return ok(400, json!({"error": "too large"}));
-            }
-        }
         assert!(writes.len() <= 16, "too many writes in a transaction");
         assert!(call.body.len() <= 64 * 1024, "transaction too large");
         self.state.revision += 1;
