--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -701,8 +701,10 @@
             answer = await self.client.request("POST", "/agent/beat", self.body(), 4.0)
             if self.gone:
                 return
-            moved = self.on_answer(answer, sent, epoch)
+            asked, moved = self.node, self.on_answer(answer, sent, epoch)
             if moved is not None:
+                status = answer[0] if answer else "no answer"
+                self.world.log("worker moves", self.name, f"{asked} -> {self.node}", status)
                 self.client.close()
                 self.client = None
                 await asyncio.sleep(moved)
