--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -1191,6 +1191,7 @@
 
         async def play():
             trouble = os.environ.get("TROUBLE", "1") != "0"
+            world.say("with the disruption" if trouble else "TROUBLE=0: without the disruption")
             try:
                 return await asyncio.wait_for(case(world, trouble), 116)
             finally:
