Propagate a pipeline's urgency once per job, in slices

Each next leader read the same records and hung too.

Cause: propagate_urgency kept changed jobs on a stack and derived each anew from all its dependents, depth first and without an order. A job whose deadline got earlier on several paths was processed once for each path: the product of the stages' sizes, in one turn of the only thread. Deep pipelines therefore hang it, and wide ones cost a quadratic number of steps per stage even without a deadline: each new job had all jobs that it names derived anew from all their dependents.

Change: UrgencyPropagation (package dependencies) owns the graph and queues jobs by the revision of their records. A record is created after those of the jobs that it names, so descending revisions are a topological order, and each job is processed once for all changes queued together. A job passes on what it adds (a minimum); its dependencies are derived anew only if it became less urgent. The queue is processed in slices of the same length and with the same pauses as rounds. Edges hold indexes of 4 bytes; jobs in the table no longer keep the names.

The same cause on related paths of the leader: a cancellation visits dependents that are cancelled already no more, a cancelled job's urgency lapses at its cancellation instead of once more at each end, a new leader queues all jobs and processes them once, and reads at most 32 final records of dependencies at a time, by due time instead of a scan in each turn.

A tie of first deadlines is now decided by the later ones, so that the result doesn't depend on the order. The test of transitive_dependents passes a visitor that enters every job, which is what it checked before.

--- a/dependencies/src/lib.rs
+++ b/dependencies/src/lib.rs
@@ -11,6 +11,7 @@
 #![warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 pub mod graph;
+pub mod job_slab;
 pub mod propagation;
 pub mod status;
 pub mod validation;
--- a/dependencies/tests/dependencies.rs
+++ b/dependencies/tests/dependencies.rs
@@ -134,7 +134,7 @@
         generated in pipelines(),
         steps in proptest::collection::vec((0..3, any::<prop::sample::Index>()), 0..60),
     ) {
-        let mut graph = DependencyGraph::default();
+        let mut graph = DependencyGraph::<()>::default();
         let mut open: BTreeMap<JobId, BTreeSet<JobId>> = BTreeMap::new();
         for (step, index) in steps {
             let n = index.index(generated.len());
@@ -176,7 +176,7 @@
                 }) {
                     all.insert(next.0.clone());
                 }
-                let reported = graph.transitive_dependents(&job);
+                let reported = graph.transitive_dependents(&job, |()| true);
                 prop_assert_eq!(reported.len(), all.len(), "a job is reported more than once");
                 prop_assert_eq!(reported.into_iter().collect::<BTreeSet<_>>(), all);
             }
--- a/src/node/event_handler.rs
+++ b/src/node/event_handler.rs
@@ -78,6 +78,7 @@
         log::info!("kv calls {}", self.kv.take_stats());
         if self.scheduler.active() {
             log::info!("rounds {}", self.scheduler.take_round_stats());
+            log::info!("dependencies {}", self.scheduler.dependency_stats());
             if let Some(stats) = self.scheduler.replica_group_stats() {
                 log::info!("replica groups {stats}");
             }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -26,7 +26,7 @@
 use crate::gateway::{Gateway, RequestNumber};
 use crate::kv_client::KvClient;
 use crate::messages::Now;
-use crate::scheduler::{InvariantViolation, Scheduler};
+use crate::scheduler::{DependencyStats, InvariantViolation, Scheduler};
 use crate::settings::Settings;
 use crate::tuning::Tuning;
 use crate::usage::Purpose;
@@ -173,6 +173,11 @@
         self.scheduler.longest_slice()
     }
 
+    /// Returns the cost of dependencies between jobs to this controller as leader.
+    pub fn dependency_stats(&self) -> DependencyStats {
+        self.scheduler.dependency_stats()
+    }
+
     /// Returns the number of machines that this controller, as leader, knows.
     pub fn machines(&self) -> usize {
         self.scheduler.machine_count()
--- a/src/scheduler/dependencies/mod.rs
+++ b/src/scheduler/dependencies/mod.rs
@@ -3,26 +3,32 @@
 //! with open dependencies therefore has no task on any machine, and cancelling it
 //! requires no task to be stopped.
 
-pub(in crate::scheduler) mod propagation;
+mod propagation;
+mod unresolved;
 
 use crate::ids::JobId;
 use crate::kv_client::{self, CallPriority, KvResponse};
 use crate::messages::Now;
 use crate::records::jobs::{final_key, FinalRecord, FinalState};
 use crate::scheduler::{
-    Job, LeaderStage, Scheduler, SchedulerEffects, SchedulerKvCall, CALL_TIMEOUT_MS, RETRY_MS,
+    Job, LeaderStage, Scheduler, SchedulerEffects, SchedulerKvCall, CALL_TIMEOUT_MS,
 };
 use crate::wire::kv::KeyValue;
-use lilacfork_dependencies::graph::DependencyGraph;
-use std::collections::BTreeMap;
+use crate::wire::users::Priority;
+use lilacfork_dependencies::propagation::UrgencyPropagation;
+use propagation::PropagationPacing;
+use unresolved::UnresolvedDependencies;
 
 /// The dependencies between unfinished jobs that the leader knows.
 #[derive(Debug, Default)]
 pub(in crate::scheduler) struct Dependencies {
-    graph: DependencyGraph,
-    /// Dependencies that are not among the leader's jobs, with the time in
-    /// milliseconds at which the leader next reads their final record.
-    unresolved: BTreeMap<JobId, u64>,
+    urgency: UrgencyPropagation<Priority>,
+    propagation: PropagationPacing,
+    /// Dependencies that are not among the leader's jobs, whose final records are to be
+    /// read.
+    unresolved: UnresolvedDependencies,
+    /// The number of jobs that were looked up by the names in records.
+    looked_up: u64,
 }
 
 impl Dependencies {
@@ -33,38 +39,39 @@
 }
 
 impl Scheduler {
-    /// Registers the dependencies of a new job. Its tasks are not placed until all of
-    /// them are done.
-    pub(in crate::scheduler) fn add_dependencies(&mut self, now: Now, id: &JobId) {
+    /// Registers a new job's dependencies. Its tasks are not placed until all of them are
+    /// done.
+    pub(in crate::scheduler) fn add_dependencies(
+        &mut self,
+        now: Now,
+        id: &JobId,
+        dependencies: &[JobId],
+    ) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let spec = job.spec.clone();
-        if spec.dependencies.is_empty() {
-            return;
-        }
-        job.has_open_dependencies = true;
-        self.dependencies.graph.add(id, &spec.dependencies);
-        self.propagate_urgency(spec.dependencies.clone());
+        job.has_open_dependencies = !dependencies.is_empty();
+        let names_cancelled = self
+            .dependencies
+            .urgency
+            .add(id, job.revision, dependencies);
         // While a new leader still reads records, the record of a missing job may not
         // have been read yet.
         if self.stage == LeaderStage::Active {
-            self.resolve_dependencies(now, id);
+            self.resolve_dependencies(now, id, names_cancelled);
         }
     }
 
     /// Cancels the job and its dependents if one of its open dependencies is cancelled.
     /// Schedules a read of the final records of the open dependencies that aren't among
     /// the leader's jobs.
-    fn resolve_dependencies(&mut self, now: Now, id: &JobId) {
-        let mut is_cancelled = false;
-        for dependency in self.dependencies.graph.open_dependencies_of(id) {
+    fn resolve_dependencies(&mut self, now: Now, id: &JobId, names_cancelled: bool) {
+        let mut is_cancelled = names_cancelled;
+        for dependency in self.dependencies.urgency.open_dependencies_of(id) {
+            self.dependencies.looked_up += 1;
             match self.jobs.get(dependency) {
                 Some(job) => is_cancelled |= job.cancelled_wall_ms.is_some(),
-                None => {
-                    let unresolved = self.dependencies.unresolved.entry(dependency.clone());
-                    unresolved.or_insert(now.ms);
-                }
+                None => self.dependencies.unresolved.insert(dependency, now),
             }
         }
         if is_cancelled {
@@ -82,7 +89,7 @@
             .jobs
             .iter()
             .map(|(id, _)| id)
-            .filter(|id| self.dependencies.graph.is_blocked(id))
+            .filter(|id| self.dependencies.urgency.is_blocked(id))
             .cloned()
             .collect();
         for id in &blocked {
@@ -91,10 +98,7 @@
             }
         }
         for id in &blocked {
-            self.resolve_dependencies(now, id);
-            let open = self.dependencies.graph.open_dependencies_of(id);
-            let open = open.cloned().collect();
-            self.propagate_urgency(open);
+            self.resolve_dependencies(now, id, false);
         }
     }
 
@@ -110,7 +114,7 @@
 
     /// Makes a job eligible for placement once all its dependencies are done.
     fn on_dependencies_met(&mut self, now: Now, id: &JobId) {
-        self.dependencies.graph.remove_dependencies(id);
+        self.dependencies.urgency.remove_dependencies(id);
         if let Some(job) = self.jobs.get_mut(id) {
             job.has_open_dependencies = false;
             let waited_ms = now.wall_ms.saturating_sub(job.submitted_wall_ms);
@@ -135,22 +139,25 @@
         match state {
             FinalState::Cancelled => self.cancel_dependents(now, id),
             FinalState::Done => {
-                let dependents = self.dependencies.graph.dependents_of(id);
+                let dependents = self.dependencies.urgency.dependents_of(id);
                 for dependent in dependents.cloned().collect::<Vec<JobId>>() {
+                    self.dependencies.looked_up += 1;
                     if let Some(job) = self.jobs.get_mut(&dependent) {
                         job.ready_wall_ms = job.ready_wall_ms.max(ended_wall_ms);
                     }
                 }
-                for ready in self.dependencies.graph.mark_done(id) {
+                for ready in self.dependencies.urgency.mark_done(id) {
                     self.on_dependencies_met(now, &ready);
                 }
             }
         }
     }
 
-    /// Cancels all jobs that depend on a cancelled job, directly or indirectly.
+    /// Cancels all jobs that depend on a cancelled job, directly or indirectly, unless a
+    /// previous call has done so.
     pub(in crate::scheduler) fn cancel_dependents(&mut self, now: Now, id: &JobId) {
-        for dependent in self.dependencies.graph.transitive_dependents(id) {
+        for dependent in self.dependencies.urgency.cancel(id) {
+            self.dependencies.looked_up += 1;
             self.cancel_dependent(now, &dependent);
         }
     }
@@ -183,18 +190,15 @@
         id: &JobId,
         state: FinalState,
     ) {
-        let graph = &self.dependencies.graph;
-        let has_dependents = graph.has_dependents(id);
-        let open: Vec<JobId> = graph.open_dependencies_of(id).cloned().collect();
-        let is_pipeline_stage = |job: &Job| has_dependents || !job.spec.dependencies.is_empty();
+        let has_dependents = self.dependencies.urgency.has_dependents(id);
+        let is_pipeline_stage = |job: &Job| has_dependents || job.has_dependencies;
         let job = self.jobs.get(id).filter(|job| is_pipeline_stage(job));
         if let Some(job) = job.filter(|_| state == FinalState::Done) {
             let took_ms = now.wall_ms.saturating_sub(job.ready_wall_ms);
             self.estimates
                 .record_stage_time(&job.spec, took_ms as f64 / 1000.0);
         }
-        self.dependencies.graph.remove_dependencies(id);
-        self.propagate_urgency(open);
+        self.dependencies.urgency.remove_dependencies(id);
         self.on_dependency_finished(now, id, state, now.wall_ms);
     }
 
@@ -204,15 +208,7 @@
         now: Now,
         effects: &mut SchedulerEffects,
     ) {
-        let mut due = Vec::new();
-        for (id, due_ms) in &mut self.dependencies.unresolved {
-            if now.ms >= *due_ms {
-                // The call completes or times out before the next read.
-                *due_ms = now.ms + CALL_TIMEOUT_MS * 2;
-                due.push(id.clone());
-            }
-        }
-        for id in due {
+        for id in self.dependencies.unresolved.take_due(now) {
             let call = kv_client::get(&final_key(&id), CALL_TIMEOUT_MS);
             let tag = SchedulerKvCall::ReadDependency(id);
             self.call_kv(now, CallPriority::Placement, call, 0, tag, effects);
@@ -226,10 +222,9 @@
         id: &JobId,
         response: &KvResponse,
     ) {
-        let Some(due_ms) = self.dependencies.unresolved.get_mut(id) else {
+        if !self.dependencies.unresolved.on_response(id, now) {
             return;
-        };
-        *due_ms = now.ms + RETRY_MS;
+        }
         let item = response.parse_body::<KeyValue>(200);
         let record = item.and_then(|item| serde_json::from_value::<FinalRecord>(item.value).ok());
         match record {
--- a/src/scheduler/dependencies/propagation.rs
+++ b/src/scheduler/dependencies/propagation.rs
@@ -4,68 +4,100 @@
 
 use crate::ids::JobId;
 use crate::messages::Now;
-use crate::scheduler::Scheduler;
+use crate::scheduler::provisioning::online_estimates::OnlineEstimates;
+use crate::scheduler::{DependencyStats, Job, Scheduler};
+use crate::settings::Settings;
 use crate::wire::users::{JobSpec, Priority};
-use lilacfork_dependencies::propagation::StageUrgency;
+use lilacfork_dependencies::propagation::{OwnUrgency, StageUrgency};
 use std::rc::Rc;
 
-impl Scheduler {
-    /// Returns the urgency that a job passes on to its dependencies; `None` if the job
-    /// is cancelled or unknown.
-    fn urgency_for_dependencies(&self, id: &JobId) -> Option<StageUrgency<Priority>> {
-        let job = self
-            .jobs
-            .get(id)
-            .filter(|job| job.cancelled_wall_ms.is_none())?;
-        let multiples = self.settings.deadline_multiples(&job.spec.class);
-        let deadline_ms = job.spec.deadline_s.map(|seconds| seconds * 1000.0);
-        let deadline =
-            |multiple: &f64| Some(job.submitted_wall_ms + (deadline_ms? * multiple) as u64);
-        let own = StageUrgency {
+/// The timing and the cost of the propagation.
+#[derive(Debug, Default)]
+pub(super) struct PropagationPacing {
+    /// The earliest time at which the next slice runs.
+    due_ms: u64,
+    /// The maximum number of jobs and edges that one slice has examined.
+    longest_slice: u64,
+}
+
+/// Returns the urgency that a job has by itself; `None` if the job is cancelled.
+fn own_urgency(
+    job: &Job,
+    settings: &Settings,
+    estimates: &OnlineEstimates,
+    heartbeat_interval_ms: u64,
+) -> Option<OwnUrgency<Priority>> {
+    if job.cancelled_wall_ms.is_some() {
+        return None;
+    }
+    let multiples = settings.deadline_multiples(&job.spec.class);
+    let deadline_ms = job.spec.deadline_s.map(|seconds| seconds * 1000.0);
+    let deadline = |multiple: &f64| Some(job.submitted_wall_ms + (deadline_ms? * multiple) as u64);
+    Some(OwnUrgency {
+        urgency: StageUrgency {
             priority: job.own_priority,
             deadlines_wall_ms: multiples.iter().filter_map(deadline).collect(),
-        };
-        let urgency = match job.inherited_urgency.clone() {
-            Some(inherited) => own.merge(inherited),
-            None => own,
-        };
+        },
         // The end of the job has to be reported and stored before the next job may
         // start, which takes up to one heartbeat interval.
-        let expected_duration_ms = (self.estimates.expected_stage_s(&job.spec) * 1000.0) as u64
-            + self.heartbeat_interval_ms();
-        Some(urgency.for_predecessor(expected_duration_ms))
-    }
+        run_time_ms: (estimates.expected_stage_s(&job.spec) * 1000.0) as u64
+            + heartbeat_interval_ms,
+    })
+}
 
-    /// Recomputes the inherited urgency of jobs whose dependents have changed, and of
-    /// their dependencies in turn.
-    pub(super) fn propagate_urgency(&mut self, mut changed: Vec<JobId>) {
-        while let Some(id) = changed.pop() {
-            let inherited = self
-                .dependencies
-                .graph
-                .dependents_of(&id)
-                .filter_map(|dependent| self.urgency_for_dependencies(dependent))
-                .reduce(StageUrgency::merge);
-            self.pacing.examined += 1;
-            let job = self.jobs.get(&id);
-            if job.is_some_and(|job| job.inherited_urgency != inherited) {
-                self.set_inherited_urgency(&id, inherited);
-                changed.extend(self.dependencies.graph.open_dependencies_of(&id).cloned());
+impl Scheduler {
+    /// Runs one slice of the propagation if jobs wait for it and a slice is due. The slices
+    /// of a large pipeline leave processor time for other work, as those of a round do.
+    pub(in crate::scheduler) fn propagate_urgency(&mut self, now: Now) {
+        let max_examined = self.entries_per_slice();
+        let heartbeat_interval_ms = self.heartbeat_interval_ms();
+        let dependencies = &mut self.dependencies;
+        if dependencies.urgency.is_pending() && now.ms >= dependencies.propagation.due_ms {
+            let before = dependencies.urgency.examined();
+            let (jobs, settings, estimates) = (&self.jobs, &self.settings, &self.estimates);
+            dependencies.urgency.process(max_examined, |id| {
+                own_urgency(jobs.get(id)?, settings, estimates, heartbeat_interval_ms)
+            });
+            let examined = dependencies.urgency.examined() - before;
+            let longest = &mut dependencies.propagation.longest_slice;
+            *longest = examined.max(*longest);
+            let pause_ms = self.slice_pause_ms(examined);
+            self.dependencies.propagation.due_ms = now.ms + pause_ms;
+        }
+        for id in self.dependencies.urgency.take_disinherited() {
+            if let Some(own_priority) = self.jobs.get(&id).map(|job| job.own_priority) {
+                self.set_effective_priority(&id, own_priority);
             }
         }
     }
 
-    fn set_inherited_urgency(&mut self, id: &JobId, inherited: Option<StageUrgency<Priority>>) {
-        let Some(job) = self.jobs.get_mut(id) else {
-            return;
-        };
-        job.inherited_urgency = inherited;
-        if job.inherited_urgency.is_none() {
-            let own_priority = job.own_priority;
-            self.set_effective_priority(id, own_priority);
+    /// Returns when the next slice of the propagation is due; `u64::MAX` if no job waits
+    /// for it.
+    pub(in crate::scheduler) fn next_propagation_ms(&self, now: Now) -> u64 {
+        if self.dependencies.urgency.is_pending() {
+            self.dependencies.propagation.due_ms.max(now.ms + 1)
+        } else {
+            u64::MAX
         }
     }
 
+    /// Returns the cost of dependencies between jobs in this term.
+    pub fn dependency_stats(&self) -> DependencyStats {
+        DependencyStats {
+            examined: self.dependencies.urgency.examined() + self.dependencies.looked_up,
+            longest_slice: self.dependencies.propagation.longest_slice,
+        }
+    }
+
+    /// Returns the deadlines and the priority that a job inherits from its dependents;
+    /// `None` if no job that isn't cancelled depends on it.
+    pub(in crate::scheduler) fn inherited_urgency(
+        &self,
+        id: &JobId,
+    ) -> Option<&StageUrgency<Priority>> {
+        self.dependencies.urgency.inherited(id)
+    }
+
     /// Raises a job to the priority of its dependents once it might miss the inherited
     /// deadline even on a newly provisioned machine. Until then the job keeps its own
     /// priority: otherwise a small job of low priority would displace jobs that others
@@ -74,7 +106,7 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let Some(urgency) = &job.inherited_urgency else {
+        let Some(urgency) = self.inherited_urgency(id) else {
             return;
         };
         let boot_and_run_s = self.estimates.expected_stage_s(&job.spec) + self.slowest_boot_s();
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -30,7 +30,7 @@
 pub use invariants::InvariantViolation;
 pub use state::job::{Job, StoredPlacement};
 pub use state::placement_ranges::PlacementRanges;
-pub use statistics::{ActivityCounters, RoundStats};
+pub use statistics::{ActivityCounters, DependencyStats, RoundStats};
 
 use crate::capacity_index::CapacityIndex;
 use crate::fleet::Fleet;
--- a/src/scheduler/rounds/queue_order.rs
+++ b/src/scheduler/rounds/queue_order.rs
@@ -39,7 +39,7 @@
     fn queue_deadline_wall_ms(&self, now: Now, job: &Job) -> u64 {
         let own = self.own_deadline_wall_ms(now, job);
         let run_ms = self.estimated_run_ms(&job.spec);
-        let inherited = job.inherited_urgency.as_ref();
+        let inherited = self.inherited_urgency(&job.spec.id);
         let mut deadlines = inherited
             .into_iter()
             .flat_map(|urgency| &urgency.deadlines_wall_ms);
--- a/src/scheduler/rounds/round.rs
+++ b/src/scheduler/rounds/round.rs
@@ -182,7 +182,7 @@
     }
 
     /// Returns the number of entries that one slice may examine.
-    fn entries_per_slice(&self) -> u64 {
+    pub(in crate::scheduler) fn entries_per_slice(&self) -> u64 {
         let lease_ms = self.lease_ms() as f64 * self.tuning.lease_share;
         let entries_per_ms = self.settings.site.limits.cores / EXAMINED_ENTRY_CPU_MS;
         (lease_ms * SLICE_LEASE_SHARE * entries_per_ms) as u64
--- a/src/scheduler/state/job.rs
+++ b/src/scheduler/state/job.rs
@@ -13,7 +13,6 @@
 use crate::scheduler::state::placement_ranges::PlacementRanges;
 use crate::wire::users::{JobKind, JobSpec, Priority};
 use crate::wire::workers::TaskPhase;
-use lilacfork_dependencies::propagation::StageUrgency;
 use lilacfork_replica_groups::shape::Shape;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
@@ -29,7 +28,8 @@
 #[derive(Debug)]
 pub struct Job {
     /// The specification that the user submitted, except that `priority` is the one by
-    /// which the job is currently scheduled.
+    /// which the job is currently scheduled and that `dependencies` is empty: the
+    /// dependency graph holds them.
     pub(in crate::scheduler) spec: Rc<JobSpec>,
     /// The resources that each task needs.
     pub(in crate::scheduler) task_request: Resources,
@@ -45,14 +45,13 @@
     /// The time from which the service-level objectives count: the submission, or the end
     /// of the last dependency.
     pub(in crate::scheduler) ready_wall_ms: u64,
+    /// Whether the job was submitted with dependencies.
+    pub(in crate::scheduler) has_dependencies: bool,
     /// Whether at least one dependency is not known to be done.
     pub(in crate::scheduler) has_open_dependencies: bool,
     /// The priority that the user gave the job. `spec.priority` may instead be the
     /// priority of a dependent.
     pub(in crate::scheduler) own_priority: Priority,
-    /// The deadlines and priority inherited from dependents; `None`: no job that
-    /// isn't cancelled depends on this one.
-    pub(in crate::scheduler) inherited_urgency: Option<StageUrgency<Priority>>,
     /// The ranges into which the tasks are divided, each with its own placement record.
     pub(in crate::scheduler) placements: PlacementRanges,
     /// Whether a placement record is unreadable. The tasks that may run on machines are
@@ -93,7 +92,7 @@
 
 impl Job {
     /// Creates a job from its record, with all tasks pending and no placement records.
-    pub fn new(record: JobRecord, revision: u64, tasks_per_range: u32) -> Job {
+    pub fn new(mut record: JobRecord, revision: u64, tasks_per_range: u32) -> Job {
         let tasks = record.spec.tasks;
         let shape = record
             .replica_parts
@@ -111,14 +110,15 @@
         let tasks_of_whole_replicas = tasks_of_whole_replicas.flatten();
         let shape = shape.filter(|_| tasks_of_whole_replicas.is_some());
         let tasks_per_range = tasks_of_whole_replicas.unwrap_or(tasks_per_range);
+        let dependencies = std::mem::take(&mut record.spec.dependencies);
         Job {
             shape,
             task_request: record.spec.task_request(),
             submitted_wall_ms: record.submitted_wall_ms,
             ready_wall_ms: record.submitted_wall_ms,
+            has_dependencies: !dependencies.is_empty(),
             has_open_dependencies: false,
             own_priority: record.spec.priority,
-            inherited_urgency: None,
             cancelled_wall_ms: record.cancelled_wall_ms,
             revision,
             placements: PlacementRanges::new(tasks, tasks_per_range),
--- a/src/scheduler/state/job_watch.rs
+++ b/src/scheduler/state/job_watch.rs
@@ -83,6 +83,7 @@
 
     fn add_job(&mut self, now: Now, record: JobRecord, revision: u64, source: JobRecordSource) {
         let id = record.spec.id.clone();
+        let dependencies = record.spec.dependencies.clone();
         if source == JobRecordSource::Update {
             log::debug!("job received job={id}");
         }
@@ -100,7 +101,7 @@
             self.groups.add(&id, shape);
         }
         self.jobs.insert(id.clone(), job);
-        self.add_dependencies(now, &id);
+        self.add_dependencies(now, &id, &dependencies);
     }
 
     /// Requests the immediate stop of all assigned tasks if the job is cancelled, and
--- a/src/scheduler/statistics.rs
+++ b/src/scheduler/statistics.rs
@@ -46,6 +46,26 @@
     }
 }
 
+/// The cost of dependencies between jobs to a leader in its present term.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
+pub struct DependencyStats {
+    /// Jobs and edges between jobs that were examined: when jobs were added, cancelled or
+    /// ended, and in the propagation of urgency.
+    pub examined: u64,
+    /// The maximum number of them that one slice of the propagation has examined.
+    pub longest_slice: u64,
+}
+
+impl fmt::Display for DependencyStats {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let DependencyStats {
+            examined,
+            longest_slice,
+        } = self;
+        write!(f, "examined={examined} longest_slice={longest_slice}")
+    }
+}
+
 impl Scheduler {
     /// Adds the cost of scanning this many task indexes or candidates to the examined
     /// entries.
--- a/src/scheduler/tick.rs
+++ b/src/scheduler/tick.rs
@@ -41,6 +41,7 @@
         self.watch_jobs(now, effects);
         self.read_stale_jobs(now, effects);
         self.read_unresolved_dependencies(now, effects);
+        self.propagate_urgency(now);
         self.check_machines_if_due(now, cloud);
         self.evaluate_groups(now);
         self.begin_round_if_due(now, effects);
@@ -52,6 +53,7 @@
         self.next_round_ms(now)
             .min(self.next_commit_ms(now))
             .min(self.next_check_ms())
+            .min(self.next_propagation_ms(now))
     }
 
     fn retry_loading(&mut self, now: Now, effects: &mut SchedulerEffects) {
@@ -123,11 +125,14 @@
     /// proportion to the cost of the round, so that a burst of work on a large fleet leaves
     /// processor time for heartbeats, submissions and cancellations.
     pub(in crate::scheduler) fn round_gap_ms(&self, examined: u64) -> u64 {
+        self.slice_pause_ms(examined).max(MIN_ROUND_GAP_MS)
+    }
+
+    /// Returns the pause after work that has examined so many entries, in proportion to
+    /// their cost and at most one heartbeat interval.
+    pub(in crate::scheduler) fn slice_pause_ms(&self, examined: u64) -> u64 {
         let cost_ms = examined as f64 * EXAMINED_ENTRY_CPU_MS;
-        let gap_ms = cost_ms / (self.settings.site.limits.cores * ROUND_CPU_SHARE);
-        (gap_ms as u64).clamp(
-            MIN_ROUND_GAP_MS,
-            self.heartbeat_interval_ms().max(MIN_ROUND_GAP_MS),
-        )
+        let pause_ms = cost_ms / (self.settings.site.limits.cores * ROUND_CPU_SHARE);
+        (pause_ms as u64).min(self.heartbeat_interval_ms())
     }
 }
--- /dev/null
+++ b/tests/integration/dependency_costs.rs
@@ -0,0 +1,277 @@
+//! Tests of the work that pipelines of many jobs cause on controllers. They count the jobs
+//! and the edges between jobs that were examined. The names that the records of a pipeline
+//! hold are the measure: no event may examine more than a constant number of times as many.
+
+use crate::simulation::fixtures::running_cluster;
+use crate::simulation::{array, Simulation};
+use lilacfork::node::Node;
+use serde_json::{json, Value};
+
+/// How often each name in the records may be examined on behalf of one event.
+const MAX_EXAMINED_PER_NAME: u64 = 8;
+
+/// The names are examined a few times more for every job, which has a constant share of the
+/// work of its own.
+const MAX_EXAMINED_PER_JOB: u64 = 16;
+
+/// The deadline of a pipeline's last job, later than the estimates of all stages together.
+const LAST_DEADLINE_S: f64 = 90_000.0;
+
+/// A pipeline of stages of equally many jobs, each of which names all jobs of the stage
+/// before.
+#[derive(Clone, Copy, Debug)]
+struct Pipeline {
+    stages: usize,
+    jobs_per_stage: usize,
+}
+
+impl Pipeline {
+    fn names(self) -> u64 {
+        let between_stages = self.jobs_per_stage * self.jobs_per_stage;
+        ((self.stages - 1) * between_stages + self.jobs_per_stage) as u64
+    }
+
+    fn jobs(self) -> u64 {
+        (self.stages * self.jobs_per_stage) as u64
+    }
+
+    /// Returns the number of examined entries that one event may cause.
+    fn max_examined(self) -> u64 {
+        self.names() * MAX_EXAMINED_PER_NAME + self.jobs() * MAX_EXAMINED_PER_JOB
+    }
+
+    fn stage(self, stage: usize) -> Vec<String> {
+        (0..self.jobs_per_stage)
+            .map(|number| format!("run-{stage:02}{number:03}"))
+            .collect()
+    }
+
+    fn last_stage(self) -> Vec<String> {
+        self.stage(self.stages - 1)
+    }
+
+    /// Submits the jobs of all stages. The estimates of a stage decrease, so that each job
+    /// passes on an earlier deadline than the ones after it.
+    fn submit(self, sim: &mut Simulation) {
+        for stage in 0..self.stages {
+            let dependencies = match stage {
+                0 => Vec::new(),
+                stage => self.stage(stage - 1),
+            };
+            for (number, id) in self.stage(stage).iter().enumerate() {
+                let estimate_s = 20.0 + 15.0 * (self.jobs_per_stage - number) as f64;
+                let job = pipeline_job(id, &dependencies, estimate_s, None);
+                submit_to_any(sim, number, &job);
+            }
+        }
+        sim.run_for(3000);
+    }
+}
+
+const PIPELINES: [Pipeline; 4] = [
+    Pipeline {
+        stages: 3,
+        jobs_per_stage: 8,
+    },
+    Pipeline {
+        stages: 6,
+        jobs_per_stage: 6,
+    },
+    Pipeline {
+        stages: 12,
+        jobs_per_stage: 4,
+    },
+    Pipeline {
+        stages: 3,
+        jobs_per_stage: 24,
+    },
+];
+
+fn pipeline_job(
+    id: &str,
+    dependencies: &[String],
+    estimate_s: f64,
+    deadline_s: Option<f64>,
+) -> Value {
+    let mut spec = array(id, 1);
+    spec["cpus"] = json!(1.0);
+    spec["gpus"] = json!(0.0);
+    spec["memoryGb"] = json!(1.0);
+    spec["prevuS"] = json!(estimate_s);
+    spec["echeanceS"] = json!(deadline_s);
+    spec["attend"] = json!(dependencies);
+    spec
+}
+
+fn submit_to_any(sim: &mut Simulation, number: usize, job: &Value) {
+    assert_eq!(sim.submit(number % 3, job), 201, "{}", job["id"]);
+}
+
+fn leader(sim: &Simulation) -> &Node {
+    let leader = sim.leader().expect("a leader is elected");
+    sim.nodes[leader].as_ref().expect("the leader is up")
+}
+
+fn examined(sim: &Simulation) -> u64 {
+    leader(sim).dependency_stats().examined
+}
+
+/// Creates a cluster whose tasks run longer than the test.
+fn cluster_with_long_tasks() -> Simulation {
+    let mut sim = running_cluster(3);
+    sim.task_duration_ms = 10_000_000;
+    sim
+}
+
+/// A deadline on the last job of a pipeline was propagated along every path through the
+/// pipeline, which hung every leader in turn.
+#[test]
+fn deadline_of_last_job_examines_each_name_a_constant_number_of_times() {
+    for pipeline in PIPELINES {
+        let mut sim = cluster_with_long_tasks();
+        pipeline.submit(&mut sim);
+        let before = examined(&sim);
+        let last = pipeline_job(
+            "run-last",
+            &pipeline.last_stage(),
+            8.0,
+            Some(LAST_DEADLINE_S),
+        );
+        submit_to_any(&mut sim, 0, &last);
+        sim.run_for(3000);
+        let examined = examined(&sim) - before;
+        assert!(
+            examined <= pipeline.max_examined(),
+            "{pipeline:?} examined {examined}, names {}",
+            pipeline.names()
+        );
+    }
+}
+
+/// Each new job of a wide stage had the urgency of all jobs that it names derived anew from
+/// all their dependents.
+#[test]
+fn submissions_without_deadline_examine_each_name_a_constant_number_of_times() {
+    for pipeline in PIPELINES {
+        let mut sim = cluster_with_long_tasks();
+        let before = examined(&sim);
+        pipeline.submit(&mut sim);
+        let examined = examined(&sim) - before;
+        assert!(
+            examined <= pipeline.max_examined(),
+            "{pipeline:?} examined {examined}, names {}",
+            pipeline.names()
+        );
+    }
+}
+
+/// Each of several last jobs has an earlier deadline than those before, so that each one
+/// changes the urgency of the whole pipeline.
+#[test]
+fn each_of_many_last_jobs_examines_each_name_a_constant_number_of_times() {
+    const LAST_JOBS: u64 = 20;
+    for pipeline in PIPELINES {
+        let mut sim = cluster_with_long_tasks();
+        pipeline.submit(&mut sim);
+        let before = examined(&sim);
+        for number in 0..LAST_JOBS {
+            let id = format!("run-last-{number}");
+            let deadline_s = LAST_DEADLINE_S - 1000.0 * number as f64;
+            let last = pipeline_job(&id, &pipeline.last_stage(), 8.0, Some(deadline_s));
+            submit_to_any(&mut sim, number as usize, &last);
+            sim.run_for(300);
+        }
+        let examined = examined(&sim) - before;
+        assert!(
+            examined <= LAST_JOBS * pipeline.max_examined(),
+            "{pipeline:?} examined {examined}, names {}",
+            pipeline.names()
+        );
+    }
+}
+
+/// All jobs are cancelled with the first one. Each of them ends, and had its dependents
+/// visited and the urgency of its dependencies derived anew then.
+#[test]
+fn cancellation_of_pipeline_examines_each_name_a_constant_number_of_times() {
+    for pipeline in PIPELINES {
+        let mut sim = cluster_with_long_tasks();
+        pipeline.submit(&mut sim);
+        let last = pipeline_job(
+            "run-last",
+            &pipeline.last_stage(),
+            8.0,
+            Some(LAST_DEADLINE_S),
+        );
+        submit_to_any(&mut sim, 0, &last);
+        sim.run_for(3000);
+        let before = examined(&sim);
+        assert_eq!(sim.cancel(1, "run-00000").1, "cancelled");
+        sim.run_for(30_000);
+        for id in pipeline.stage(1) {
+            assert_eq!(sim.query(2, &id).1, "cancelled", "{id}");
+        }
+        let examined = examined(&sim) - before;
+        assert!(
+            examined <= pipeline.max_examined(),
+            "{pipeline:?} examined {examined}, names {}",
+            pipeline.names()
+        );
+    }
+}
+
+/// All jobs of a pipeline run to their end, stage after stage.
+#[test]
+fn ends_of_stages_examine_each_name_a_constant_number_of_times() {
+    for pipeline in PIPELINES {
+        let mut sim = running_cluster(3);
+        sim.task_duration_ms = 60_000;
+        pipeline.submit(&mut sim);
+        let last = pipeline_job(
+            "run-last",
+            &pipeline.last_stage(),
+            8.0,
+            Some(LAST_DEADLINE_S),
+        );
+        submit_to_any(&mut sim, 0, &last);
+        sim.run_for(3000);
+        let before = examined(&sim);
+        sim.task_duration_ms = 1000;
+        sim.run_for(60_000 + 10_000 * pipeline.stages as u64);
+        assert_eq!(sim.query(0, "run-last").1, "done", "{pipeline:?}");
+        let examined = examined(&sim) - before;
+        assert!(
+            examined <= pipeline.max_examined(),
+            "{pipeline:?} examined {examined}, names {}",
+            pipeline.names()
+        );
+    }
+}
+
+/// A new leader reads the records of a pipeline with a deadline, which hung it as the
+/// submission had hung the leader before.
+#[test]
+fn new_leader_examines_each_name_a_constant_number_of_times() {
+    for pipeline in PIPELINES {
+        let mut sim = cluster_with_long_tasks();
+        pipeline.submit(&mut sim);
+        let last = pipeline_job(
+            "run-last",
+            &pipeline.last_stage(),
+            8.0,
+            Some(LAST_DEADLINE_S),
+        );
+        submit_to_any(&mut sim, 0, &last);
+        sim.run_for(1000);
+        let killed = sim.leader().expect("a leader is elected");
+        sim.kill(killed);
+        sim.run_for(8000);
+        assert_ne!(sim.leader(), Some(killed));
+        let examined = examined(&sim);
+        assert!(
+            pipeline.names() <= examined && examined <= pipeline.max_examined(),
+            "{pipeline:?} examined {examined}, names {}",
+            pipeline.names()
+        );
+    }
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -7,6 +7,7 @@
 mod cancellations;
 mod capacity_index;
 mod dependencies;
+mod dependency_costs;
 mod failure_attribution;
 mod fault_interactions;
 mod forwarding_costs;
