Answer users about jobs with dependencies by one look-up

Each question about a job with dependencies, and each submission of one, visited all jobs that it depends on, through all stages: of a pipeline with 80,000 names up to 80,000 per question, for every user whose question the same poll answers, in one turn. A controller that had just started read the outcome of each job that was over for each request anew, and scanned all reads in flight at each response.

Cause: dependency_status derived the status from scratch. The records of unfinished jobs were kept with their names (JobId, 32 bytes and more each), without the reverse direction.

Change: StatusIndex (package dependencies) follows the records change by change. What it concludes about a job never changes back, and is passed on once to the jobs that name it; a status is then one look-up. The deletion of a record shows the outcome if the job is determined; DEPENDENCIES has the argument. Other outcomes are read once for all requests, at most 32 at a time. A submission counts the reads that it waits for.

The test status_matches_transitive_dependencies checked the function that is gone. It now feeds the same generated pipelines to the index, in any order, and compares with the same recursion; it also demands exactly the unread outcomes and bounds the edges visited, so it is as strict.

Shown by tests/integration/dependency_costs.rs.

--- a/dependencies/tests/dependencies.rs
+++ b/dependencies/tests/dependencies.rs
@@ -4,10 +4,9 @@
 use lilacfork_common::ids::JobId;
 use lilacfork_dependencies::graph::DependencyGraph;
 use lilacfork_dependencies::propagation::StageUrgency;
-use lilacfork_dependencies::status::{dependency_status, DependencyState, DependencyStatus};
+use lilacfork_dependencies::status::{DependencyStatus, Outcome, StatusIndex};
 use lilacfork_dependencies::validation::{validate, DependencyError};
 use proptest::prelude::*;
-use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 
 fn id(n: usize) -> JobId {
@@ -89,41 +88,54 @@
         ..ProptestConfig::default()
     })]
 
+    /// The records are read in any order. Each edge is visited a constant number of times.
     #[test]
-    fn status_matches_transitive_dependencies(generated in pipelines()) {
+    fn status_matches_transitive_dependencies(
+        generated in pipelines(),
+        order in Just((0..24).collect::<Vec<usize>>()).prop_shuffle(),
+    ) {
         let jobs: BTreeMap<JobId, _> =
             generated.iter().enumerate().map(|(n, job)| (id(n), job.clone())).collect();
-        for (_, dependencies) in &generated {
-            let lookups = RefCell::new(BTreeMap::<JobId, u32>::new());
-            let status = dependency_status(dependencies, |dependency| {
-                *lookups.borrow_mut().entry(dependency.clone()).or_default() += 1;
-                match &jobs[dependency] {
-                    (JobState::Done, _) => DependencyState::Done,
-                    (JobState::Cancelled, _) => DependencyState::Cancelled,
-                    (JobState::Unfinished, further) => DependencyState::Unfinished(further),
-                    (JobState::Unread, _) => DependencyState::Unknown,
-                }
-            });
-            prop_assert!(lookups.borrow().values().all(|times| *times == 1));
+        let mut index = StatusIndex::default();
+        let mut names = 0;
+        for n in order.into_iter().filter(|n| *n < generated.len()) {
+            let (state, dependencies) = &generated[n];
+            if matches!(state, JobState::Unfinished | JobState::Cancelled) {
+                names += dependencies.len() as u64;
+                index.put(&id(n), dependencies, *state == JobState::Cancelled);
+            }
+        }
+        for (n, (state, _)) in generated.iter().enumerate() {
+            if *state == JobState::Done {
+                index.resolve(&id(n), Outcome::Done);
+            }
+        }
+        prop_assert!(index.examined() <= 3 * names);
+        let unread: BTreeSet<JobId> = std::iter::from_fn(|| index.take_unread()).collect();
+        let unfinished = generated.iter().filter(|(state, _)| {
+            matches!(state, JobState::Unfinished | JobState::Cancelled)
+        });
+        let named: BTreeSet<&JobId> = unfinished.flat_map(|(_, named)| named).collect();
+        let expected: BTreeSet<JobId> = named
+            .into_iter()
+            .filter(|named| jobs[*named].0 == JobState::Unread)
+            .cloned()
+            .collect();
+        prop_assert_eq!(unread, expected);
+        for (n, (state, dependencies)) in generated.iter().enumerate() {
+            if *state != JobState::Unfinished {
+                continue;
+            }
             let all = transitive_dependencies(&jobs, dependencies);
             let any = |state| all.iter().any(|dependency| jobs[dependency].0 == state);
-            let is_unread = |dependency: &&JobId| jobs[*dependency].0 == JobState::Unread;
-            let unread = || all.iter().filter(is_unread).cloned();
-            match status {
-                DependencyStatus::Cancelled => prop_assert!(any(JobState::Cancelled)),
-                DependencyStatus::Unknown(named) => {
-                    prop_assert!(!any(JobState::Cancelled));
-                    let named: BTreeSet<JobId> = named.into_iter().collect();
-                    prop_assert_eq!(named, unread().collect::<BTreeSet<_>>());
-                }
-                DependencyStatus::Waiting => {
-                    prop_assert!(!any(JobState::Cancelled) && !any(JobState::Unread));
-                    prop_assert!(any(JobState::Unfinished));
-                }
-                DependencyStatus::Ready => {
-                    prop_assert!(all.iter().all(|dependency| jobs[dependency].0 == JobState::Done));
-                }
-            }
+            let expected = if any(JobState::Cancelled) {
+                DependencyStatus::Cancelled
+            } else if any(JobState::Unread) {
+                DependencyStatus::Undetermined
+            } else {
+                DependencyStatus::NotCancelled
+            };
+            prop_assert_eq!(index.status(&id(n)), expected);
         }
     }
 
--- a/src/cancellations/actor.rs
+++ b/src/cancellations/actor.rs
@@ -12,6 +12,7 @@
 use crate::settings::Settings;
 use crate::wire::peers::{ConfirmationCursor, ConfirmedCancellations};
 use crate::wire::workers::{Command, TaskPhase, WorkerHeartbeat};
+use lilacfork_dependencies::status::StatusIndex;
 
 /// Time limits of cancellations, derived from the settings.
 #[derive(Clone, Copy, Debug)]
@@ -83,7 +84,7 @@
     /// Returns the status of a job according to the latest complete read and the
     /// cancellations learned since.
     pub fn record_status(&self, id: &JobId) -> RecordStatus {
-        if !self.records.is_unfinished(id) {
+        if !self.records.jobs().is_unfinished(id) {
             RecordStatus::None
         } else if self.known.is_stored(id) {
             RecordStatus::Cancelled
@@ -92,9 +93,15 @@
         }
     }
 
-    /// Returns the dependencies in the record of an unfinished job.
-    pub fn dependencies(&self, id: &JobId) -> &[JobId] {
-        self.records.dependencies(id)
+    /// Returns the unfinished jobs and their dependencies, as of the latest complete read.
+    pub fn jobs(&self) -> &StatusIndex {
+        self.records.jobs()
+    }
+
+    /// Returns the unfinished jobs and their dependencies, for the outcomes of
+    /// dependencies that are over.
+    pub fn jobs_mut(&mut self) -> &mut StatusIndex {
+        self.records.jobs_mut()
     }
 
     /// Returns when the last complete read was requested, on the monotonic clock; `None`
--- a/src/cancellations/record_reader.rs
+++ b/src/cancellations/record_reader.rs
@@ -6,7 +6,8 @@
 use crate::messages::{Call, Now};
 use crate::records::jobs::{dependencies_in, is_cancelled, parse_job_key, JOB_PREFIX};
 use crate::wire::kv::{KeyPage, WatchEvent, WatchResponse};
-use std::collections::{HashMap, HashSet};
+use lilacfork_dependencies::status::StatusIndex;
+use std::collections::HashSet;
 
 /// Polls per heartbeat interval of the workers while a request waits for one. Otherwise
 /// there is one poll per interval.
@@ -67,7 +68,7 @@
     requested_ms: u64,
     /// The revision of the first page of a list.
     revision: Option<Revision>,
-    unfinished: HashMap<JobId, Box<[JobId]>>,
+    jobs: StatusIndex,
     cancelled: HashSet<JobId>,
 }
 
@@ -75,8 +76,8 @@
 #[derive(Debug)]
 pub(super) struct RecordReader {
     heartbeat_interval_ms: u64,
-    /// The jobs that had records at the last complete read, each with its dependencies.
-    unfinished: HashMap<JobId, Box<[JobId]>>,
+    /// The jobs that had records at the last complete read, with their dependencies.
+    jobs: StatusIndex,
     /// The revision from which the next poll reads changes. `None` means that the next
     /// read must be a list.
     read_up_to: Option<Revision>,
@@ -94,7 +95,7 @@
     pub(super) fn new(heartbeat_interval_ms: u64) -> Self {
         RecordReader {
             heartbeat_interval_ms,
-            unfinished: HashMap::new(),
+            jobs: StatusIndex::default(),
             read_up_to: None,
             last_read_requested_ms: None,
             in_progress: None,
@@ -115,16 +116,15 @@
         self.last_read_requested_ms
     }
 
-    /// Returns whether the job had a record at the last complete read.
-    pub(super) fn is_unfinished(&self, id: &JobId) -> bool {
-        self.unfinished.contains_key(id)
+    /// Returns the jobs that had records at the last complete read.
+    pub(super) fn jobs(&self) -> &StatusIndex {
+        &self.jobs
     }
 
-    /// Returns the dependencies of an unfinished job; empty for any other job.
-    pub(super) fn dependencies(&self, id: &JobId) -> &[JobId] {
-        self.unfinished
-            .get(id)
-            .map_or(&[], |dependencies| dependencies)
+    /// Returns the jobs that had records at the last complete read, for the outcomes of
+    /// their dependencies.
+    pub(super) fn jobs_mut(&mut self) -> &mut StatusIndex {
+        &mut self.jobs
     }
 
     /// Schedules the next poll earlier, because a request waits for it.
@@ -194,17 +194,19 @@
             let Some(id) = parse_job_key(&item.key) else {
                 continue;
             };
-            if is_cancelled(&item.value) {
-                read.cancelled.insert(id.clone());
+            let is_cancelled = is_cancelled(&item.value);
+            read.jobs
+                .put(&id, &dependencies_in(&item.value), is_cancelled);
+            if is_cancelled {
+                read.cancelled.insert(id);
             }
-            read.unfinished.insert(id, dependencies_in(&item.value));
         }
         if let (true, Some(last_key)) = (page.has_more, last_key) {
             self.in_progress = Some(read);
             calls.push(list_call(now, Some(&last_key)));
             return None;
         }
-        self.unfinished = read.unfinished;
+        self.jobs = read.jobs;
         self.read_up_to = read.revision;
         Some(RecordUpdate::List(read.cancelled))
     }
@@ -230,13 +232,14 @@
 
     fn apply_event(&mut self, event: &WatchEvent) -> Option<RecordChange> {
         if let Some(id) = event.deleted_key.as_deref().and_then(parse_job_key) {
-            self.unfinished.remove(&id);
+            self.jobs.remove(&id);
             return Some(RecordChange::Removed(id));
         }
         let id = event.put_key.as_deref().and_then(parse_job_key)?;
-        self.unfinished
-            .insert(id.clone(), dependencies_in(&event.value));
-        is_cancelled(&event.value).then_some(RecordChange::Cancelled(id))
+        let is_cancelled = is_cancelled(&event.value);
+        self.jobs
+            .put(&id, &dependencies_in(&event.value), is_cancelled);
+        is_cancelled.then_some(RecordChange::Cancelled(id))
     }
 }
 
--- a/src/gateway/lookups.rs
+++ b/src/gateway/lookups.rs
@@ -23,7 +23,12 @@
     pub(super) fn await_poll(&mut self, mut request: PendingRequest, effects: &mut GatewayEffects) {
         request.step = RequestStep::Poll;
         effects.poll_requested = true;
-        self.awaiting_poll.push_back(request.number);
+        // The queue is in the order of the numbers. A request that is queued again precedes
+        // later ones.
+        let position = self
+            .awaiting_poll
+            .partition_point(|number| *number < request.number);
+        self.awaiting_poll.insert(position, request.number);
         self.requests.insert(request.number, request);
     }
 
@@ -46,17 +51,22 @@
         &mut self,
         now: Now,
         last_number: RequestNumber,
-        records: Option<&Cancellations>,
+        mut records: Option<&mut Cancellations>,
         effects: &mut GatewayEffects,
     ) {
+        // A request may be queued again, for a later poll.
+        let mut covered = Vec::new();
         while let Some(number) = self
             .awaiting_poll
             .pop_front_if(|number| *number <= last_number)
         {
+            covered.push(number);
+        }
+        for number in covered {
             let Some(request) = self.requests.remove(&number) else {
                 continue;
             };
-            match records {
+            match &mut records {
                 Some(records) => self.continue_with_records(now, request, records, effects),
                 None => self.reply_unavailable(&request, effects),
             }
@@ -70,7 +80,7 @@
         &mut self,
         now: Now,
         request: PendingRequest,
-        records: &Cancellations,
+        records: &mut Cancellations,
         effects: &mut GatewayEffects,
     ) {
         // A job that is known to be accepted isn't written again, because the write would
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 
 mod admission;
 mod dependencies;
+mod dependency_reads;
 mod effects;
 mod job_lookup;
 mod job_memory;
@@ -23,7 +24,8 @@
 use crate::wire::cloud::Catalog;
 use crate::wire::users::{is_valid_job_id, peek_job_id};
 use admission::Admission;
-use dependencies::DependencyRead;
+use dependencies::DependencyOutcome;
+use dependency_reads::DependencyReads;
 use job_memory::{ImmutableFact, JobMemory};
 use lilacfork_replica_groups::classes::ReplicaClasses;
 use pending_request::{PendingRequest, RequestKind, RequestStep};
@@ -45,8 +47,10 @@
     requests: HashMap<RequestNumber, PendingRequest>,
     /// The requests that wait for a poll, in order of arrival.
     awaiting_poll: VecDeque<RequestNumber>,
-    /// The reads of dependencies that are in flight, by their own numbers.
-    dependency_reads: HashMap<RequestNumber, DependencyRead>,
+    /// The reads of dependencies that are in flight.
+    dependency_reads: DependencyReads,
+    /// What completed reads of dependencies have shown since the last resumption.
+    dependency_outcomes: Vec<DependencyOutcome>,
     /// The requests for which the reads of all dependencies have completed.
     resumable_requests: Vec<RequestNumber>,
     /// Whether a poll brings the state of every job up to date.
@@ -70,7 +74,8 @@
             memory,
             requests: HashMap::new(),
             awaiting_poll: VecDeque::new(),
-            dependency_reads: HashMap::new(),
+            dependency_reads: DependencyReads::default(),
+            dependency_outcomes: Vec::new(),
             resumable_requests: Vec::new(),
             polls_complete: false,
             last_number: 0,
@@ -221,8 +226,8 @@
         response: KvResponse,
         effects: &mut GatewayEffects,
     ) {
-        if let Some(read) = self.dependency_reads.remove(&number) {
-            self.on_dependency_response(now, &read, &response, effects);
+        if let Some(read) = self.dependency_reads.remove(number) {
+            self.on_dependency_response(now, read, &response, effects);
             return;
         }
         let Some(request) = self.requests.remove(&number) else {
@@ -267,7 +272,7 @@
     /// controllers have replied to users during the pause.
     pub fn abort_after_pause(&mut self, effects: &mut GatewayEffects) {
         self.awaiting_poll.clear();
-        self.dependency_reads.clear();
+        self.dependency_reads.forget_waiting();
         self.resumable_requests.clear();
         for request in std::mem::take(&mut self.requests).into_values() {
             self.reply_unavailable(&request, effects);
--- a/src/gateway/pending_request.rs
+++ b/src/gateway/pending_request.rs
@@ -80,6 +80,8 @@
     pub(super) cancelled_by_dependency: bool,
     /// How many rounds of reads of the job's dependencies were made.
     pub(super) dependency_rounds: u32,
+    /// How many reads of dependencies the request waits for.
+    pub(super) outstanding_reads: usize,
     /// The size of the latest write; zero before the first write.
     pub(super) write_size: RequestSize,
     pub(super) received_ms: u64,
@@ -104,6 +106,7 @@
             retries: 0,
             cancelled_by_dependency: false,
             dependency_rounds: 0,
+            outstanding_reads: 0,
             write_size: RequestSize::default(),
             received_ms: now.ms,
             deadline_ms: now.ms + kind.timeout_ms(),
--- a/src/node/kv_responses.rs
+++ b/src/node/kv_responses.rs
@@ -95,8 +95,11 @@
         let mut gateway_effects = GatewayEffects::default();
         self.gateway
             .on_kv_response(now, request, response, &mut gateway_effects);
-        self.gateway
-            .resume_after_dependency_reads(now, &self.cancellations, &mut gateway_effects);
+        self.gateway.resume_after_dependency_reads(
+            now,
+            &mut self.cancellations,
+            &mut gateway_effects,
+        );
         self.apply_gateway_effects(now, gateway_effects, effects);
     }
 
@@ -138,7 +141,7 @@
 
     /// Completes the users' requests that were received before the poll was sent.
     fn complete_polled_requests(&mut self, now: Now, succeeded: bool, effects: &mut Vec<Effect>) {
-        let records = succeeded.then_some(&self.cancellations);
+        let records = succeeded.then_some(&mut self.cancellations);
         let mut gateway_effects = GatewayEffects::default();
         self.gateway.on_poll_completed(
             now,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -178,6 +178,12 @@
         self.scheduler.dependency_stats()
     }
 
+    /// Returns the number of edges between jobs that this controller has examined since it
+    /// last listed the job records, to answer users about jobs with dependencies.
+    pub fn examined_for_answers(&self) -> u64 {
+        self.cancellations.jobs().examined()
+    }
+
     /// Returns the number of machines that this controller, as leader, knows.
     pub fn machines(&self) -> usize {
         self.scheduler.machine_count()
--- a/tests/integration/dependency_costs.rs
+++ b/tests/integration/dependency_costs.rs
@@ -3,9 +3,11 @@
 //! hold are the measure: no event may examine more than a constant number of times as many.
 
 use crate::simulation::fixtures::running_cluster;
-use crate::simulation::{array, Simulation};
+use crate::simulation::{array, Delivery, Simulation};
 use lilacfork::node::Node;
 use serde_json::{json, Value};
+use std::cell::Cell;
+use std::rc::Rc;
 
 /// How often each name in the records may be examined on behalf of one event.
 const MAX_EXAMINED_PER_NAME: u64 = 8;
@@ -275,3 +277,140 @@
         );
     }
 }
+
+/// Returns the edges that all controllers have examined to answer users.
+fn examined_for_answers(sim: &Simulation) -> u64 {
+    let nodes = sim.nodes.iter().flatten();
+    nodes.map(Node::examined_for_answers).sum()
+}
+
+/// Queries jobs on one controller at the same time. Returns the states in the replies.
+fn query_together(sim: &mut Simulation, node: usize, ids: &[String]) -> Vec<(u16, String)> {
+    let mut queries = Vec::new();
+    for id in ids {
+        queries.push(sim.request(node, "GET", &format!("/v2/runs/{id}"), Value::Null));
+    }
+    sim.run_for(1800);
+    let replies = queries.iter().map(|query| sim.status_and_state(*query));
+    replies.collect()
+}
+
+/// Every answer about a job visited all jobs that it depends on.
+#[test]
+fn answers_about_waiting_and_cancelled_jobs_examine_no_names() {
+    for pipeline in PIPELINES {
+        let mut sim = cluster_with_long_tasks();
+        pipeline.submit(&mut sim);
+        for state in ["pending", "cancelled"] {
+            if state == "cancelled" {
+                assert_eq!(sim.cancel(1, "run-00000").1, "cancelled");
+            }
+            let before = examined_for_answers(&sim);
+            for node in 0..3 {
+                let answers = query_together(&mut sim, node, &pipeline.last_stage());
+                let expected = (200, state.to_string());
+                assert!(answers.iter().all(|answer| *answer == expected));
+            }
+            let examined = examined_for_answers(&sim) - before;
+            // Some of the cancelled jobs end in the meantime, and are removed once by each
+            // controller.
+            let max_examined = if state == "pending" {
+                0
+            } else {
+                3 * pipeline.max_examined()
+            };
+            assert!(examined <= max_examined, "{pipeline:?} examined {examined}");
+        }
+    }
+}
+
+/// Every submission visited all jobs that the new job depends on, through all stages. Each
+/// controller examines a name when it reads the job's record.
+#[test]
+fn acceptance_of_jobs_examines_each_name_once_on_each_controller() {
+    for pipeline in PIPELINES {
+        let mut sim = cluster_with_long_tasks();
+        let before = examined_for_answers(&sim);
+        pipeline.submit(&mut sim);
+        let examined = examined_for_answers(&sim) - before;
+        let controllers = 3;
+        assert!(
+            examined <= controllers * pipeline.names(),
+            "{pipeline:?} examined {examined}, names {}",
+            pipeline.names()
+        );
+    }
+}
+
+/// Counts the reads of final records by one controller from now on, whose responses are
+/// delayed so that many requests wait for them.
+fn count_slow_outcome_reads(sim: &mut Simulation, controller: usize) -> Rc<Cell<usize>> {
+    let reads = Rc::new(Cell::new(0));
+    let counter = reads.clone();
+    sim.fault_injector = Box::new(move |_, node, call| {
+        if node != controller || !call.path.starts_with("/kv/f/") {
+            return Delivery::Normal;
+        }
+        counter.set(counter.get() + 1);
+        Delivery::ResponseDelayed(400)
+    });
+    reads
+}
+
+/// Creates a cluster in which the first stage of a pipeline is done, and the second
+/// controller has just restarted.
+fn cluster_with_first_stage_done(pipeline: Pipeline) -> Simulation {
+    let mut sim = running_cluster(3);
+    sim.task_duration_ms = 60_000;
+    pipeline.submit(&mut sim);
+    sim.task_duration_ms = 10_000_000;
+    sim.run_for(63_000);
+    for id in pipeline.stage(0) {
+        assert_eq!(sim.query(0, &id).1, "done", "{id}");
+    }
+    sim.kill(1);
+    sim.start(1);
+    sim.run_for(4000);
+    sim
+}
+
+/// A controller that has just started reads the outcome of each job of the first stage, which
+/// is over. Every request had read all of them for itself.
+#[test]
+fn restarted_controller_reads_each_outcome_once_for_all_queries() {
+    for pipeline in PIPELINES {
+        let mut sim = cluster_with_first_stage_done(pipeline);
+        let reads = count_slow_outcome_reads(&mut sim, 1);
+        let waiting: Vec<String> = (1..pipeline.stages)
+            .flat_map(|stage| pipeline.stage(stage))
+            .collect();
+        let answers = query_together(&mut sim, 1, &waiting);
+        assert!(
+            answers.iter().all(|(status, _)| *status == 200),
+            "{answers:?}"
+        );
+        assert_eq!(reads.get(), pipeline.jobs_per_stage);
+    }
+}
+
+/// Many last jobs that name the same ended jobs are submitted at the same time.
+#[test]
+fn restarted_controller_reads_each_outcome_once_for_all_submissions() {
+    const LAST_JOBS: usize = 12;
+    for pipeline in PIPELINES {
+        let mut sim = cluster_with_first_stage_done(pipeline);
+        let reads = count_slow_outcome_reads(&mut sim, 1);
+        let submissions: Vec<u64> = (0..LAST_JOBS)
+            .map(|number| {
+                let id = format!("run-last-{number}");
+                let last = pipeline_job(&id, &pipeline.stage(0), 8.0, None);
+                sim.request(1, "POST", "/v2/runs", last)
+            })
+            .collect();
+        sim.run_for(3000);
+        for submission in submissions {
+            assert_eq!(sim.status_and_state(submission).0, 201);
+        }
+        assert_eq!(reads.get(), pipeline.jobs_per_stage);
+    }
+}
