--- a/loadtest/src/users.rs
+++ b/loadtest/src/users/mod.rs
@@ -1,12 +1,15 @@
 //! Simulated users that follow the published user protocol. Users submit, poll and cancel
 //! jobs through a simulated load balancer that skips controllers that don't respond to `/ready`.
 
+mod job;
+
 use crate::control::{SimulatorCommand, Stats};
 use crate::history::{Event, Recorder, UserRequest};
 use crate::net::{now_us, Incoming, Link, Network};
 use crate::process::{ProcessConfig, Simulator};
 use crate::scenario::Scenario;
 use hdrhistogram::Histogram;
+use job::{Job, Outcome, Stage};
 use lilacfork::http::Response;
 use lilacfork::ids::JobId;
 use lilacfork::wire::users::{JobKind, READY_PATH, USER_JOBS_PATH};
@@ -19,11 +22,6 @@
 const SUBMIT_TIMEOUT_MS: u64 = 5000;
 /// The timeout of a query, as set by the user protocol.
 const POLL_TIMEOUT_MS: u64 = 2000;
-/// The interval between queries of a job, as set by the user protocol.
-const POLL_INTERVAL_US: u64 = 5_000_000;
-/// The delay before a failed submission or cancellation is repeated, as set by the user
-/// protocol.
-const RETRY_DELAY_US: u64 = 1_000_000;
 /// The interval between the health probes of a controller, and the timeout of a probe.
 const PROBE_INTERVAL_US: u64 = 250_000;
 const PROBE_TIMEOUT_MS: u64 = 1000;
@@ -36,93 +34,6 @@
 /// On average, one query in this many names a job that nobody submitted.
 const QUERIES_PER_UNKNOWN_JOB: u32 = 50;
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    Submitting,
-    Polling,
-    Cancelling,
-    Finished,
-}
-
-struct Job {
-    name: String,
-    controller: usize,
-    stage: Stage,
-    submitted_us: u64,
-    /// When the user cancels the job; `u64::MAX` if the user never does.
-    cancel_due_us: u64,
-    /// The state in the latest successful response to the user.
-    last_state: String,
-    /// The number of running tasks in the latest successful response to the user.
-    running: Option<u32>,
-    last_request_failed: bool,
-    /// Whether the query in flight names a job that nobody submitted.
-    queries_unknown: bool,
-}
-
-/// The outcome of a user's request.
-struct Outcome {
-    request: UserRequest,
-    /// The HTTP status; 0 if no response was received.
-    status: u16,
-    state: String,
-    running: Option<u32>,
-}
-
-impl Outcome {
-    fn is_success(&self) -> bool {
-        matches!(self.status, 200 | 201)
-    }
-}
-
-impl Job {
-    /// Returns the job name for a query. A suffix turns it into the name of a job that
-    /// nobody submitted, if the query is to name one.
-    fn queried_name(&self) -> String {
-        let suffix = if self.queries_unknown { "-never" } else { "" };
-        format!("{}{suffix}", self.name)
-    }
-
-    /// Reports whether a response belongs in the history. A response to a query that repeats
-    /// the previous one is left out, unless a request has failed in between.
-    fn must_record(&self, outcome: &Outcome) -> bool {
-        self.queries_unknown
-            || !outcome.is_success()
-            || self.last_request_failed
-            || outcome.state != self.last_state
-            || outcome.running != self.running
-            || outcome.request != UserRequest::Query
-    }
-
-    fn completion_event(&self, outcome: &Outcome) -> Event {
-        Event::RequestCompleted {
-            job: self.queried_name(),
-            request: outcome.request,
-            status: outcome.status,
-            state: outcome.state.clone(),
-            running: outcome.running,
-        }
-    }
-
-    /// Moves the job to its next stage, and returns the time of the next request.
-    fn advance(&mut self, outcome: &Outcome, now_us: u64) -> u64 {
-        let mut next_us = now_us + POLL_INTERVAL_US;
-        let is_final = matches!(outcome.state.as_str(), "done" | "cancelled");
-        match (outcome.request, outcome.is_success()) {
-            (UserRequest::Submit, true) => self.stage = Stage::Polling,
-            (UserRequest::Query, true) if is_final => self.stage = Stage::Finished,
-            (UserRequest::Cancel, true) => self.stage = Stage::Finished,
-            (UserRequest::Query, _) => {}
-            (_, false) if matches!(outcome.status, 400 | 404 | 422) => self.stage = Stage::Finished,
-            (_, false) => next_us = now_us + RETRY_DELAY_US,
-        }
-        if self.stage == Stage::Polling {
-            next_us = next_us.min(self.cancel_due_us.max(now_us + 1));
-        }
-        next_us
-    }
-}
-
 /// The results of one controller's health probes.
 #[derive(Clone, Copy)]
 struct Probe {
--- a/tests/integration/leadership.rs
+++ b/tests/integration/leadership.rs
@@ -1,6 +1,8 @@
 //! Leader election, handover of leadership, and failovers that must not lose tasks.
 
-use crate::simulation::fixtures::{full_zone, heal, isolate_node, released, running_cluster};
+use crate::simulation::fixtures::{
+    assert_zone_unaffected, full_zone, heal, isolate_node, running_cluster,
+};
 use crate::simulation::{array, service, Delivery, Simulation};
 use lilacfork::messages::Destination;
 use serde_json::json;
@@ -293,16 +295,7 @@
     assert_ne!(sim.leader(), Some(1));
     sim.partitions = vec![(1, "b".into())];
     sim.run_for(40_000);
-    assert_eq!(
-        sim.start_log.len(),
-        56,
-        "tasks were restarted: {:?}",
-        sim.start_log
-    );
-    assert!(
-        released(&sim, &names).is_empty(),
-        "machines were declared failed"
-    );
+    assert_zone_unaffected(&sim, &names);
     let late_redirects = sim
         .redirects
         .iter()
--- a/tests/integration/network_partitions.rs
+++ b/tests/integration/network_partitions.rs
@@ -2,8 +2,8 @@
 //! key-value store.
 
 use crate::simulation::fixtures::{
-    crosses_partition, full_zone, heal, isolate_zone, partition_zones, released, running_cluster,
-    set_unresponsive, zone_partitions,
+    assert_zone_unaffected, crosses_partition, full_zone, heal, isolate_zone, partition_zones,
+    released, running_cluster, set_unresponsive, zone_partitions,
 };
 use crate::simulation::{array, service, Delivery, Simulation};
 use lilacfork::messages::Destination;
@@ -171,16 +171,7 @@
         heal(&mut sim);
         sim.run_for(10_000);
         assert_eq!(sim.on_machines("run-1"), 56);
-        assert_eq!(
-            sim.start_log.len(),
-            56,
-            "tasks were restarted: {:?}",
-            sim.start_log
-        );
-        assert!(
-            released(&sim, &names).is_empty(),
-            "machines were declared failed"
-        );
+        assert_zone_unaffected(&sim, &names);
     }
 }
 
@@ -261,16 +252,7 @@
         "the resumed controller accepted a heartbeat or got none: {statuses:?}"
     );
     assert_eq!(sim.on_machines("run-1"), 56);
-    assert_eq!(
-        sim.start_log.len(),
-        56,
-        "tasks were restarted: {:?}",
-        sim.start_log
-    );
-    assert!(
-        released(&sim, &names).is_empty(),
-        "machines were declared failed"
-    );
+    assert_zone_unaffected(&sim, &names);
 }
 
 /// In an earlier version, a follower stored only as many of the machines whose leases it proxied
--- a/tests/integration/simulation/fixtures.rs
+++ b/tests/integration/simulation/fixtures.rs
@@ -90,6 +90,21 @@
         .collect()
 }
 
+/// Fails the test if a task of a [`full_zone`] was restarted, or one of its machines released.
+#[track_caller]
+pub fn assert_zone_unaffected(sim: &Simulation, names: &[String]) {
+    assert_eq!(
+        sim.start_log.len(),
+        56,
+        "tasks were restarted: {:?}",
+        sim.start_log
+    );
+    assert!(
+        released(sim, names).is_empty(),
+        "machines were declared failed"
+    );
+}
+
 /// Returns the index of the controller with a peer address such as `10.0.0.1:8081`.
 pub fn node_at(address: &str) -> usize {
     usize::from(address.as_bytes()[7] - b'1')
