Look up each named job once when a new leader has read all records

Change: it goes through the jobs that are named. A cancelled one cancels its dependents, one that isn't in the table is read, as before.

--- a/dependencies/src/graph.rs
+++ b/dependencies/src/graph.rs
@@ -112,6 +112,14 @@
             .is_some_and(|node| !node.dependents.is_empty())
     }
 
+    /// Returns all jobs on which any job has an open dependency.
+    pub fn jobs_with_dependents(&self) -> impl Iterator<Item = &JobId> {
+        self.nodes
+            .iter()
+            .filter(|(_, node)| !node.dependents.is_empty())
+            .map(|(job, _)| job)
+    }
+
     /// Returns the open dependencies of the job.
     pub fn open_dependencies_of(&self, job: &JobId) -> impl Iterator<Item = &JobId> {
         let node = self.nodes.find(job).into_iter();
--- a/dependencies/src/job_slab.rs
+++ b/dependencies/src/job_slab.rs
@@ -59,6 +59,12 @@
         self.get(self.index_of(job)?)
     }
 
+    /// Iterates over all entries in the order of their indexes.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&JobId, &T)> {
+        let entries = self.entries.iter().flatten();
+        entries.map(|(job, entry)| (job, entry))
+    }
+
     pub(crate) fn remove(&mut self, index: JobIndex) {
         let slot = self.entries.get_mut(index.position());
         if let Some((job, _)) = slot.and_then(Option::take) {
--- a/dependencies/src/propagation.rs
+++ b/dependencies/src/propagation.rs
@@ -218,6 +218,11 @@
         self.graph.has_dependents(job)
     }
 
+    /// Returns all jobs on which any job has an open dependency.
+    pub fn jobs_with_dependents(&self) -> impl Iterator<Item = &JobId> {
+        self.graph.jobs_with_dependents()
+    }
+
     /// Returns the open dependencies of the job.
     pub fn open_dependencies_of(&self, job: &JobId) -> impl Iterator<Item = &JobId> {
         self.graph.open_dependencies_of(job)
--- a/src/scheduler/dependencies/mod.rs
+++ b/src/scheduler/dependencies/mod.rs
@@ -97,8 +97,21 @@
                 self.on_dependencies_met(now, id);
             }
         }
-        for id in &blocked {
-            self.resolve_dependencies(now, id, false);
+        self.resolve_named_jobs(now);
+    }
+
+    /// Cancels the dependents of cancelled jobs, and schedules a read of the final records of
+    /// all dependencies that aren't among the leader's jobs. Looks up each job that is named
+    /// once, however many jobs name it.
+    fn resolve_named_jobs(&mut self, now: Now) {
+        let named = self.dependencies.urgency.jobs_with_dependents();
+        for id in named.cloned().collect::<Vec<JobId>>() {
+            self.dependencies.looked_up += 1;
+            match self.jobs.get(&id) {
+                Some(job) if job.cancelled_wall_ms.is_some() => self.cancel_dependents(now, &id),
+                Some(_) => {}
+                None => self.dependencies.unresolved.insert(&id, now),
+            }
         }
     }
 
