--- a/dependencies/tests/dependencies.rs
+++ b/dependencies/tests/dependencies.rs
@@ -4,7 +4,7 @@
 use lilacfork_common::ids::JobId;
 use lilacfork_dependencies::graph::DependencyGraph;
 use lilacfork_dependencies::propagation::StageUrgency;
-use lilacfork_dependencies::status::{DependencyStatus, Outcome, StatusIndex};
+use lilacfork_dependencies::status::{DependencyState, DependencyStatus, Outcome, StatusIndex};
 use lilacfork_dependencies::validation::{validate, DependencyError};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -136,6 +136,18 @@
                 DependencyStatus::NotCancelled
             };
             prop_assert_eq!(index.status(&id(n)), expected);
+            for dependency in dependencies {
+                let (state, further) = &jobs[dependency];
+                let all = transitive_dependencies(&jobs, further);
+                let names_cancelled = all.iter().any(|job| jobs[job].0 == JobState::Cancelled);
+                let expected = match state {
+                    JobState::Done => DependencyState::Done,
+                    JobState::Unread => DependencyState::Unknown,
+                    JobState::Unfinished if !names_cancelled => DependencyState::Unfinished,
+                    JobState::Unfinished | JobState::Cancelled => DependencyState::Cancelled,
+                };
+                prop_assert_eq!(index.state(dependency), expected);
+            }
         }
     }
 
--- a/tests/integration/dependency_costs.rs
+++ b/tests/integration/dependency_costs.rs
@@ -83,7 +83,6 @@
         let deadline_s = Some(LAST_DEADLINE_S);
         let last = pipeline_job("run-last", &self.last_stage(), 8.0, deadline_s);
         submit_to_any(sim, 0, &last);
-        sim.run_for(3000);
     }
 }
 
@@ -150,13 +149,7 @@
         let mut sim = cluster_with_long_tasks();
         pipeline.submit(&mut sim);
         let before = examined(&sim);
-        let last = pipeline_job(
-            "run-last",
-            &pipeline.last_stage(),
-            8.0,
-            Some(LAST_DEADLINE_S),
-        );
-        submit_to_any(&mut sim, 0, &last);
+        pipeline.submit_last(&mut sim);
         sim.run_for(3000);
         let examined = examined(&sim) - before;
         pipeline.assert_cost(examined, 1);
@@ -204,13 +197,7 @@
     for pipeline in PIPELINES {
         let mut sim = cluster_with_long_tasks();
         pipeline.submit(&mut sim);
-        let last = pipeline_job(
-            "run-last",
-            &pipeline.last_stage(),
-            8.0,
-            Some(LAST_DEADLINE_S),
-        );
-        submit_to_any(&mut sim, 0, &last);
+        pipeline.submit_last(&mut sim);
         sim.run_for(3000);
         let before = examined(&sim);
         assert_eq!(sim.cancel(1, "run-00000").1, "cancelled");
@@ -230,13 +217,7 @@
         let mut sim = running_cluster(3);
         sim.task_duration_ms = 60_000;
         pipeline.submit(&mut sim);
-        let last = pipeline_job(
-            "run-last",
-            &pipeline.last_stage(),
-            8.0,
-            Some(LAST_DEADLINE_S),
-        );
-        submit_to_any(&mut sim, 0, &last);
+        pipeline.submit_last(&mut sim);
         sim.run_for(3000);
         let before = examined(&sim);
         sim.task_duration_ms = 1000;
@@ -254,13 +235,7 @@
     for pipeline in PIPELINES {
         let mut sim = cluster_with_long_tasks();
         pipeline.submit(&mut sim);
-        let last = pipeline_job(
-            "run-last",
-            &pipeline.last_stage(),
-            8.0,
-            Some(LAST_DEADLINE_S),
-        );
-        submit_to_any(&mut sim, 0, &last);
+        pipeline.submit_last(&mut sim);
         sim.run_for(1000);
         let killed = sim.leader().expect("a leader is elected");
         sim.kill(killed);
@@ -286,7 +261,7 @@
         pipeline.submit(&mut sim);
         let before = examined(&sim);
         pipeline.submit_last(&mut sim);
-        sim.run_for(120_000);
+        sim.run_for(123_000);
         let cost = examined(&sim) - before;
         assert!(
             cost >= pipeline.names(),
