Readiness: a peer's report counts for the time it speaks of

Seen (virtual time, the load balancer of the protocol): an outage of the key-value store for all that begins between two calls removes controllers that are as good as any; outages or cuts of 5 s that come and go remove them again and again, with pauses up to 48 s; with calls that take up to 4 s, all three controllers are removed for 1,232 of 12,000 s.

Cause: a heartbeat's kv_reachable says that the sender's latest call succeeded, which may be seconds ago, and counted as access at the moment of arrival: reports from before an outage, or held back by a partition for a minute, were proof that the peer reached the store now. A response to a watch, which stays open in an outage, counted as access too.

Change: a heartbeat says when it was sent and how long ago the store last responded to the sender and last failed. A controller is behind if a peer's last response is three heartbeat intervals later than its own; it stays ready for 4 intervals if that peer has had no failure, 14 otherwise, and at least 3 after the peer reaches the store again. It stays unready while the reason applies. src/node/readiness.rs decides, src/node/store_report.rs reads the reports; changes are logged. Older versions ignore the new fields; from them only kv_reachable counts.

controller_is_not_ready_if_it_alone_cannot_reach_kv_store moved here from network_partitions.rs, letter for letter.

--- a/src/kv_client.rs
+++ b/src/kv_client.rs
@@ -210,6 +210,7 @@
     write_rps: f64,
     last_success_ms: Option<u64>,
     last_failure_ms: Option<u64>,
+    last_call_response_ms: Option<u64>,
     sent_writes: DecayingWrites,
     last_call_id: u64,
     stats: CallStats,
@@ -228,6 +229,7 @@
             write_rps,
             last_success_ms: None,
             last_failure_ms: None,
+            last_call_response_ms: None,
             sent_writes: DecayingWrites::default(),
             last_call_id: 0,
             stats: CallStats::default(),
@@ -283,10 +285,17 @@
         }
     }
 
-    /// Returns the monotonic time of the store's last response other than 503; `None` if
-    /// there was none.
-    pub fn last_success_ms(&self) -> Option<u64> {
-        self.last_success_ms
+    /// Returns the monotonic time of the store's last response, other than 503, to a call
+    /// that isn't a watch; `None` if there was none. A response to a watch doesn't show that
+    /// the store serves calls in time.
+    pub fn last_call_response_ms(&self) -> Option<u64> {
+        self.last_call_response_ms
+    }
+
+    /// Returns the monotonic time of the latest failure of a call that isn't a watch: a 503
+    /// response, or none in time. `None` if no call has failed.
+    pub fn last_failure_ms(&self) -> Option<u64> {
+        self.last_failure_ms
     }
 
     /// Returns the counts of calls sent since the previous invocation, and resets them.
@@ -342,7 +351,7 @@
         let call = self.in_flight.remove(&id)?;
         let response = match result {
             Ok((429, _)) => {
-                self.last_success_ms = Some(now.ms);
+                self.record_success(now, &call);
                 self.drain_tokens(now, &call);
                 if now.ms < call.expires_ms {
                     self.queues[call.priority as usize].push_front(call);
@@ -355,7 +364,7 @@
                 KvResponse::NotExecuted
             }
             Ok((status, body)) => {
-                self.last_success_ms = Some(now.ms);
+                self.record_success(now, &call);
                 KvResponse::Status(status, body)
             }
             Err(error) => {
@@ -371,6 +380,13 @@
         Some((call.tag, response))
     }
 
+    fn record_success(&mut self, now: Now, call: &KvCall<T>) {
+        self.last_success_ms = Some(now.ms);
+        if call.call.destination != Destination::KvWatch {
+            self.last_call_response_ms = Some(now.ms);
+        }
+    }
+
     /// Empties the token bucket whose rate a 429 response reports as exceeded.
     fn drain_tokens(&mut self, now: Now, call: &KvCall<T>) {
         if call.writes > 0 {
--- a/src/node/event_handler.rs
+++ b/src/node/event_handler.rs
@@ -126,6 +126,7 @@
         let pause_ms = self.peers.heartbeat_interval_ms() * PAUSE_DETECTION_HEARTBEATS;
         let paused = self.last_event_ms > 0 && now.ms > self.last_event_ms + pause_ms;
         self.last_event_ms = now.ms;
+        self.started_ms.get_or_insert(now.ms);
         if !paused || self.peers.is_empty() {
             return;
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -16,7 +16,9 @@
 mod peer_heartbeats;
 mod peers;
 mod rate_shares;
+mod readiness;
 mod requests;
+mod store_report;
 mod turn;
 mod worker_heartbeats;
 
@@ -39,6 +41,7 @@
 use limits::LimitsTracker;
 use outgoing_calls::OutgoingCalls;
 use peers::Peers;
+use readiness::Readiness;
 use std::rc::Rc;
 
 /// Version of this program, reported to peers in heartbeats and to operators in the
@@ -79,8 +82,11 @@
     heartbeat_forwarder: HeartbeatForwarder,
     /// Routes of the workers' heartbeats, used while this controller leads.
     heartbeat_routes: HeartbeatRoutes,
+    /// When this process handled its first event; `None` before that.
+    started_ms: Option<u64>,
     /// When this process last handled an event; used to detect that it was paused.
     last_event_ms: u64,
+    readiness: Readiness,
     /// Purpose of the last event, for usage accounting.
     purpose: Purpose,
 }
@@ -148,7 +154,9 @@
             lease_proxy: LeaseProxy::default(),
             heartbeat_forwarder: HeartbeatForwarder::new(site.workers.heartbeat_s),
             heartbeat_routes: HeartbeatRoutes::new(worker_lease_ms(&settings)),
+            started_ms: None,
             last_event_ms: 0,
+            readiness: Readiness::default(),
             purpose: Purpose::Other,
             scheduler: Scheduler::new(settings.clone(), tuning),
             settings,
--- a/src/node/peer_heartbeats.rs
+++ b/src/node/peer_heartbeats.rs
@@ -3,6 +3,7 @@
 //! heartbeats that followers have responded to.
 
 use super::outgoing_calls::OutgoingCall;
+use super::store_report::ReportBounds;
 use super::{Node, VERSION};
 use crate::election::Role;
 use crate::ids::{JobId, Term};
@@ -55,8 +56,12 @@
     fn record_peer_status(&mut self, now: Now, sender: Option<usize>, heartbeat: &PeerHeartbeat) {
         let follows_this_controller = heartbeat.leader == self.settings.node_name
             && Term(heartbeat.term) == self.election.known_term();
+        let report_bounds = ReportBounds {
+            max_clock_skew_ms: self.settings.site.max_clock_skew_ms as u64,
+            interruption_ms: self.peers.unresponsive_after_ms(),
+        };
         if let Some(peer) = sender.and_then(|index| self.peers.get_mut(index)) {
-            peer.record_heartbeat(now, heartbeat, follows_this_controller);
+            peer.record_heartbeat(now, heartbeat, report_bounds, follows_this_controller);
         }
     }
 
@@ -236,10 +241,8 @@
         };
         self.peers.clear_pending_cancellations();
         PeerHeartbeat {
-            node: self.settings.node_name.clone(),
             leader,
             term: self.election.known_term().0,
-            kv_reachable: self.kv.reachable(),
             unreachable: self.handover.reports_unreachable() || self.unreachable_by_workers(now),
             job_progress: self.changed_progress(now),
             announced: self.peers.take_announcements(),
@@ -249,6 +252,21 @@
             worker_heartbeats: Vec::new(),
             announced_limits_apply: self.limits.announced_apply(),
             version: VERSION.to_string(),
+            ..self.message_header(now)
+        }
+    }
+
+    /// Returns a message with only the fields that every message to a peer has: the sender,
+    /// the time, and the sender's access to the key-value store.
+    pub(super) fn message_header(&self, now: Now) -> PeerHeartbeat {
+        let age_ms = |event_ms: u64| now.ms.saturating_sub(event_ms);
+        PeerHeartbeat {
+            node: self.settings.node_name.clone(),
+            kv_reachable: self.kv.reachable(),
+            sent_wall_ms: now.wall_ms,
+            store_response_age_ms: self.kv.last_call_response_ms().map(age_ms),
+            store_failure_age_ms: self.kv.last_failure_ms().map(age_ms),
+            ..PeerHeartbeat::default()
         }
     }
 
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -2,6 +2,7 @@
 //! them.
 
 use super::job_progress::SentProgress;
+use super::store_report::{ReportBounds, StoreReport};
 use crate::ids::{JobId, Term};
 use crate::messages::{Now, TaskProgress};
 use crate::settings::{PeerSettings, Settings};
@@ -25,6 +26,9 @@
     last_response_ms: Option<u64>,
     /// When the peer last reported that it reaches the key-value store.
     last_store_access_ms: Option<u64>,
+    /// What the peer last reported about its access to the key-value store; `None` before
+    /// its first heartbeat.
+    store_report: Option<StoreReport>,
     /// When the peer last reported that it leads. `None` if its last heartbeat named
     /// another leader or none.
     reported_leading_ms: Option<u64>,
@@ -50,6 +54,7 @@
             last_message_ms: None,
             last_response_ms: None,
             last_store_access_ms: None,
+            store_report: None,
             reported_leading_ms: None,
             reported_following_ms: None,
             reported_term: Term(0),
@@ -120,9 +125,17 @@
         &mut self,
         now: Now,
         heartbeat: &PeerHeartbeat,
+        report_bounds: ReportBounds,
         follows_this_controller: bool,
     ) {
         self.last_message_ms = Some(now.ms);
+        let report = StoreReport::read(now, heartbeat, report_bounds, self.store_report);
+        let is_latest = self
+            .store_report
+            .is_none_or(|latest| latest.sent_ms <= report.sent_ms);
+        if is_latest {
+            self.store_report = Some(report);
+        }
         if heartbeat.kv_reachable {
             self.last_store_access_ms = Some(now.ms);
         }
@@ -193,6 +206,14 @@
         self.peers.iter()
     }
 
+    /// Returns the latest reports of the peers about their access to the key-value store.
+    /// Peers that haven't sent a heartbeat have none.
+    pub(super) fn store_reports(&self) -> impl Iterator<Item = &StoreReport> {
+        self.peers
+            .iter()
+            .filter_map(|peer| peer.store_report.as_ref())
+    }
+
     pub(super) fn len(&self) -> usize {
         self.peers.len()
     }
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -1,6 +1,7 @@
 //! Routing of incoming requests: users, workers and the load balancer use the client
 //! listener; peers use the peer listener.
 
+use super::readiness::{StoreAccess, UnreadyReason};
 use super::Node;
 use crate::gateway::GatewayEffects;
 use crate::messages::{ConnectionId, Effect, Listener, Now, Reply, Request};
@@ -9,10 +10,6 @@
 use crate::wire::users::{READY_PATH, USER_JOBS_PATH};
 use crate::wire::workers::WORKER_HEARTBEAT_PATH;
 
-/// Number of heartbeat intervals without access to the key-value store after which a
-/// controller isn't ready, provided that a peer has had access within that time.
-const UNREADY_HEARTBEATS: u64 = 4;
-
 /// An endpoint of the client listener.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum ClientRoute<'a> {
@@ -129,29 +126,48 @@
         self.apply_gateway_effects(now, gateway_effects, effects);
     }
 
-    /// Returns the readiness response for the load balancer. While no controller reaches
-    /// the key-value store, all controllers stay ready: an immediate 503 response serves
-    /// users better than a load balancer that removes all controllers and is slow to add
-    /// them back. A controller is not ready if it can't reach the key-value store while a
-    /// peer can.
-    fn ready(&self, now: Now) -> Reply {
-        if !self.gateway.has_catalog() {
-            return Reply::retry_later(503, "machine types unknown yet", 1);
+    /// Returns the readiness response for the load balancer, and logs a change.
+    fn ready(&mut self, now: Now) -> Reply {
+        let access = self.store_access(now);
+        let has_catalog = self.gateway.has_catalog();
+        let previous = self.readiness.unready_reason();
+        let reason = self.readiness.probe(now, &access, has_catalog, &self.peers);
+        if reason != previous {
+            self.log_readiness(now, reason);
+        }
+        match reason {
+            Some(reason) => Reply::retry_later(503, &reason.to_string(), 1),
+            None => Reply::json(200, &self.limits.node_info()),
+        }
+    }
+
+    fn store_access(&self, now: Now) -> StoreAccess {
+        StoreAccess {
+            last_response_ms: self.kv.last_call_response_ms(),
+            latest_call_failed: !self.kv.reachable(),
+            started_ms: self.started_ms.unwrap_or(now.ms),
         }
-        let unready_ms = self.peers.heartbeat_interval_ms() * UNREADY_HEARTBEATS;
-        let store_unreachable = !self.kv.reachable()
-            && self
-                .kv
-                .last_success_ms()
-                .is_none_or(|success_ms| now.ms > success_ms + unready_ms);
-        let peer_reaches_store = self
+    }
+
+    fn log_readiness(&self, now: Now, reason: Option<UnreadyReason>) {
+        let Some(reason) = reason else {
+            log::info!("readiness changed ready=true");
+            return;
+        };
+        let last_response_ms = self.kv.last_call_response_ms();
+        let unresponsive_after_ms = self.peers.unresponsive_after_ms();
+        let heard = self
             .peers
             .iter()
-            .any(|peer| peer.reached_store_within(now, unready_ms));
-        if store_unreachable && peer_reaches_store {
-            return Reply::retry_later(503, "the state service can't be reached from here", 1);
-        }
-        Reply::json(200, &self.limits.node_info())
+            .filter(|peer| peer.sent_message_within(now, unresponsive_after_ms))
+            .count();
+        log::info!(
+            "readiness changed ready=false reason=\"{reason}\" store_silent_ms={} \
+             peers_heard={heard} peers={}",
+            now.ms
+                .saturating_sub(last_response_ms.or(self.started_ms).unwrap_or(now.ms)),
+            self.peers.len()
+        );
     }
 }
 
--- a/src/node/worker_heartbeats.rs
+++ b/src/node/worker_heartbeats.rs
@@ -154,10 +154,8 @@
             return;
         };
         let message = PeerHeartbeat {
-            node: self.settings.node_name.clone(),
-            kv_reachable: self.kv.reachable(),
             worker_heartbeats,
-            ..PeerHeartbeat::default()
+            ..self.message_header(now)
         };
         self.send_to_peer(now, leader, &message, effects);
     }
--- a/src/wire/peers.rs
+++ b/src/wire/peers.rs
@@ -53,6 +53,19 @@
     /// Version of the sender's program; versions before 0.2 don't send it.
     #[prost(string, tag = "14")]
     pub version: String,
+    /// When the heartbeat was sent, by the sender's wall clock in milliseconds since the Unix
+    /// epoch. 0: a version that sends neither this nor the next two fields.
+    #[prost(uint64, tag = "15")]
+    pub sent_wall_ms: u64,
+    /// Time since the key-value store last responded to the sender with a status other than
+    /// 503, watches excepted, in milliseconds. `None` if it hasn't responded to the sender's
+    /// process.
+    #[prost(uint64, optional, tag = "16")]
+    pub store_response_age_ms: Option<u64>,
+    /// Time since the sender's latest call to the key-value store that failed, watches
+    /// excepted, in milliseconds. `None` if none has failed.
+    #[prost(uint64, optional, tag = "17")]
+    pub store_failure_age_ms: Option<u64>,
 }
 
 /// Progress of a job, for the job state that a user sees.
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -21,6 +21,7 @@
 mod provisioning;
 mod randomized_faults;
 mod reactor;
+mod readiness;
 mod replica_groups;
 mod resource_limits;
 mod round_slices;
--- a/tests/integration/network_partitions.rs
+++ b/tests/integration/network_partitions.rs
@@ -62,32 +62,6 @@
     );
 }
 
-#[test]
-fn controller_is_not_ready_if_it_alone_cannot_reach_kv_store() {
-    let mut sim = running_cluster(3);
-    let ready = |sim: &mut Simulation, n| {
-        let user = sim.request(n, "GET", "/ready", json!(null));
-        sim.run_for(20);
-        sim.status_and_state(user).0
-    };
-    let isolated = (sim.leader().unwrap() + 1) % 3;
-    assert_eq!(ready(&mut sim, isolated), 200);
-    sim.fault_injector = Box::new(move |_, node, call| match call.destination {
-        Destination::KvStore | Destination::KvWatch if node == isolated => Delivery::RequestLost,
-        _ => Delivery::Normal,
-    });
-    sim.run_for(20_000);
-    assert_eq!(ready(&mut sim, isolated), 503);
-    sim.fault_injector = Box::new(|_, _, _| Delivery::Normal);
-    sim.kv_store.unavailable = true;
-    sim.run_for(20_000);
-    assert_eq!(
-        ready(&mut sim, (isolated + 1) % 3),
-        200,
-        "a controller is not ready although the key-value store is unavailable to all of them"
-    );
-}
-
 /// In an earlier version, a partition between zones ended every task in the zone without the
 /// leader, because the followers there redirected the workers to a leader that the workers
 /// couldn't reach.
--- a/tests/integration/simulation/fixtures.rs
+++ b/tests/integration/simulation/fixtures.rs
@@ -118,10 +118,39 @@
     kv_store_delivery: Delivery,
     lose_peer_calls: bool,
 ) {
+    let separated = if lose_peer_calls {
+        vec![isolated]
+    } else {
+        Vec::new()
+    };
+    cut_off(
+        sim,
+        Cut {
+            from_kv_store: vec![isolated],
+            kv_store_delivery,
+            separated,
+        },
+    );
+}
+
+/// A loss of connections by several controllers at once.
+pub struct Cut {
+    /// The controllers whose calls to the key-value store get `kv_store_delivery`.
+    pub from_kv_store: Vec<usize>,
+    pub kv_store_delivery: Delivery,
+    /// A group of controllers between which and the others calls are lost, in both directions.
+    /// Calls within the group are delivered.
+    pub separated: Vec<usize>,
+}
+
+/// Applies a cut, in place of all faults injected before.
+pub fn cut_off(sim: &mut Simulation, cut: Cut) {
     sim.fault_injector = Box::new(move |_, node, call| match &call.destination {
-        Destination::KvStore | Destination::KvWatch if node == isolated => kv_store_delivery,
+        Destination::KvStore | Destination::KvWatch if cut.from_kv_store.contains(&node) => {
+            cut.kv_store_delivery
+        }
         Destination::Peer(address)
-            if lose_peer_calls && (node == isolated || node_at(address) == isolated) =>
+            if cut.separated.contains(&node) != cut.separated.contains(&node_at(address)) =>
         {
             Delivery::RequestLost
         }
--- a/tests/integration/simulation/mod.rs
+++ b/tests/integration/simulation/mod.rs
@@ -13,6 +13,7 @@
 pub mod fixtures;
 mod jobs;
 pub mod kv_store;
+pub mod load_balancer;
 mod network;
 mod nodes;
 mod observation;
@@ -86,6 +87,8 @@
     /// How long pulling an image takes; 0 if images need no pull.
     pub image_pull_ms: u64,
     tuning: Tuning,
+    /// The number of controllers in the settings, if it differs from [`SETTINGS`].
+    configured_controllers: Option<usize>,
     /// Limits of the key-value store in the controllers' settings, if they differ from those in
     /// [`SETTINGS`].
     kv_store_limits: Option<KvStoreLimits>,
@@ -137,6 +140,16 @@
         Simulation::with(nodes, CORES, tuning, None)
     }
 
+    /// Creates a cluster of one or two controllers whose settings list no others.
+    pub fn with_few_controllers(nodes: usize) -> Simulation {
+        let mut simulation = Simulation::new(nodes);
+        simulation.configured_controllers = Some(nodes);
+        for node in 0..nodes {
+            simulation.start(node);
+        }
+        simulation
+    }
+
     fn with(
         nodes: usize,
         cores: f64,
@@ -167,6 +180,7 @@
             stagger_ms: 0,
             image_pull_ms: 0,
             tuning,
+            configured_controllers: None,
             kv_store_limits,
             failing_jobs: BTreeSet::new(),
             paused_until_ms: BTreeMap::new(),
--- a/tests/integration/simulation/nodes.rs
+++ b/tests/integration/simulation/nodes.rs
@@ -29,6 +29,10 @@
         if let Some(limits) = &self.kv_store_limits {
             settings.site.kv_store = limits.clone();
         }
+        if let Some(controllers) = self.configured_controllers {
+            let names: Vec<String> = (0..controllers).map(|node| format!("n-{node}")).collect();
+            settings.peers.retain(|peer| names.contains(&peer.name));
+        }
         self.nodes[node] = Some(Node::new(settings, self.tuning.clone(), incarnation));
         self.schedule_tick(node, self.now_ms + 1);
     }
