Readiness: silence of the store and the peers is no proof of an outage for all

Cause: /ready said 503 only while a peer reported access to the store. No report, whether because nobody had access, or because none arrived, left the controller ready. The same way a group that is cut off together took its own members' word for all, a minority stayed ready that had lost its peers first, and a new process was ready before it had heard from anyone.

Change: without the store, a controller is ready for as long as the evidence for an outage for all lasts. All peers heard and none with the store: without limit. At least half of the controllers heard, and the silent ones silent before the loss or with their own loss reported: 40 heartbeat intervals, since these words age. Otherwise (a minority, or peers lost together with the store) 10 intervals, longer than a restart takes; none for a process that has never reached the store.

--- a/src/node/readiness.rs
+++ b/src/node/readiness.rs
@@ -25,10 +25,18 @@
 /// has heard that a peer reaches it again. When an outage ends, calls that hang delay some
 /// controllers by their timeout.
 const CATCH_UP_HEARTBEATS: u64 = 3;
+/// Number of heartbeat intervals after which a controller isn't ready that may alone, or
+/// with a part of its peers, be cut off from the store. Exceeds the time in which a
+/// controller that has crashed is restarted.
+const ISOLATED_GRACE_HEARTBEATS: u64 = 10;
 /// Number of heartbeat intervals without a response of the store after which a controller
 /// isn't ready while its peers reach the store with interruptions. Gaps of that length are
 /// rare if the store is slow for all.
 const UNSTEADY_PEER_GRACE_HEARTBEATS: u64 = 14;
+/// Number of heartbeat intervals for which the absence of a peer that went down before or
+/// during an outage doesn't count against the outage.
+const ABSENT_PEER_GRACE_HEARTBEATS: u64 = 40;
+
 /// This controller's own access to the key-value store.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct StoreAccess {
@@ -57,6 +65,10 @@
     CatalogUnknown,
     /// A peer has reached the store since this controller last did.
     PeerReachesStore,
+    /// Neither the store nor enough peers are heard from.
+    Isolated,
+    /// Some peers have been silent for too long during what looks like an outage for all.
+    PeersAbsent,
 }
 
 impl fmt::Display for UnreadyReason {
@@ -64,6 +76,12 @@
         f.write_str(match self {
             UnreadyReason::CatalogUnknown => "machine types unknown yet",
             UnreadyReason::PeerReachesStore => "the state service can't be reached from here",
+            UnreadyReason::Isolated => {
+                "neither the state service nor enough controllers can be reached"
+            }
+            UnreadyReason::PeersAbsent => {
+                "the state service can't be reached and some controllers are silent"
+            }
         })
     }
 }
@@ -99,10 +117,11 @@
         has_catalog: bool,
         peers: &Peers,
     ) -> Option<UnreadyReason> {
-        let reason = if !has_catalog {
-            Some(UnreadyReason::CatalogUnknown)
-        } else if access.responded_recently(now, peers) {
-            None
+        // During an outage, a controller that has started without the machine types is as
+        // ready as the others, which is for the peers' reports to show.
+        let needs_catalog = access.responded_recently(now, peers) || peers.is_empty();
+        let reason = if needs_catalog {
+            (!has_catalog).then_some(UnreadyReason::CatalogUnknown)
         } else {
             self.reason_without_store(now, access, peers)
         };
@@ -116,7 +135,8 @@
         access: &StoreAccess,
         peers: &Peers,
     ) -> Option<UnreadyReason> {
-        let grace = grace_behind_peer(access, peers).unwrap_or(Grace::Unlimited);
+        let grace = grace_behind_peer(access, peers)
+            .unwrap_or_else(|| grace_without_store_anywhere(now, access, peers));
         match grace {
             Grace::Unlimited => None,
             Grace::Until(until_ms, reason) => {
@@ -167,3 +187,36 @@
     let responding_since_ms = report.responding_since_ms.unwrap_or(0);
     grace_until_ms.max(responding_since_ms + heartbeat_ms * CATCH_UP_HEARTBEATS)
 }
+
+/// Returns the grace period if no peer is known to have reached the store later than this
+/// controller.
+fn grace_without_store_anywhere(now: Now, access: &StoreAccess, peers: &Peers) -> Grace {
+    let heartbeat_ms = peers.heartbeat_interval_ms();
+    let unresponsive_after_ms = peers.unresponsive_after_ms();
+    let is_heard = |report: &&StoreReport| report.sent_within(now, unresponsive_after_ms);
+    let heard = peers.store_reports().filter(is_heard).count();
+    if heard == peers.len() {
+        return Grace::Unlimited;
+    }
+    let silent = || peers.store_reports().filter(|report| !is_heard(report));
+    let lost_ms = access.last_response_ms.unwrap_or(access.started_ms);
+    let last_word_ms = silent().map(|report| report.sent_ms).max();
+    let since_ms = last_word_ms.unwrap_or(0).max(lost_ms);
+    let controllers = peers.len() + 1;
+    let hears_half = 2 * (heard + 1) >= controllers;
+    // A peer whose last report claims access, and that fell silent when the store was lost,
+    // may be on the other side of a network partition and serve users there. One that was
+    // silent before, or that had lost the store too, has gone down.
+    let together_ms = heartbeat_ms * LATER_HEARTBEATS;
+    let lost_together =
+        silent().any(|report| report.reaches_store && report.sent_ms + together_ms >= lost_ms);
+    if hears_half && !lost_together {
+        let until_ms = since_ms + heartbeat_ms * ABSENT_PEER_GRACE_HEARTBEATS;
+        return Grace::Until(until_ms, UnreadyReason::PeersAbsent);
+    }
+    let until_ms = match access.last_response_ms {
+        Some(_) => since_ms + heartbeat_ms * ISOLATED_GRACE_HEARTBEATS,
+        None => access.started_ms,
+    };
+    Grace::Until(until_ms, UnreadyReason::Isolated)
+}
--- a/src/node/store_report.rs
+++ b/src/node/store_report.rs
@@ -1,5 +1,6 @@
 //! What a peer's heartbeats report about its access to the key-value store.
 
+use super::peers::is_within;
 use crate::messages::Now;
 use crate::wire::peers::PeerHeartbeat;
 
@@ -54,6 +55,11 @@
         }
     }
 
+    /// Returns whether the report was sent within this period.
+    pub(super) fn sent_within(&self, now: Now, period_ms: u64) -> bool {
+        is_within(Some(self.sent_ms), now, period_ms)
+    }
+
     /// Returns whether the peer had no failed call over this period, up to the report.
     pub(super) fn is_steady(&self, period_ms: u64) -> bool {
         self.without_failure_ms >= period_ms
--- a/tests/integration/readiness/cut_off.rs
+++ b/tests/integration/readiness/cut_off.rs
@@ -71,6 +71,80 @@
     }
 }
 
+/// In an earlier version, a controller that had lost the key-value store and all peers said that
+/// it was ready for as long as that lasted, because no peer said that it reached the store. The
+/// load balancer left its users there, and all their requests failed (review/3).
+#[test]
+fn controller_without_store_and_peers_is_not_ready() {
+    for store_fault in STORE_FAULTS {
+        for steps_from_leader in 0..3 {
+            let (mut sim, mut balancer) = balanced_cluster(3);
+            let cut = (sim.leader().unwrap() + steps_from_leader) % 3;
+            let cut_ms = sim.now_ms;
+            isolate_group(&mut sim, &[cut], store_fault);
+            balancer.run_for(&mut sim, CUT_MS);
+            assert_users_moved(&sim, &balancer, cut, cut_ms);
+            assert_never_removed(&balancer, others(&sim, &[cut]));
+            assert_recovery(&mut sim, &mut balancer);
+        }
+    }
+}
+
+/// A group that is cut off together, for example a zone, hears that none of it reaches the store.
+/// In an earlier version, that was taken for an outage for all.
+#[test]
+fn group_without_store_and_other_peers_is_not_ready() {
+    let groups: [(usize, &[usize]); 7] = [
+        (3, &[0, 1]),
+        (3, &[0, 2]),
+        (3, &[1, 2]),
+        (4, &[0, 1]),
+        (5, &[0, 1]),
+        (5, &[2, 3, 4]),
+        (7, &[0, 1, 2, 3, 4, 5]),
+    ];
+    for store_fault in STORE_FAULTS {
+        for (nodes, group) in groups {
+            let (mut sim, mut balancer) = balanced_cluster(nodes);
+            let cut_ms = sim.now_ms;
+            isolate_group(&mut sim, group, store_fault);
+            balancer.run_for(&mut sim, CUT_MS);
+            for node in group {
+                assert_users_moved(&sim, &balancer, *node, cut_ms);
+            }
+            assert_never_removed(&balancer, others(&sim, group));
+            assert_recovery(&mut sim, &mut balancer);
+        }
+    }
+}
+
+/// The silence of the peers began before, and says nothing about the store; but fewer than half of
+/// the controllers can't know that nobody serves.
+#[test]
+fn minority_that_loses_store_after_its_peers_is_not_ready() {
+    for store_fault in STORE_FAULTS {
+        for (nodes, group) in [(3, &[1][..]), (5, &[0, 1])] {
+            let (mut sim, mut balancer) = balanced_cluster(nodes);
+            let cut = |from_kv_store| Cut {
+                from_kv_store,
+                kv_store_delivery: store_fault,
+                separated: group.to_vec(),
+            };
+            cut_off(&mut sim, cut(Vec::new()));
+            balancer.run_for(&mut sim, 10_000);
+            assert_never_removed(&balancer, 0..nodes);
+            let cut_ms = sim.now_ms;
+            cut_off(&mut sim, cut(group.to_vec()));
+            balancer.run_for(&mut sim, CUT_MS);
+            for node in group {
+                assert_users_moved(&sim, &balancer, *node, cut_ms);
+            }
+            assert_never_removed(&balancer, others(&sim, group));
+            assert_recovery(&mut sim, &mut balancer);
+        }
+    }
+}
+
 /// While the store is slow for all, a controller that gets no response at all is cut off.
 #[test]
 fn controller_that_alone_loses_a_slow_store_is_not_ready() {
--- a/tests/integration/readiness/mod.rs
+++ b/tests/integration/readiness/mod.rs
@@ -4,6 +4,7 @@
 mod cut_off;
 mod outages;
 mod short_faults;
+mod starting;
 
 use crate::simulation::fixtures::{cut_off, heal, Cut};
 use crate::simulation::load_balancer::{LoadBalancer, Removal};
--- a/tests/integration/readiness/outages.rs
+++ b/tests/integration/readiness/outages.rs
@@ -107,6 +107,64 @@
     }
 }
 
+#[test]
+fn long_outage_with_a_controller_down_removes_each_controller_once() {
+    for store_fault in STORE_FAULTS {
+        let (mut sim, mut balancer) = balanced_cluster(3);
+        let down = (sim.leader().unwrap() + 1) % 3;
+        sim.kill(down);
+        balancer.run_for(&mut sim, 10_000);
+        let outage_ms = sim.now_ms;
+        start_outage(&mut sim, store_fault);
+        balancer.run_for(&mut sim, OUTAGE_MS);
+        for node in others(&sim, &[down]) {
+            let removals = balancer.removals(node);
+            assert_eq!(removals.len(), 1, "controller {node}: {removals:?}");
+            let removed_after_ms = removals[0].removed_ms - outage_ms;
+            assert!(
+                removed_after_ms >= ABSENT_PEER_GRACE_MS - 1000,
+                "controller {node} was removed after {removed_after_ms} ms"
+            );
+        }
+        sim.start(down);
+        assert_recovery(&mut sim, &mut balancer);
+        assert!(others(&sim, &[down])
+            .into_iter()
+            .all(|node| balancer.removals(node).len() == 1));
+    }
+}
+
+/// The reports of the other controllers, from before the cut, say that they have lost the store
+/// too. They don't count for ever.
+#[test]
+fn group_cut_off_during_an_outage_is_not_ready_for_long() {
+    for store_fault in STORE_FAULTS {
+        let (mut sim, mut balancer) = balanced_cluster(3);
+        let group = [0, 1];
+        start_outage(&mut sim, store_fault);
+        balancer.run_for(&mut sim, 10_000);
+        cut_off(
+            &mut sim,
+            Cut {
+                from_kv_store: vec![0, 1, 2],
+                kv_store_delivery: store_fault,
+                separated: group.to_vec(),
+            },
+        );
+        let cut_ms = sim.now_ms;
+        balancer.run_for(&mut sim, 5000);
+        sim.end_kv_store_outage();
+        isolate_group(&mut sim, &group, store_fault);
+        balancer.run_for(&mut sim, OUTAGE_MS);
+        for node in group {
+            let max_held_ms = ABSENT_PEER_GRACE_MS + 8000;
+            assert_users_moved_within(&sim, &balancer, node, cut_ms, max_held_ms);
+        }
+        assert_never_removed(&balancer, [2]);
+        assert_recovery(&mut sim, &mut balancer);
+    }
+}
+
 #[test]
 fn last_of_two_controllers_stays_ready_in_an_outage() {
     for store_fault in STORE_FAULTS {
