Redirect workers only to a leader that was read of or heard recently

Seen (virtual time): a follower loses the key-value store and its peers, then the leader goes down. No worker reaches the next leader for as long as both last: no task of eight runs after 20 s, and machines are provisioned and released one after another.

The follower answered workers with a redirect to the leader that it had last read of, however long ago; the workers' next try after that leader is the follower again.

Change: a leader record counts for one lease TTL after it was read, a heartbeat of a leader as before; without either a worker gets 503 and tries the next controller. A follower reads the record twice in a TTL, and its leader is heard four times in it.

--- a/src/election/mod.rs
+++ b/src/election/mod.rs
@@ -172,19 +172,22 @@
         self.next_step_ms = now.ms;
     }
 
-    /// Returns the peer that leads, as far as this controller knows; `None` if the leader
-    /// is unknown or is this controller.
-    pub fn other_leader(&self) -> Option<&str> {
+    /// Returns the peer whose leader record this controller has read within a lease TTL. A
+    /// leader that has ended since may have had a successor for any longer time.
+    pub fn other_leader(&self, now: Now) -> Option<&str> {
         match &self.role {
-            Role::Follower(record) => Some(&record.node),
-            Role::Unknown | Role::Leader { .. } => None,
+            Role::Follower(record) if self.has_read_within(now, 1) => Some(&record.node),
+            Role::Follower(_) | Role::Unknown | Role::Leader { .. } => None,
         }
     }
 
     /// Returns whether this controller follows a leader whose record it has read recently.
     pub fn follows_recorded_leader(&self, now: Now) -> bool {
-        let recent_until_ms = self.last_read_ms + self.lease_ttl_ms * RECENT_READ_TTLS;
-        matches!(self.role, Role::Follower(_)) && now.ms < recent_until_ms
+        matches!(self.role, Role::Follower(_)) && self.has_read_within(now, RECENT_READ_TTLS)
+    }
+
+    fn has_read_within(&self, now: Now, lease_ttls: u64) -> bool {
+        now.ms < self.last_read_ms + self.lease_ttl_ms * lease_ttls
     }
 
     /// Returns whether, according to the term record, a leader has found that the store's
--- a/src/node/worker_heartbeats.rs
+++ b/src/node/worker_heartbeats.rs
@@ -160,14 +160,15 @@
         self.send_to_peer(now, leader, &message, effects);
     }
 
-    /// Redirects a worker to the leader of the latest known term. A peer that reports
+    /// Redirects a worker to the leader of the latest known term, or lets it try the next
+    /// controller if nothing recent says who leads. A peer that reports
     /// that it leads may have a later term than the leader record that this controller
     /// last read. A worker redirected to a leader that has just handed over because
     /// workers can't reach it would lose its lease.
     fn redirect_to_leader(&self, now: Now) -> Reply {
         let recorded = self
             .election
-            .other_leader()
+            .other_leader(now)
             .map(|node| (self.election.known_term(), node));
         let reported = self
             .peers
--- a/tests/integration/fault_interactions/leader_changes.rs
+++ b/tests/integration/fault_interactions/leader_changes.rs
@@ -1,7 +1,7 @@
 //! Leader changes combined with cancellations, quotas, slow writes or unreachable machines.
 
 use super::change_leader;
-use crate::simulation::fixtures::{full_zone, heal, running_cluster};
+use crate::simulation::fixtures::{full_zone, heal, isolate_node, running_cluster};
 use crate::simulation::{array, service, Delivery, Simulation, LEASE_MS};
 use lilacfork::messages::Destination;
 use serde_json::json;
@@ -302,3 +302,28 @@
         }
     }
 }
+
+/// In an earlier version, a follower without the key-value store and peers redirected workers to
+/// the leader that it had last read of, however long ago. That leader was down, the follower was
+/// the next one that the workers tried, and so they reached no other controller.
+#[test]
+fn workers_reach_new_leader_past_isolated_follower() {
+    for kv_store_delivery in [Delivery::Rejected, Delivery::RequestLost] {
+        for restarted in [false, true] {
+            let mut sim = running_cluster(3);
+            assert_eq!(sim.submit(0, &service("run-1", 8)), 201);
+            sim.run_for(3000);
+            let leader = sim.leader().unwrap();
+            isolate_node(&mut sim, (leader + 1) % 3, kv_store_delivery, true);
+            sim.run_for(500);
+            sim.kill(leader);
+            if restarted {
+                sim.run_for(25_000);
+                sim.start(leader);
+            }
+            sim.run_for(45_000);
+            let running = sim.on_machines("run-1");
+            assert_eq!(running, 8, "not all tasks run: {:?}", sim.start_log);
+        }
+    }
+}
