--- a/src/kv_client.rs
+++ b/src/kv_client/mod.rs
@@ -2,13 +2,19 @@
 //! buckets (requests and writes) limit the rate at which the client sends them. Each
 //! call has one of three results: a status, not executed, or an indeterminate outcome.
 
-use crate::ids::Revision;
+mod call;
+mod call_stats;
+mod requests;
+
+pub use call::{CallPriority, KvCall, KvResponse};
+pub use call_stats::CallStats;
+pub use requests::{get, lease_grant, lease_renew, lease_revoke, list, read_changes, txn, watch};
+
 use crate::limits::StoreLimits;
 use crate::messages::{Call, CallError, CallResult, Destination, Now};
 use crate::token_bucket::TokenBucket;
-use crate::wire::kv::{Txn, TxnResponse};
+use call_stats::PRIORITY_COUNT;
 use std::collections::{HashMap, VecDeque};
-use std::fmt;
 
 /// The number of writes that the write token bucket allows at once.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -19,57 +25,6 @@
     pub burst: usize,
 }
 
-/// The order in which calls are sent when tokens are short.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
-pub enum CallPriority {
-    /// Leader election, and calls on which leadership and worker leases depend.
-    Leadership,
-    /// Users' cancellations.
-    Cancel,
-    /// Users' submissions, and the reads that they need.
-    Submission,
-    /// The leader's placements, and the reads that they need.
-    Placement,
-    /// Calls that may be delayed, such as queries and cleanup.
-    Background,
-}
-
-const PRIORITY_COUNT: usize = CallPriority::Background as usize + 1;
-
-/// Names of the priorities in log lines, in the order of the variants.
-const PRIORITY_NAMES: [&str; PRIORITY_COUNT] = [
-    "leadership",
-    "cancel",
-    "submission",
-    "placement",
-    "background",
-];
-
-/// Counts of calls sent to the key-value store and of their writes, by priority.
-#[derive(Clone, Default, PartialEq, Eq, Debug)]
-pub struct CallStats {
-    calls: [u64; PRIORITY_COUNT],
-    writes: [u64; PRIORITY_COUNT],
-}
-
-impl CallStats {
-    fn record(&mut self, priority: CallPriority, writes: usize) {
-        self.calls[priority as usize] += 1;
-        self.writes[priority as usize] += writes as u64;
-    }
-}
-
-impl fmt::Display for CallStats {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, name) in PRIORITY_NAMES.iter().enumerate() {
-            let separator = if index > 0 { " " } else { "" };
-            let (calls, writes) = (self.calls[index], self.writes[index]);
-            write!(f, "{separator}{name}={calls}/{writes}")?;
-        }
-        Ok(())
-    }
-}
-
 /// Time constant of the exponential moving average of the write rate.
 const WRITE_RATE_TIME_CONSTANT_MS: f64 = 2000.0;
 
@@ -77,106 +32,6 @@
 /// headroom, so that bursts don't exceed the store's limit.
 const ALLOCATED_WRITE_SHARE: f64 = 0.9;
 
-/// A call to the key-value store, with its place in the client's queues.
-#[derive(Clone, Debug)]
-pub struct KvCall<T> {
-    /// The queue that the call waits in.
-    pub priority: CallPriority,
-    /// The HTTP request.
-    pub call: Call,
-    /// Write operations of the call, each of which takes a write token.
-    pub writes: usize,
-    /// Monotonic time at which a call that hasn't been sent is removed from its queue.
-    pub expires_ms: u64,
-    /// The caller's context, returned with the response.
-    pub tag: T,
-}
-
-impl<T> KvCall<T> {
-    /// Creates a call without writes that expires in the queue after its own timeout.
-    pub fn new(now: Now, priority: CallPriority, call: Call, tag: T) -> Self {
-        KvCall {
-            priority,
-            expires_ms: now.ms + call.timeout_ms,
-            call,
-            writes: 0,
-            tag,
-        }
-    }
-
-    /// Creates the call of a transaction that expires in the queue after `timeout_ms`.
-    pub fn transaction(
-        now: Now,
-        priority: CallPriority,
-        transaction: &Txn,
-        timeout_ms: u64,
-        tag: T,
-    ) -> Self {
-        let (call, writes) = txn(transaction, timeout_ms);
-        KvCall {
-            writes,
-            ..KvCall::new(now, priority, call, tag)
-        }
-    }
-
-    /// Returns the call with another time of expiry in the queue.
-    pub fn expiring_at(self, expires_ms: u64) -> Self {
-        KvCall { expires_ms, ..self }
-    }
-
-    /// Returns the call with its tag converted.
-    pub fn map_tag<U>(self, convert: impl FnOnce(T) -> U) -> KvCall<U> {
-        KvCall {
-            priority: self.priority,
-            call: self.call,
-            writes: self.writes,
-            expires_ms: self.expires_ms,
-            tag: convert(self.tag),
-        }
-    }
-}
-
-/// The result of a call to the key-value store.
-#[derive(Clone, Debug, PartialEq)]
-pub enum KvResponse {
-    /// The store responded with this status and body.
-    Status(u16, Vec<u8>),
-    /// The store did not execute the call: it rejected the call (503, or 429 after the call
-    /// expired), or the call wasn't sent.
-    NotExecuted,
-    /// The outcome is indeterminate: the store may have executed the call or may still
-    /// execute it.
-    Indeterminate,
-}
-
-impl KvResponse {
-    /// Parses the JSON body of a response with this status. Returns `None` for any other
-    /// result and for a malformed body.
-    pub fn parse_body<T: serde::de::DeserializeOwned>(&self, status: u16) -> Option<T> {
-        match self {
-            KvResponse::Status(actual, body) if *actual == status => {
-                serde_json::from_slice(body).ok()
-            }
-            _ => None,
-        }
-    }
-
-    /// Returns the HTTP status, or `None` if the store didn't respond.
-    pub fn status(&self) -> Option<u16> {
-        match self {
-            KvResponse::Status(status, _) => Some(*status),
-            _ => None,
-        }
-    }
-
-    /// Returns the revision at which the transaction was committed, or `None` if no
-    /// commit was reported.
-    pub fn committed_revision(&self) -> Option<Revision> {
-        self.parse_body::<TxnResponse>(200)
-            .map(|response| Revision(response.revision))
-    }
-}
-
 /// An exponentially decaying count of writes, which estimates the write rate.
 #[derive(Clone, Copy, Default, Debug)]
 struct DecayingWrites {
@@ -396,76 +251,3 @@
         }
     }
 }
-
-/// Creates a call that reads one key.
-pub fn get(key: &str, timeout_ms: u64) -> Call {
-    read_request(Destination::KvStore, format!("/kv/{key}"), timeout_ms)
-}
-
-/// Creates a call that reads a page of the keys under a prefix, with their values. `after`
-/// is the last key of the previous page; `None` for the first page.
-pub fn list(prefix: &str, after: Option<&str>, timeout_ms: u64) -> Call {
-    let after = after.map(|key| format!("&from={key}")).unwrap_or_default();
-    let path = format!("/kv?under={prefix}{after}&limit=500");
-    read_request(Destination::KvStore, path, timeout_ms)
-}
-
-/// Creates a watch: a call that waits up to `wait_ms` for changes under a prefix after
-/// a revision.
-pub fn watch(prefix: &str, after: Revision, wait_ms: u64, timeout_ms: u64) -> Call {
-    let path = format!("/follow?under={prefix}&from={after}&waitMs={wait_ms}");
-    read_request(Destination::KvWatch, path, timeout_ms)
-}
-
-/// Creates a watch that doesn't wait: a call that reads the changes under a prefix since
-/// a revision.
-pub fn read_changes(prefix: &str, after: Revision, timeout_ms: u64) -> Call {
-    let path = format!("/follow?under={prefix}&from={after}");
-    read_request(Destination::KvStore, path, timeout_ms)
-}
-
-/// Creates the call of a transaction. Returns it with its number of writes.
-pub fn txn(txn: &Txn, timeout_ms: u64) -> (Call, usize) {
-    // Serialization can't fail: keys are strings and numbers are finite.
-    let body = serde_json::to_vec(txn).unwrap_or_default();
-    let call = write_request("POST", "/txn".into(), body, timeout_ms);
-    (call, txn.writes.len())
-}
-
-/// Creates a call that requests a lease.
-pub fn lease_grant(ttl_ms: u64, timeout_ms: u64) -> Call {
-    let body = format!("{{\"ttlMs\":{ttl_ms}}}").into_bytes();
-    write_request("POST", "/leases".into(), body, timeout_ms)
-}
-
-/// Creates a call that renews a lease.
-pub fn lease_renew(lease: u64, timeout_ms: u64) -> Call {
-    let path = format!("/leases/{lease}/touch");
-    write_request("POST", path, Vec::new(), timeout_ms)
-}
-
-/// Creates a call that revokes a lease.
-pub fn lease_revoke(lease: u64, timeout_ms: u64) -> Call {
-    let path = format!("/leases/{lease}");
-    write_request("DELETE", path, Vec::new(), timeout_ms)
-}
-
-fn read_request(destination: Destination, path: String, timeout_ms: u64) -> Call {
-    Call {
-        destination,
-        method: "GET",
-        path,
-        body: Vec::new(),
-        timeout_ms,
-    }
-}
-
-fn write_request(method: &'static str, path: String, body: Vec<u8>, timeout_ms: u64) -> Call {
-    Call {
-        destination: Destination::KvStore,
-        method,
-        path,
-        body,
-        timeout_ms,
-    }
-}
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -1,7 +1,7 @@
 //! Voluntary handover of leadership. A leader hands over if its workers can't reach it,
 //! or if the controller that workers would try next is unresponsive.
 
-use super::peers::Peer;
+use super::peer::Peer;
 use super::Node;
 use crate::messages::{Effect, Now};
 
--- a/src/node/lease_proxy.rs
+++ b/src/node/lease_proxy.rs
@@ -2,7 +2,7 @@
 //! from the leader. A lease proxy never starts tasks.
 
 use super::kv_responses::KvCallOwner;
-use super::peers::is_within;
+use super::peer::is_within;
 use super::Node;
 use crate::election::Role;
 use crate::ids::{AgentEpoch, FencingToken, Term};
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,6 +13,7 @@
 mod lease_proxy;
 mod limits;
 mod outgoing_calls;
+mod peer;
 mod peer_heartbeats;
 mod peers;
 mod rate_shares;
--- a/src/node/store_report.rs
+++ b/src/node/store_report.rs
@@ -1,6 +1,6 @@
 //! What a peer's heartbeats report about its access to the key-value store.
 
-use super::peers::is_within;
+use super::peer::is_within;
 use crate::messages::Now;
 use crate::wire::peers::PeerHeartbeat;
 
