Readiness: share the set-up and the final assertions of the tests; one definition of "heard"

The cases of cut-off controllers had the same set-up and the same three assertions each; the last one now also asserts that no other controller was removed. Log line and decision take the heard peers from the same place.

--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -59,6 +59,21 @@
         self.peers.iter().filter_map(Peer::store_report)
     }
 
+    /// Returns the reports of the peers that are heard: those whose latest report was sent
+    /// within [`Peers::unresponsive_after_ms`].
+    pub(super) fn heard(&self, now: Now) -> impl Iterator<Item = &StoreReport> {
+        let period_ms = self.unresponsive_after_ms();
+        self.store_reports()
+            .filter(move |report| report.sent_within(now, period_ms))
+    }
+
+    /// Returns the last reports of the peers that were heard once and aren't any more.
+    pub(super) fn fallen_silent(&self, now: Now) -> impl Iterator<Item = &StoreReport> {
+        let period_ms = self.unresponsive_after_ms();
+        self.store_reports()
+            .filter(move |report| !report.sent_within(now, period_ms))
+    }
+
     pub(super) fn len(&self) -> usize {
         self.peers.len()
     }
--- a/src/node/readiness.rs
+++ b/src/node/readiness.rs
@@ -43,7 +43,7 @@
     /// When the store last responded to a call other than a watch; `None` if it hasn't
     /// responded to this process.
     pub(super) last_response_ms: Option<u64>,
-    /// Whether the latest call failed.
+    /// Whether the latest call failed, or none has succeeded yet.
     pub(super) latest_call_failed: bool,
     /// When this process handled its first event.
     pub(super) started_ms: u64,
@@ -191,14 +191,12 @@
 /// Returns the grace period if no peer is known to have reached the store later than this
 /// controller.
 fn grace_without_store_anywhere(now: Now, access: &StoreAccess, peers: &Peers) -> Grace {
-    let heartbeat_ms = peers.heartbeat_interval_ms();
-    let unresponsive_after_ms = peers.unresponsive_after_ms();
-    let is_heard = |report: &&StoreReport| report.sent_within(now, unresponsive_after_ms);
-    let heard = peers.store_reports().filter(is_heard).count();
+    let heard = peers.heard(now).count();
     if heard == peers.len() {
         return Grace::Unlimited;
     }
-    let silent = || peers.store_reports().filter(|report| !is_heard(report));
+    let silent = || peers.fallen_silent(now);
+    let heartbeat_ms = peers.heartbeat_interval_ms();
     let lost_ms = access.last_response_ms.unwrap_or(access.started_ms);
     let last_word_ms = silent().map(|report| report.sent_ms).max();
     let since_ms = last_word_ms.unwrap_or(0).max(lost_ms);
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -154,18 +154,12 @@
             log::info!("readiness changed ready=true");
             return;
         };
-        let last_response_ms = self.kv.last_call_response_ms();
-        let unresponsive_after_ms = self.peers.unresponsive_after_ms();
-        let heard = self
-            .peers
-            .iter()
-            .filter(|peer| peer.sent_message_within(now, unresponsive_after_ms))
-            .count();
+        let last_response_ms = self.kv.last_call_response_ms().or(self.started_ms);
         log::info!(
             "readiness changed ready=false reason=\"{reason}\" store_silent_ms={} \
-             peers_heard={heard} peers={}",
-            now.ms
-                .saturating_sub(last_response_ms.or(self.started_ms).unwrap_or(now.ms)),
+             peers_heard={} peers={}",
+            now.ms.saturating_sub(last_response_ms.unwrap_or(now.ms)),
+            self.peers.heard(now).count(),
             self.peers.len()
         );
     }
--- a/tests/integration/readiness/cut_off.rs
+++ b/tests/integration/readiness/cut_off.rs
@@ -55,18 +55,9 @@
             let (mut sim, mut balancer) = balanced_cluster(3);
             let cut = (sim.leader().unwrap() + steps_from_leader) % 3;
             let cut_ms = sim.now_ms;
-            cut_off(
-                &mut sim,
-                Cut {
-                    from_kv_store: vec![cut],
-                    kv_store_delivery: store_fault,
-                    separated: Vec::new(),
-                },
-            );
+            lose_store(&mut sim, &[cut], store_fault);
             balancer.run_for(&mut sim, CUT_MS);
-            assert_users_moved(&sim, &balancer, cut, cut_ms);
-            assert_never_removed(&balancer, others(&sim, &[cut]));
-            assert_recovery(&mut sim, &mut balancer);
+            assert_only_users_moved_of(&mut sim, &mut balancer, &[cut], cut_ms);
         }
     }
 }
@@ -83,9 +74,7 @@
             let cut_ms = sim.now_ms;
             isolate_group(&mut sim, &[cut], store_fault);
             balancer.run_for(&mut sim, CUT_MS);
-            assert_users_moved(&sim, &balancer, cut, cut_ms);
-            assert_never_removed(&balancer, others(&sim, &[cut]));
-            assert_recovery(&mut sim, &mut balancer);
+            assert_only_users_moved_of(&mut sim, &mut balancer, &[cut], cut_ms);
         }
     }
 }
@@ -109,11 +98,7 @@
             let cut_ms = sim.now_ms;
             isolate_group(&mut sim, group, store_fault);
             balancer.run_for(&mut sim, CUT_MS);
-            for node in group {
-                assert_users_moved(&sim, &balancer, *node, cut_ms);
-            }
-            assert_never_removed(&balancer, others(&sim, group));
-            assert_recovery(&mut sim, &mut balancer);
+            assert_only_users_moved_of(&mut sim, &mut balancer, group, cut_ms);
         }
     }
 }
@@ -136,11 +121,7 @@
             let cut_ms = sim.now_ms;
             cut_off(&mut sim, cut(group.to_vec()));
             balancer.run_for(&mut sim, CUT_MS);
-            for node in group {
-                assert_users_moved(&sim, &balancer, *node, cut_ms);
-            }
-            assert_never_removed(&balancer, others(&sim, group));
-            assert_recovery(&mut sim, &mut balancer);
+            assert_only_users_moved_of(&mut sim, &mut balancer, group, cut_ms);
         }
     }
 }
@@ -162,9 +143,7 @@
                 _ => Delivery::Normal,
             });
             balancer.run_for(&mut sim, 20_000 + CUT_MS);
-            assert_users_moved(&sim, &balancer, cut, cut_ms);
-            assert_never_removed(&balancer, others(&sim, &[cut]));
-            assert_recovery(&mut sim, &mut balancer);
+            assert_only_users_moved_of(&mut sim, &mut balancer, &[cut], cut_ms);
         }
     }
 }
@@ -177,21 +156,13 @@
         let (mut sim, mut balancer) = balanced_cluster(3);
         let cut = (sim.leader().unwrap() + 1) % 3;
         let cut_ms = sim.now_ms;
-        cut_off(
-            &mut sim,
-            Cut {
-                from_kv_store: vec![cut],
-                kv_store_delivery: store_fault,
-                separated: Vec::new(),
-            },
-        );
+        lose_store(&mut sim, &[cut], store_fault);
         balancer.run_for(&mut sim, 10_000);
         isolate_group(&mut sim, &[cut], store_fault);
         for _ in 0..60 {
             balancer.run_for(&mut sim, 1000);
             assert!(!balancer.is_ready(cut), "ready at {} ms", sim.now_ms);
         }
-        assert_users_moved(&sim, &balancer, cut, cut_ms);
-        assert_recovery(&mut sim, &mut balancer);
+        assert_only_users_moved_of(&mut sim, &mut balancer, &[cut], cut_ms);
     }
 }
--- a/tests/integration/readiness/mod.rs
+++ b/tests/integration/readiness/mod.rs
@@ -37,22 +37,26 @@
     (sim, balancer)
 }
 
-/// Starts an outage of the key-value store for all controllers, in which calls have this
-/// delivery.
-fn start_outage(sim: &mut Simulation, kv_store_delivery: Delivery) {
-    sim.kv_store.unavailable = true;
-    let from_kv_store = (0..sim.nodes.len()).collect();
-    let separated = Vec::new();
+/// Cuts a group of controllers off from the key-value store, but not from other controllers.
+fn lose_store(sim: &mut Simulation, group: &[usize], kv_store_delivery: Delivery) {
     cut_off(
         sim,
         Cut {
-            from_kv_store,
+            from_kv_store: group.to_vec(),
             kv_store_delivery,
-            separated,
+            separated: Vec::new(),
         },
     );
 }
 
+/// Starts an outage of the key-value store for all controllers, in which calls have this
+/// delivery.
+fn start_outage(sim: &mut Simulation, kv_store_delivery: Delivery) {
+    sim.kv_store.unavailable = true;
+    let all: Vec<usize> = (0..sim.nodes.len()).collect();
+    lose_store(sim, &all, kv_store_delivery);
+}
+
 fn end_outage(sim: &mut Simulation) {
     heal(sim);
     sim.end_kv_store_outage();
@@ -70,13 +74,24 @@
     );
 }
 
-/// Fails the test unless the connections of a controller were reset within the aim after
-/// `since_ms`, and it has been removed just once.
+/// Fails the test unless the connections of each controller in a group, and of no other, were
+/// reset within the aim after `cut_ms`, and all controllers are back once the faults end.
 #[track_caller]
-fn assert_users_moved(sim: &Simulation, balancer: &LoadBalancer, node: usize, since_ms: u64) {
-    assert_users_moved_within(sim, balancer, node, since_ms, MAX_HELD_MS);
+fn assert_only_users_moved_of(
+    sim: &mut Simulation,
+    balancer: &mut LoadBalancer,
+    group: &[usize],
+    cut_ms: u64,
+) {
+    for node in group {
+        assert_users_moved_within(sim, balancer, *node, cut_ms, MAX_HELD_MS);
+    }
+    assert_never_removed(balancer, others(sim, group));
+    assert_recovery(sim, balancer);
 }
 
+/// Fails the test unless the connections of a controller were reset within `max_ms` after
+/// `since_ms`, and it has been removed just once.
 #[track_caller]
 fn assert_users_moved_within(
     sim: &Simulation,
--- a/tests/integration/readiness/outages.rs
+++ b/tests/integration/readiness/outages.rs
@@ -45,14 +45,7 @@
             start_outage(&mut sim, store_fault);
             balancer.run_for(&mut sim, 20_000 + phase_ms);
             sim.end_kv_store_outage();
-            cut_off(
-                &mut sim,
-                Cut {
-                    from_kv_store: vec![late],
-                    kv_store_delivery: store_fault,
-                    separated: Vec::new(),
-                },
-            );
+            lose_store(&mut sim, &[late], store_fault);
             balancer.run_for(&mut sim, 1500);
             heal(&mut sim);
             balancer.run_for(&mut sim, 10_000);
