--- a/src/election/mod.rs
+++ b/src/election/mod.rs
@@ -19,6 +19,9 @@
 /// How long this controller doesn't claim leadership after it has handed leadership over,
 /// so that others can, in lease TTLs.
 const YIELD_TTLS: u64 = 2;
+/// How long a read of the leader record shows who leads, in lease TTLs. A leader that has
+/// ended can have a successor after one.
+const LEADER_READ_TTLS: u64 = 1;
 /// How long a read of the leader record counts as recent, in lease TTLs.
 const RECENT_READ_TTLS: u64 = 4;
 /// The delay between stepping down and the next read of the records.
@@ -172,11 +175,13 @@
         self.next_step_ms = now.ms;
     }
 
-    /// Returns the peer whose leader record this controller has read within a lease TTL. A
-    /// leader that has ended since may have had a successor for any longer time.
+    /// Returns the peer that leads, as far as this controller knows from a read of its leader
+    /// record within a lease TTL; `None` if the leader is unknown or is this controller.
     pub fn other_leader(&self, now: Now) -> Option<&str> {
         match &self.role {
-            Role::Follower(record) if self.has_read_within(now, 1) => Some(&record.node),
+            Role::Follower(record) if self.has_read_within(now, LEADER_READ_TTLS) => {
+                Some(&record.node)
+            }
             Role::Follower(_) | Role::Unknown | Role::Leader { .. } => None,
         }
     }
--- a/src/node/store_report.rs
+++ b/src/node/store_report.rs
@@ -17,7 +17,7 @@
 /// The latest report of a peer. All times are on this controller's monotonic clock.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct StoreReport {
-    /// When the report was sent, at the earliest.
+    /// When the report was sent, at the latest.
     pub(super) sent_ms: u64,
     /// Whether the peer's latest call succeeded.
     pub(super) reaches_store: bool,
--- a/tests/integration/readiness/starting.rs
+++ b/tests/integration/readiness/starting.rs
@@ -1,6 +1,13 @@
 //! Controllers that have just started and have never reached the key-value store.
 
 use super::*;
+use crate::simulation::settings;
+use lilacfork::messages::{ConnectionId, Effect, Listener, Now, Request};
+use lilacfork::node::Node;
+use lilacfork::reactor::Handler;
+use lilacfork::tuning::Tuning;
+use lilacfork::wire::peers::{encode_heartbeat, PeerHeartbeat, PEER_PATH};
+use lilacfork::wire::users::READY_PATH;
 
 /// All controllers are restarted one after the other during an outage. In an earlier version, each
 /// of them was unready from then on if the cloud was unavailable too, since it didn't know the
@@ -64,3 +71,63 @@
         }
     }
 }
+
+/// Sends a request to a controller and returns the status of its reply.
+fn status(
+    node: &mut Node,
+    now: Now,
+    listener: Listener,
+    method: &str,
+    path: &str,
+    body: Vec<u8>,
+) -> u16 {
+    let request = Request {
+        method: method.into(),
+        path: path.into(),
+        body,
+    };
+    let mut effects = Vec::new();
+    node.request(now, ConnectionId(1), listener, request, &mut effects);
+    let reply = effects.into_iter().find_map(|effect| match effect {
+        Effect::Reply(_, reply) => Some(reply),
+        Effect::Call(..) => None,
+    });
+    reply.expect("a reply").status
+}
+
+/// Earlier versions say only whether they reach the store. Their heartbeats count from their
+/// arrival.
+#[test]
+fn heartbeats_of_earlier_versions_are_evidence_too() {
+    for (reachable, expected) in [(false, 200), (true, 503)] {
+        let mut node = Node::new(settings("n-0", 3), Tuning::default(), 1);
+        let now = Now {
+            ms: 1000,
+            wall_ms: 1_000_000,
+        };
+        let ready =
+            |node: &mut Node| status(node, now, Listener::Client, "GET", READY_PATH, Vec::new());
+        assert_eq!(
+            ready(&mut node),
+            503,
+            "ready before it has heard from anyone"
+        );
+        for peer in ["n-1", "n-2"] {
+            let heartbeat = PeerHeartbeat {
+                node: peer.into(),
+                kv_reachable: reachable,
+                ..PeerHeartbeat::default()
+            };
+            let body = encode_heartbeat(&heartbeat);
+            assert_eq!(
+                status(&mut node, now, Listener::Peer, "POST", PEER_PATH, body),
+                200
+            );
+        }
+        assert_eq!(
+            ready(&mut node),
+            expected,
+            "peers reach the store: {reachable}"
+        );
+    }
+}
