--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -3,7 +3,7 @@
 use crate::base::{sleep_s, Record, J};
 use crate::cloud::{Cloud, CloudSpec, MachineType};
 use crate::control::{ask, Controllers, Site};
-use crate::state::{watch_leader, State, CUT, OPEN};
+use crate::state::{watch_leader, State, CUT, OPEN, REFUSES};
 use crate::worker::{Job, Jobs};
 use std::collections::HashMap;
 use std::path::Path;
@@ -338,7 +338,8 @@
 
 pub fn run(case: &str, trouble: bool, root: &Path, folder: &Path, record: Arc<Record>) -> Outcome {
     match case {
-        "stale-return" => stale_return(trouble, root, folder, record),
+        "paused-return" => paused_return(trouble, root, folder, record),
+        "large-changes" => large_changes(trouble, root, folder, record),
         "lost-progress" => lost_progress(trouble, root, folder, record),
         "taken-machine" => taken_machine(trouble, root, folder, record),
         "sick-machine" => sick_machine(trouble, root, folder, record),
@@ -347,65 +348,72 @@
     }
 }
 
-/// A leader that is cut from the state service and from its peers is replaced, and
-/// returns a machine that the next leader uses.
-fn stale_return(trouble: bool, root: &Path, folder: &Path, record: Arc<Record>) -> Outcome {
+/// A leader that is about to return an idle machine, while the cloud's interface is down,
+/// stands still; the next leader uses the machine; the old one goes on.
+fn paused_return(trouble: bool, root: &Path, folder: &Path, record: Arc<Record>) -> Outcome {
     let world = World::new(
         repair_shop(),
-        vec![bench_machine(8.0, 6.0)],
+        vec![bench_machine(8.0, 1.0)],
         root,
         folder,
         record.clone(),
     );
-    let first = 2;
+    let (first, other) = (2, 0);
     world.begin(first)?;
-    // The new worker reports to another controller than the present leader first.
-    let other = (first + 1) % 3;
-    world.cloud.set_first_node(other);
-    world.submit(other, &counter("run-000101", None))?;
-    let rented = || !world.cloud.deeds.lock().unwrap().is_empty();
-    if !world.wait(10.0, rented) {
-        return Err("no machine was rented".to_string());
+    world.cloud.set_first_node(first);
+    let zone = "est-laval";
+    world
+        .cloud
+        .set_capacity(&[("est-laval", 1, 0), ("ouest-verdun", 0, 0)]);
+    world.cloud.rent(0, zone, false, 1);
+    world.cloud.age(300.0);
+    if !world.wait(10.0, || world.cloud.workers().len() == 1) {
+        return Err("no machine is up".to_string());
     }
-    sleep_s(1.0);
+    sleep_s(2.5);
+    let job = "run-000601";
+    let deeds = || world.cloud.deeds.lock().unwrap().len();
+    let mut resumed_s = f64::MAX;
     if trouble {
-        world.cut_off(first);
-    }
-    let cut_s = record.now();
-    // When each controller was last seen as the leader.
-    let mut replaced_s = None;
-    let mut asked_s = 0.0;
-    while record.now() < cut_s + 28.0 {
-        if replaced_s.is_none() && world.leader().is_some_and(|leader| leader != first) {
-            replaced_s = Some(record.now());
+        world.cloud.down_at_return.store(true, Ordering::SeqCst);
+        let asked = || world.cloud.refused_returns.load(Ordering::SeqCst) > 0;
+        if !world.wait(30.0, asked) {
+            return Err("the leader didn't try to return the machine".to_string());
         }
-        if record.now() > asked_s + 5.0 {
-            asked_s = record.now();
-            world.query(other, "run-000101");
+        let paused_s = record.now();
+        world.controllers.pause(first);
+        if !world.wait(10.0, || {
+            world.leader().is_some_and(|leader| leader != first)
+        }) {
+            return Err("no other controller was elected".to_string());
         }
-        sleep_s(0.02);
-    }
-    if trouble {
-        world.heal(first);
+        world.submit(other, &counter(job, Some(zone)))?;
+        if !world.wait(12.0, || world.on_machines(job) == 1) {
+            return Err("the next leader didn't start the job".to_string());
+        }
+        world.cloud.set_down(false);
+        sleep_s(paused_s + 20.0 - record.now());
+        resumed_s = record.now();
+        world.controllers.resume(first);
+        sleep_s(6.0);
+    } else {
+        // The leader returns the machine, and rents one for the job.
+        world.wait(30.0, || deeds() > 0);
+        world.submit(other, &counter(job, Some(zone)))?;
+        if !world.wait(15.0, || world.on_machines(job) == 1) {
+            return Err("the job didn't start".to_string());
+        }
+        sleep_s(6.0);
     }
-    sleep_s(3.0);
-    world.controllers.add_log_lines(&[
-        "leader ",
-        "order placed",
-        "machine up",
-        "machine unresponsive",
-        "machine released",
-        "task running",
-    ]);
+    world.query(other, job);
+    world
+        .controllers
+        .add_log_lines(&["leader", "order placed", "machine ", "task running"]);
     let name = world.controllers.nodes[first].name.clone();
-    if trouble && replaced_s.is_none() {
-        return Err("no other controller was elected".to_string());
-    }
-    let replaced_s = replaced_s.unwrap_or(f64::MAX);
     let deeds = world.cloud.deeds.lock().unwrap().clone();
     let stale: Vec<String> = deeds
         .iter()
-        .filter(|deed| deed.node == name && deed.at_s > replaced_s + 1.0)
+        .filter(|deed| deed.node == name && deed.at_s >= resumed_s)
         .map(|deed| {
             format!(
                 "{:.1} s: {} {}",
@@ -420,16 +428,142 @@
         broken: !stale.is_empty(),
         text: if trouble {
             format!(
-                "{name} was replaced at {replaced_s:.1} s; what it rented or returned later than 1 s after that: [{}]; tasks on machines when they were returned: [{}]",
+                "{name}, which had been replaced, went on at {resumed_s:.1} s; what it rented or returned then: [{}]; tasks on machines when they were returned: [{}]",
                 stale.join("; "),
                 lost.join(" ")
             )
         } else {
-            format!("{name} led throughout; deeds: {}", deeds.len())
+            format!(
+                "{name} led throughout; tasks on machines when they were returned: [{}]",
+                lost.join(" ")
+            )
         },
     })
 }
 
+/// The state service refuses one controller for a while, in which many large job records
+/// are written; afterwards this controller can't read the changes that it missed.
+fn large_changes(trouble: bool, root: &Path, folder: &Path, record: Arc<Record>) -> Outcome {
+    let world = World::new(
+        repair_shop(),
+        vec![bench_machine(40.0, 1.0)],
+        root,
+        folder,
+        record.clone(),
+    );
+    let (first, refused) = (0, 1);
+    world.begin(first)?;
+    world.cloud.set_first_node(first);
+    let zone = "est-laval";
+    world
+        .cloud
+        .set_capacity(&[("est-laval", 1, 0), ("ouest-verdun", 0, 0)]);
+    world.cloud.rent(0, zone, false, 1);
+    // Two users, each with one job; the balancer has led one of them to the controller that
+    // will be refused, the other to the leader. Connections stay where they are.
+    let (known, second) = ("run-000701", "run-000702");
+    world.submit(refused, &counter(known, Some(zone)))?;
+    world.submit(first, &counter(second, Some(zone)))?;
+    if !world.wait(15.0, || {
+        world.on_machines(known) + world.on_machines(second) == 2
+    }) {
+        return Err("the services didn't start".to_string());
+    }
+    if !matches!(world.query(refused, known), Some((200, _))) {
+        return Err("the controller doesn't answer".to_string());
+    }
+    if trouble {
+        world.state.links[refused].store(REFUSES, Ordering::SeqCst);
+        let name = &world.controllers.nodes[refused].name;
+        record.add(format!("the state service refuses {name}"));
+    }
+    let began_s = record.now();
+    // Users submit jobs that name many machine types, each some 31 KB.
+    let written = std::sync::atomic::AtomicUsize::new(0);
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        for user in 0..16 {
+            let (world, written, next, record) = (&world, &written, &next, &record);
+            scope.spawn(move || {
+                while record.now() < began_s + 18.0 && written.load(Ordering::SeqCst) < 260 {
+                    let number = 800 + next.fetch_add(1, Ordering::SeqCst);
+                    let body = large_job(number);
+                    let node = &world.controllers.nodes[if user % 2 == 0 { 0 } else { 2 }];
+                    let timeout = std::time::Duration::from_secs(5);
+                    let answer =
+                        crate::base::call(&node.client, "POST", "/v2/runs", &body, timeout);
+                    match answer {
+                        Ok((201 | 200, _)) => {
+                            written.fetch_add(1, Ordering::SeqCst);
+                        }
+                        _ => sleep_s(1.0),
+                    }
+                }
+            });
+        }
+    });
+    let written = written.load(Ordering::SeqCst);
+    record.add(format!(
+        "users: {written} jobs of {} bytes each were accepted",
+        large_job(800).len()
+    ));
+    if written < 230 {
+        return Err("too few jobs were accepted in the time".to_string());
+    }
+    if trouble {
+        world.state.links[refused].store(OPEN, Ordering::SeqCst);
+        let name = &world.controllers.nodes[refused].name;
+        record.add(format!("the state service serves {name} again"));
+    }
+    let back_s = record.now();
+    let (mut failed, mut answered, mut others, mut ready, mut probes) = (0, 0, 0, 0, 0);
+    let mut last_answer_s = back_s;
+    while record.now() < back_s + 92.0 && record.now() < 115.0 {
+        probes += 1;
+        ready += usize::from(world.controllers.ready(refused));
+        match world.query(refused, known) {
+            Some((200, _)) => {
+                answered += 1;
+                last_answer_s = record.now();
+            }
+            _ => failed += 1,
+        }
+        others += usize::from(matches!(world.query(first, second), Some((200, _))));
+        if answered > 3 {
+            break;
+        }
+        sleep_s(5.0);
+    }
+    let silent_s = record.now() - last_answer_s;
+    Ok(Verdict {
+        broken: answered == 0 && silent_s >= 90.0,
+        text: format!(
+            "{written} jobs accepted in {:.0} s; afterwards {failed} polls of the user at this controller failed and {answered} were answered, of another user's {others} were answered; {ready} of {probes} probes said ready; last answer {silent_s:.0} s ago",
+            back_s - began_s
+        ),
+    })
+}
+
+fn large_job(number: usize) -> String {
+    let types: Vec<String> = (0..195)
+        .map(|i| format!("\"banc-{i:03}-{}\"", "x".repeat(145)))
+        .collect();
+    let run = Run {
+        id: "run-large",
+        class: "tri-fiches",
+        kind: "array",
+        rank: "idle",
+        run_s: Some(30.0),
+        ..counter("run-large", Some("ouest-verdun"))
+    };
+    run.body()
+        .replace("run-large", &format!("run-{number:06}"))
+        .replace(
+            "\"gammes\":null",
+            &format!("\"gammes\":[\"banc-costaud\",{}]", types.join(",")),
+        )
+}
+
 /// A controller that missed one heartbeat of the leader tells users for ever what it
 /// knew before.
 fn lost_progress(trouble: bool, root: &Path, folder: &Path, record: Arc<Record>) -> Outcome {
--- a/review/rig-2/cloud.rs
+++ b/review/rig-2/cloud.rs
@@ -5,7 +5,7 @@
 use crate::worker::{Jobs, Worker, WorkerSpec};
 use std::collections::HashMap;
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -69,6 +69,10 @@
     pub quiet_workers: AtomicBool,
     /// The tasks that were on machines when these were returned.
     pub lost: Mutex<Vec<String>>,
+    /// Whether the interface goes down at the next request to return machines.
+    pub down_at_return: AtomicBool,
+    /// How many requests to return machines were refused because the interface was down.
+    pub refused_returns: AtomicU32,
 }
 
 impl Cloud {
@@ -90,6 +94,8 @@
             capacity: Mutex::new(Vec::new()),
             quiet_workers: AtomicBool::new(false),
             lost: Mutex::new(Vec::new()),
+            down_at_return: AtomicBool::new(false),
+            refused_returns: AtomicU32::new(0),
         });
         let mut addresses = Vec::new();
         for node in 0..nodes {
@@ -130,6 +136,25 @@
             .collect()
     }
 
+    /// Makes the machines count as rented that much earlier.
+    pub fn age(&self, seconds: f64) {
+        let mut machines = self.machines.lock().unwrap();
+        for machine in machines.iter_mut() {
+            if let Some(earlier) = machine.rented.checked_sub(Duration::from_secs_f64(seconds)) {
+                machine.rented = earlier;
+            }
+        }
+    }
+
+    /// Sets whether the cloud's interface is down for all.
+    pub fn set_down(&self, down: bool) {
+        for link in &self.links {
+            link.store(if down { REFUSES } else { OPEN }, Ordering::SeqCst);
+        }
+        let text = if down { "is down" } else { "is back" };
+        self.record.add(format!("the cloud's interface {text}"));
+    }
+
     /// Rents machines as the platform does for those that are up at the start.
     pub fn rent(&self, machine_type: usize, zone: &str, spot: bool, count: usize) -> Vec<String> {
         let mut machines = self.machines.lock().unwrap();
@@ -206,8 +231,24 @@
 
     fn on_link(&self, node: usize, request: &Req) -> Answer {
         let link = &self.links[node];
+        let returns = request.path == "/machines/release";
+        if returns && self.down_at_return.swap(false, Ordering::SeqCst) {
+            self.set_down(true);
+        }
         match link.load(Ordering::SeqCst) {
-            REFUSES => return reply(503, "{\"error\":\"trouble\"}"),
+            REFUSES => {
+                if returns {
+                    let node = self.node_name(node);
+                    let names = request
+                        .json()
+                        .get("bancs")
+                        .map_or(String::new(), J::to_text);
+                    self.record
+                        .add(format!("cloud: {node} asks to return {names}: 503, down"));
+                    self.refused_returns.fetch_add(1, Ordering::SeqCst);
+                }
+                return reply(503, "{\"error\":\"trouble\"}");
+            }
             CUT => {
                 while link.load(Ordering::SeqCst) == CUT {
                     std::thread::sleep(Duration::from_millis(20));
