--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -143,6 +143,12 @@
         free
     }
 
+    /// Returns whether the machine's worker is expected to send heartbeats: the machine has
+    /// booted, and its release wasn't requested.
+    pub fn expects_heartbeats(&self) -> bool {
+        matches!(self.phase, MachinePhase::Up | MachinePhase::Draining)
+    }
+
     /// Returns whether tasks may be assigned to the machine, provided that its worker sends
     /// heartbeats.
     pub fn is_schedulable(&self) -> bool {
--- a/src/scheduler/provisioning/scale_in.rs
+++ b/src/scheduler/provisioning/scale_in.rs
@@ -73,10 +73,7 @@
         let mut idle: Vec<IdleMachine> = self
             .fleet
             .iter()
-            .filter(|machine| {
-                matches!(machine.phase, MachinePhase::Up | MachinePhase::Draining)
-                    && machine.tasks.is_empty()
-            })
+            .filter(|machine| machine.expects_heartbeats() && machine.tasks.is_empty())
             .filter_map(|machine| {
                 Some(IdleMachine {
                     idle_since_ms: machine.idle_since_ms?,
--- a/src/scheduler/workers/failure_detection.rs
+++ b/src/scheduler/workers/failure_detection.rs
@@ -63,7 +63,7 @@
     }
 }
 
-/// The result of checking a machine that is up.
+/// The result of checking a machine whose worker is expected to send heartbeats.
 #[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
 struct MachineAssessment {
     /// Why the machine is to be declared failed, if it is.
@@ -87,7 +87,7 @@
         let mut failed = self.overdue_boots(now);
         let mut draining = Vec::new();
         for machine in self.fleet.iter() {
-            if machine.phase != MachinePhase::Up {
+            if !machine.expects_heartbeats() {
                 continue;
             }
             let Some(zone) = zones.get(&machine.offer.zone) else {
@@ -113,7 +113,7 @@
         self.refresh_unresponsive_machines(now);
     }
 
-    /// Checks a machine that is up.
+    /// Checks a machine whose worker is expected to send heartbeats.
     fn assess_machine(&self, now: Now, machine: &Machine, zone: &ZoneHealth) -> MachineAssessment {
         let starts_ignored = machine
             .starts_ignored_since_ms
--- a/src/scheduler/workers/lease_proxies.rs
+++ b/src/scheduler/workers/lease_proxies.rs
@@ -1,7 +1,6 @@
 //! Lease proxying: followers renew workers' leases for the leader and record the renewals in the
 //! key-value store, from which the leader reads them.
 
-use crate::fleet::MachinePhase;
 use crate::ids::MachineId;
 use crate::kv_client::{self, CallPriority, KvResponse};
 use crate::messages::Now;
@@ -38,7 +37,7 @@
     ) {
         let unresponsive_after_ms = self.heartbeat_interval_ms() * POLL_AFTER_HEARTBEATS;
         let any_unresponsive = self.fleet.iter().any(|machine| {
-            machine.phase == MachinePhase::Up
+            machine.expects_heartbeats()
                 && now.ms > machine.last_heartbeat_ms + unresponsive_after_ms
         });
         if !any_unresponsive
--- a/src/scheduler/workers/zone_health.rs
+++ b/src/scheduler/workers/zone_health.rs
@@ -2,7 +2,6 @@
 //! machines of a zone are unresponsive at the same time, the cause is probably not a fault of
 //! the machines.
 
-use crate::fleet::MachinePhase;
 use crate::messages::Now;
 use crate::scheduler::Scheduler;
 use std::collections::BTreeMap;
@@ -27,16 +26,17 @@
     pub(super) timeouts_start_ms: u64,
 }
 
-/// The number of machines of a zone that are up, and how many of these are unresponsive.
+/// The number of machines of a zone that are expected to send heartbeats, and how many of these
+/// are unresponsive.
 #[derive(Clone, Copy, Default)]
 struct ZoneMachines {
-    up: u32,
+    expected: u32,
     unresponsive: u32,
 }
 
 impl ZoneMachines {
     fn mostly_unresponsive(self) -> bool {
-        self.unresponsive * 2 > self.up && self.unresponsive >= MIN_UNRESPONSIVE_MACHINES
+        self.unresponsive * 2 > self.expected && self.unresponsive >= MIN_UNRESPONSIVE_MACHINES
     }
 }
 
@@ -46,7 +46,7 @@
         (self.lease_ms() as f64 * self.tuning.silent_leases) as u64
     }
 
-    /// Returns the health of each zone with machines that are up. If most machines of a zone are
+    /// Returns the health of each zone with machines that are expected to send heartbeats. If most machines of a zone are
     /// unresponsive, the cause is more likely a network partition or a fault of this controller,
     /// and releasing all of them would do the most damage. After such a period the machines
     /// resume their heartbeats one by one, so the period isn't counted against the last ones.
@@ -72,10 +72,10 @@
         let unresponsive_after_ms = self.lease_ms() / 2;
         let mut zones: BTreeMap<Rc<str>, ZoneMachines> = BTreeMap::new();
         for machine in self.fleet.iter() {
-            if machine.phase == MachinePhase::Up {
+            if machine.expects_heartbeats() {
                 let counts = zones.entry(machine.offer.zone.clone()).or_default();
                 let unresponsive = now.ms > machine.last_heartbeat_ms + unresponsive_after_ms;
-                counts.up += 1;
+                counts.expected += 1;
                 counts.unresponsive += u32::from(unresponsive);
             }
         }
@@ -142,25 +142,23 @@
         let mut machines = self
             .fleet
             .iter()
-            .filter(|machine| {
-                machine.phase == MachinePhase::Up && reports_here(&machine.offer.zone)
-            })
+            .filter(|machine| machine.expects_heartbeats() && reports_here(&machine.offer.zone))
             .peekable();
         machines.peek().is_some()
             && machines.all(|machine| now.ms > machine.last_heartbeat_ms + unreachable_after_ms)
     }
 
     /// Returns whether this leader has received recent heartbeats from at least half of a zone's
-    /// machines that are up, or the zone has no such machines.
+    /// machines that are expected to send them, or the zone has no such machines.
     pub fn receives_heartbeats_from_zone(&self, now: Now, zone: &str) -> bool {
         let recent_since_ms = now.ms.saturating_sub(self.lease_ms() / 2);
-        let (mut up, mut responsive) = (0, 0);
+        let (mut expected, mut responsive) = (0, 0);
         for machine in self.fleet.iter() {
-            if machine.phase == MachinePhase::Up && &*machine.offer.zone == zone {
-                up += 1;
+            if machine.expects_heartbeats() && &*machine.offer.zone == zone {
+                expected += 1;
                 responsive += usize::from(machine.last_heartbeat_ms >= recent_since_ms);
             }
         }
-        responsive * 2 >= up
+        responsive * 2 >= expected
     }
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -26,5 +26,6 @@
 mod resource_limits;
 mod round_slices;
 mod traces;
+mod unused_capacity;
 mod version_compatibility;
 mod write_batching;
--- a/tests/integration/simulation/cloud.rs
+++ b/tests/integration/simulation/cloud.rs
@@ -42,15 +42,19 @@
         }
     }
 
+    /// Takes a machine back without notice, with all that is on it.
+    pub fn take_machine(&mut self, name: &str) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.taken = true;
+            worker.tasks.clear();
+        }
+    }
+
     /// Marks a machine as running, unless it was released meanwhile. The worker on it
     /// then sends its first heartbeat immediately.
     pub(super) fn machine_booted(&mut self, name: String) {
         let now_ms = self.now_ms;
-        if let Some(worker) = self
-            .workers
-            .get_mut(&name)
-            .filter(|worker| !worker.released)
-        {
+        if let Some(worker) = self.workers.get_mut(&name).filter(|worker| worker.exists()) {
             worker.up = true;
             worker.lease_renewed_ms = now_ms;
             self.schedule(now_ms, Event::HeartbeatDue(name));
@@ -81,7 +85,7 @@
         let existing = self
             .workers
             .values()
-            .filter(|worker| !worker.released)
+            .filter(|worker| worker.exists())
             .count();
         let available = self.capacity.saturating_sub(existing);
         let count = (body["howMany"].as_u64().unwrap_or(0) as usize).min(available);
@@ -112,7 +116,7 @@
     }
 
     fn list_machines(&self) -> CallResult {
-        let existing = self.workers.iter().filter(|(_, worker)| !worker.released);
+        let existing = self.workers.iter().filter(|(_, worker)| worker.exists());
         let machines: Vec<Value> = existing
             .map(|(name, worker)| {
                 json!({"id": name, "address": format!("w/{name}"), "gamme": "g8",
--- a/tests/integration/simulation/workers.rs
+++ b/tests/integration/simulation/workers.rs
@@ -30,6 +30,9 @@
     pub up: bool,
     /// Whether the machine was returned to the cloud, also before it booted.
     pub released: bool,
+    /// Whether the cloud took the machine back without notice. Its tasks are gone, it sends no
+    /// heartbeats, and the cloud doesn't list it any more.
+    pub taken: bool,
     /// Whether the worker sends no heartbeats, and executes neither the commands in heartbeat
     /// responses nor direct commands.
     pub unresponsive: bool,
@@ -77,6 +80,7 @@
             provisioned_ms: now_ms,
             up,
             released: false,
+            taken: false,
             unresponsive: false,
             outbound_blocked: false,
             inbound_blocked: false,
@@ -96,6 +100,11 @@
         }
     }
 
+    /// Returns whether the cloud has neither released nor taken back the machine.
+    pub(super) fn exists(&self) -> bool {
+        !self.released && !self.taken
+    }
+
     /// Handles the expiry of the worker's lease: stops all tasks and starts a new agent epoch.
     pub(super) fn expire_lease(&mut self, now_ms: u64) {
         self.tasks.clear();
@@ -168,7 +177,7 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        if worker.released || !worker.up {
+        if !worker.exists() || !worker.up {
             return;
         }
         if now_ms > worker.lease_renewed_ms + LEASE_MS {
@@ -276,7 +285,7 @@
         };
         let token = response["jeton"].as_u64().unwrap_or(0);
         if token < worker.fencing_token
-            || worker.released
+            || !worker.exists()
             || worker.unresponsive
             || worker.inbound_blocked
         {
@@ -302,7 +311,7 @@
             return None;
         }
         let worker = self.workers.get_mut(name)?;
-        if worker.released || !worker.up || worker.unresponsive || worker.inbound_blocked {
+        if !worker.exists() || !worker.up || worker.unresponsive || worker.inbound_blocked {
             return None;
         }
         let token = body["jeton"].as_u64().unwrap_or(0);
