A later agent epoch frees tasks whatever the worker's token is

What callers saw: a machine's heartbeats arrived while everything sent to it was lost, the leader changed, and the replica on that machine never ran again, though its lease had long ended and another machine had room. A deaf new machine kept others from being provisioned for as long as it sent heartbeats.

Cause: a heartbeat without a token of this term isn't reconciled, and the agent epoch in it, which is proof under any token, was dropped with the rest. Machines without a token counted as pending capacity while they sent heartbeats.

Change: epochs are applied from every newer heartbeat, as from followers' records; a machine that is up without a token is pending for half a lease.

Evidence: deaf_machine_of_a_new_leader_holds_no_tasks (not within 22 s) and deaf_new_machine_does_not_keep_others_from_being_provisioned (not within 12 s) failed before and pass now, with all other tests.

Found by the table of states in docs/UNUSED_CAPACITY.md.

--- a/src/scheduler/provisioning/pending_machines.rs
+++ b/src/scheduler/provisioning/pending_machines.rs
@@ -14,14 +14,14 @@
 
 impl Scheduler {
     /// Collects the pending capacity: machines that are booting or ordered, and machines
-    /// that became unresponsive a short time ago.
+    /// that became unresponsive, or came up without executing commands yet, a short time ago.
     pub(super) fn pending_capacity(&mut self, now: Now, cloud: &CloudClient) -> PendingCapacity {
         let mut pending = PendingCapacity::default();
         let mut examined = 0;
         let unschedulable = self.capacity.unschedulable();
         for machine in unschedulable.filter_map(|id| self.fleet.get(id)) {
             examined += 1;
-            if self.is_booting_in_time(now, machine) || self.is_briefly_unresponsive(now, machine) {
+            if self.is_booting_in_time(now, machine) || self.is_briefly_unusable(now, machine) {
                 pending.add(&machine.offer, machine.free(), 1);
             }
         }
@@ -45,13 +45,19 @@
         machine.phase == MachinePhase::Booting && now.ms < machine.provisioned_ms + max_boot_ms
     }
 
-    /// Returns whether the machine has been unresponsive for less than half a lease. Such a
-    /// machine will soon send a heartbeat again or be declared failed.
-    fn is_briefly_unresponsive(&self, now: Now, machine: &Machine) -> bool {
+    /// Returns whether the machine has been unresponsive, or up without acknowledging a fencing
+    /// token, for less than half a lease. Such a machine will soon accept tasks or be declared
+    /// failed. A machine that is deaf for longer sends heartbeats all the while.
+    fn is_briefly_unusable(&self, now: Now, machine: &Machine) -> bool {
+        let unusable_since_ms = if machine.token_acknowledged {
+            machine.last_heartbeat_ms
+        } else {
+            machine.idle_since_ms.unwrap_or(self.elected_ms)
+        };
         machine.phase == MachinePhase::Up
             && !machine.accepts_tasks(now.ms, self.max_heartbeat_age_ms())
             && machine.reclaim_at_ms.is_none()
             && !machine.faults.is_suspect()
-            && now.ms < machine.last_heartbeat_ms + self.lease_ms() / 2
+            && now.ms < unusable_since_ms + self.lease_ms() / 2
     }
 }
--- a/src/scheduler/workers/heartbeats.rs
+++ b/src/scheduler/workers/heartbeats.rs
@@ -117,6 +117,9 @@
             self.mark_machine_up(now, &id);
         }
         self.update_preemption_notice(now, &id, heartbeat.preemption_notice_s);
+        // A later agent epoch is proof whatever the worker's token is. A worker that receives no
+        // responses never reports a token of this term.
+        self.expire_earlier_epochs(now, &id, heartbeat.agent_epoch);
         // A status without a fencing token of this term may be older than all commands of this
         // leader, so it isn't used for reconciliation.
         if heartbeat.fencing_token.term() == self.term {
--- a/src/scheduler/workers/reconciliation.rs
+++ b/src/scheduler/workers/reconciliation.rs
@@ -44,7 +44,6 @@
         heartbeat: &WorkerHeartbeat,
         effects: &mut SchedulerEffects,
     ) {
-        self.expire_earlier_epochs(now, id, heartbeat.agent_epoch);
         let mut present: HashMap<(&TaskRef, Attempt), &TaskStatus> = heartbeat
             .tasks
             .iter()
--- a/tests/integration/unused_capacity/mod.rs
+++ b/tests/integration/unused_capacity/mod.rs
@@ -2,6 +2,7 @@
 //! meanwhile. Each test is a row of the table in `docs/UNUSED_CAPACITY.md`.
 
 mod draining;
+mod machines;
 
 use crate::simulation::Simulation;
 
