--- a/common/src/lib.rs
+++ b/common/src/lib.rs
@@ -1,5 +1,5 @@
-//! Types shared by the lilacfork packages: identifiers, time, resources and failure
-//! attribution. This package depends on none of the others.
+//! Types shared by the lilacfork packages: identifiers, time, resources, failure
+//! attribution and the limit on waiting. This package depends on none of the others.
 
 #![warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
@@ -7,3 +7,4 @@
 pub mod ids;
 pub mod resources;
 pub mod time;
+pub mod waiting;
--- a/replica-groups/src/group/mod.rs
+++ b/replica-groups/src/group/mod.rs
@@ -172,6 +172,12 @@
         self.circuit_breaker.is_open() && !was_open
     }
 
+    /// Records that another job succeeded on a machine on which the group had failed. Returns
+    /// whether this opened the circuit breaker.
+    pub fn record_contradiction(&mut self) -> bool {
+        self.circuit_breaker.record_contradiction()
+    }
+
     /// Postpones the next placement of the group until `at_ms`, because a machine rejected
     /// the start of a part.
     pub fn defer_until(&mut self, at_ms: u64) {
--- a/replica-groups/src/job_groups.rs
+++ b/replica-groups/src/job_groups.rs
@@ -3,6 +3,7 @@
 use crate::group::ReplicaGroup;
 use crate::record::GroupRecord;
 use crate::shape::{ReplicaIndex, Shape};
+use lilacfork_common::ids::MachineId;
 use std::ops::Range;
 
 /// The replica groups of one job, one for each replica.
@@ -44,6 +45,17 @@
         self.get_mut(self.shape.replica_of(task))
     }
 
+    /// Records that another job succeeded on a machine on which groups of this job had failed.
+    /// Returns whether this opened the circuit breaker of any group.
+    pub fn record_contradiction(&mut self, machine: &MachineId) -> bool {
+        let failed_there = self
+            .groups
+            .iter_mut()
+            .filter(|group| group.circuit_breaker().failed_on(machine));
+        let opened = failed_there.map(ReplicaGroup::record_contradiction);
+        opened.fold(false, |any, opened| any | opened)
+    }
+
     /// Returns whether the group that contains a task was serving at its last evaluation.
     pub fn is_task_serving(&self, task: u32) -> bool {
         let group = self.get(self.shape.replica_of(task));
--- a/src/capacity_index/best_fit.rs
+++ b/src/capacity_index/best_fit.rs
@@ -4,6 +4,7 @@
 
 use super::levels::FreeLevels;
 use super::{CapacityIndex, MachineCapacity, OfferGroup, Slot};
+use crate::cloud::Offer;
 use crate::ids::MachineId;
 use crate::placement::{offer_allowed, FitScore, Resources, ZoneCounts};
 use crate::wire::users::{JobKind, JobSpec};
@@ -52,6 +53,13 @@
         self.zones.allows(self.spec, zone) && self.constraint.allows_zone(zone)
     }
 
+    /// Returns whether the task may run on a machine with this offer, whatever its capacity.
+    pub fn allows(&self, slot: Slot, offer: &Offer) -> bool {
+        offer_allowed(self.spec, offer)
+            && self.allows_zone(&offer.zone)
+            && !self.constraint.excluded.contains(&slot)
+    }
+
     /// Returns the penalty for replicas of the same service in a zone. It is 0 for tasks
     /// that run to completion, which are packed onto few machines instead.
     fn zone_penalty(&self, zone: &str) -> f64 {
@@ -119,9 +127,7 @@
         let offer = &machine.state.offer;
         let allowed = machine.index_key.is_some()
             && self.has_recent_heartbeat(machine)
-            && offer_allowed(demand.spec, offer)
-            && demand.allows_zone(&offer.zone)
-            && !demand.constraint.excluded.contains(&slot);
+            && demand.allows(slot, offer);
         allowed.then(|| demand.rank(machine)).flatten()
     }
 
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -152,18 +152,35 @@
     /// Returns whether tasks may be assigned to the machine, provided that its worker sends
     /// heartbeats.
     pub fn is_schedulable(&self) -> bool {
+        self.executes_starts() && !self.faults.is_suspect()
+    }
+
+    /// Returns whether the machine would execute a start command as far as the leader knows,
+    /// provided that its worker sends heartbeats, and isn't about to leave.
+    fn executes_starts(&self) -> bool {
         self.phase == MachinePhase::Up
             && self.token_acknowledged
             && !self.has_unassigned_tasks
             && self.starts_ignored_since_ms.is_none()
             && self.reclaim_at_ms.is_none()
-            && !self.faults.is_suspect()
     }
 
     /// Returns whether a task may be assigned to the machine now: the machine is schedulable,
     /// and its last heartbeat is less than `max_heartbeat_age_ms` old.
     pub fn accepts_tasks(&self, now_ms: u64, max_heartbeat_age_ms: u64) -> bool {
-        self.is_schedulable() && now_ms < self.last_heartbeat_ms + max_heartbeat_age_ms
+        self.is_schedulable() && self.has_recent_heartbeat(now_ms, max_heartbeat_age_ms)
+    }
+
+    /// Returns whether a task may be assigned to the machine as a probe: the machine is
+    /// cordoned, its next probe is due, and nothing else speaks against it.
+    pub fn accepts_probe(&self, now_ms: u64, max_heartbeat_age_ms: u64) -> bool {
+        self.executes_starts()
+            && self.faults.allows_probe(now_ms)
+            && self.has_recent_heartbeat(now_ms, max_heartbeat_age_ms)
+    }
+
+    fn has_recent_heartbeat(&self, now_ms: u64, max_heartbeat_age_ms: u64) -> bool {
+        now_ms < self.last_heartbeat_ms + max_heartbeat_age_ms
     }
 
     /// Assigns a task to the machine and allocates `request` for it.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,7 +19,7 @@
 
 #![warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-pub use lilacfork_common::{faults, ids};
+pub use lilacfork_common::{faults, ids, waiting};
 
 pub mod bounded_map;
 pub mod cancellations;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -122,6 +122,8 @@
     pacing: RoundPacing,
     /// The round in progress.
     round: Option<Round>,
+    /// The cordoned machines whose probe was due when the round began.
+    machines_to_probe: Vec<MachineId>,
     /// The forecast demand computed by the last full round.
     demand_forecast: Vec<ForecastDemand>,
     migrations: Migrations,
@@ -163,6 +165,7 @@
             capacity: CapacityIndex::default(),
             pacing: RoundPacing::default(),
             round: None,
+            machines_to_probe: Vec::new(),
             demand_forecast: Vec::new(),
             migrations: Migrations::default(),
             provisioning: Provisioning::default(),
@@ -258,6 +261,7 @@
         self.lease_proxies.reset();
         self.capacity.clear();
         self.round = None;
+        self.machines_to_probe.clear();
         self.demand_forecast.clear();
         self.migrations.reset();
         self.provisioning.reset();
--- a/src/scheduler/replica_groups/mod.rs
+++ b/src/scheduler/replica_groups/mod.rs
@@ -9,7 +9,7 @@
 mod reservations;
 mod search;
 
-use crate::ids::{Attempt, JobId, MachineId, TaskRef};
+use crate::ids::{JobId, MachineId, TaskRef};
 use crate::messages::Now;
 use crate::scheduler::displacement::migration::success_after_ms;
 use crate::scheduler::{Assignment, InvariantViolation, Job, Scheduler};
@@ -110,14 +110,14 @@
         now: Now,
         machine: &MachineId,
         task: &TaskRef,
-        generation: Attempt,
+        assignment: &Assignment,
     ) {
         let timing = self.groups.timing();
         let groups = self.groups.get_mut(&task.job);
         let Some(group) = groups.and_then(|groups| groups.for_task_mut(task.index)) else {
             return;
         };
-        if group.record_part_failure(now.ms, generation, machine, &timing) {
+        if group.record_part_failure(now.ms, assignment.attempt, machine, &timing) {
             let id = GroupId::new(&task.job, group.replica());
             log::info!("replica group circuit breaker opened group={id} task={task}");
         }
@@ -128,10 +128,27 @@
                     machine.faults.discard_failures_of(&task.job);
                 }
             }
-        } else if let Some(machine) = self.fleet.get_mut(machine) {
-            machine
-                .faults
-                .record_failure(&task.job, breaker.has_succeeded());
+        } else {
+            let job_succeeds = breaker.has_succeeded();
+            let started_ms = assignment.first_sent_ms;
+            self.record_machine_failure(now, machine, &task.job, job_succeeds, started_ms);
+        }
+    }
+
+    /// Records that another job succeeds on a machine that the failures of a job's groups had
+    /// cordoned.
+    pub(in crate::scheduler) fn record_group_contradiction(
+        &mut self,
+        machine: &MachineId,
+        job: &JobId,
+    ) {
+        let opened = self
+            .groups
+            .get_mut(job)
+            .is_some_and(|groups| groups.record_contradiction(machine));
+        if opened {
+            log::info!("replica group circuit breaker opened job={job} machine={machine}");
+            self.discard_machine_faults(job);
         }
     }
 
--- a/src/scheduler/replica_groups/placement.rs
+++ b/src/scheduler/replica_groups/placement.rs
@@ -33,10 +33,12 @@
         deadline_wall_ms: u64,
         round: &mut Round,
     ) {
+        let Some(mut request) = self.placement_request(now, job_id, deadline_wall_ms) else {
+            return;
+        };
         let Some(job) = self.jobs.get(job_id) else {
             return;
         };
-        let mut request = PlacementRequest::new(job, deadline_wall_ms);
         request.zones = job.zone_counts();
         for replica in self.waiting_groups(now, job_id) {
             let id = GroupId::new(job_id, replica);
@@ -47,6 +49,9 @@
             if !self.quota_allows_group(&request, tasks.len(), round) {
                 let team = &request.spec.team;
                 log::debug!("replica group waits for quota group={id} team={team}");
+                if let Some(job) = self.jobs.get_mut(job_id).filter(|_| request.is_overdue) {
+                    job.record_progress(now);
+                }
                 return;
             }
             self.place_group(now, &id, &tasks, &mut request, round);
@@ -138,6 +143,9 @@
         if machines.is_none() && may_use_forecast {
             machines = self.find_machines(&search, SearchScope::WithForecast);
         }
+        if machines.is_none() && request.is_overdue {
+            machines = self.find_machines(&search, SearchScope::WithWithheld);
+        }
         Some(assign_machines(tasks, machines?))
     }
 
@@ -248,7 +256,7 @@
         }
     }
 
-    /// Returns whether the machines are distinct, accept tasks and have enough capacity.
+    /// Returns whether the machines are distinct, accept tasks or probes, and have enough capacity.
     fn is_valid_placement(&self, now: Now, placements: &[PartPlacement], need: &Resources) -> bool {
         let mut used = BTreeSet::new();
         placements.iter().all(|part| {
@@ -256,7 +264,9 @@
             let machine = self.capacity.get(slot);
             let machine = machine.and_then(|machine| self.fleet.get(&machine.id));
             let fits = machine.is_some_and(|machine| {
-                machine.accepts_tasks(now.ms, self.max_heartbeat_age_ms())
+                let max_heartbeat_age_ms = self.max_heartbeat_age_ms();
+                (machine.accepts_tasks(now.ms, max_heartbeat_age_ms)
+                    || machine.accepts_probe(now.ms, max_heartbeat_age_ms))
                     && machine.free().covers(need)
             });
             used.insert(slot) && fits
--- a/src/scheduler/replica_groups/search.rs
+++ b/src/scheduler/replica_groups/search.rs
@@ -2,7 +2,7 @@
 
 use crate::capacity_index::{MachineCapacity, SearchConstraint, Slot, TaskDemand};
 use crate::ids::MachineId;
-use crate::placement::{placement_allowed, ZoneCounts};
+use crate::placement::ZoneCounts;
 use crate::scheduler::rounds::task_placement::PlacementRequest;
 use crate::scheduler::Scheduler;
 use crate::wire::users::JobSpec;
@@ -16,6 +16,8 @@
     Free,
     /// Free capacity and capacity that is reserved for forecast demand.
     WithForecast,
+    /// Free capacity and cordoned machines whose probe is due.
+    WithWithheld,
     /// Free capacity and the capacity of tasks that are being stopped.
     WithStopping,
 }
@@ -168,7 +170,16 @@
                 uses_forecast_reservation: false,
             });
         }
-        self.find_reserved_or_stopping(&demand, scope)
+        let found = self.find_reserved_or_stopping(&demand, scope);
+        if found.is_some() || scope != SearchScope::WithWithheld {
+            return found;
+        }
+        let mut probed = self.probe_slots(search.request);
+        let is_allowed = |slot: &Slot| {
+            let machine = self.capacity.get(*slot);
+            machine.is_some_and(|machine| demand.allows(*slot, &machine.state.offer))
+        };
+        probed.find(is_allowed).map(PartMachine::unranked)
     }
 
     /// Returns the first machine that has enough capacity if its forecast reservation is
@@ -178,20 +189,15 @@
         demand: &TaskDemand,
         scope: SearchScope,
     ) -> Option<PartMachine> {
-        let SearchConstraint { zone, excluded } = demand.constraint;
-        let is_allowed = |slot: Slot, machine: &MachineCapacity| {
-            let offer = &machine.state.offer;
-            !excluded.contains(&slot)
-                && zone.is_none_or(|only| *offer.zone == *only)
-                && placement_allowed(demand.spec, demand.zones, offer)
-        };
+        let is_allowed =
+            |slot: Slot, machine: &MachineCapacity| demand.allows(slot, &machine.state.offer);
         let free_with_forecast = |machine: &MachineCapacity| {
             let mut capacity = machine.free();
             capacity.add(&machine.forecast_reserved());
             capacity
         };
         let found = match scope {
-            SearchScope::Free => None,
+            SearchScope::Free | SearchScope::WithWithheld => None,
             SearchScope::WithForecast => {
                 let mut reserving = self.capacity.with_forecast_reservation();
                 reserving.find(|(slot, machine)| {
--- a/src/scheduler/rounds/gang.rs
+++ b/src/scheduler/rounds/gang.rs
@@ -1,7 +1,7 @@
 //! Gang scheduling: the tasks of a gang are placed either all in the same round or not
 //! at all.
 
-use crate::capacity_index::Slot;
+use crate::capacity_index::{MachineCapacity, Slot};
 use crate::placement::Resources;
 use crate::scheduler::rounds::round::Round;
 use crate::scheduler::rounds::task_placement::PlacementRequest;
@@ -16,7 +16,26 @@
     free: Resources,
 }
 
+impl FreeMachine {
+    fn new(slot: Slot, machine: &MachineCapacity, free: Resources) -> FreeMachine {
+        FreeMachine {
+            slot,
+            zone: machine.state.offer.zone.clone(),
+            free,
+        }
+    }
+}
+
 impl Scheduler {
+    /// Adds the capacity that only an overdue gang may use: cordoned machines whose probe is due.
+    fn add_withheld_machines(&self, request: &PlacementRequest, machines: &mut Vec<FreeMachine>) {
+        for slot in self.probe_slots(request) {
+            if let Some(machine) = self.capacity.get(slot) {
+                machines.push(FreeMachine::new(slot, machine, machine.free()));
+            }
+        }
+    }
+
     /// Returns whether all tasks of a gang fit into free capacity and their team's quota.
     pub(super) fn gang_fits(
         &self,
@@ -34,13 +53,12 @@
         let mut machines: Vec<FreeMachine> = self
             .capacity
             .fitting(spec, need)
-            .map(|(slot, machine)| FreeMachine {
-                slot,
-                zone: machine.state.offer.zone.clone(),
-                free: machine.free(),
-            })
+            .map(|(slot, machine)| FreeMachine::new(slot, machine, machine.free()))
             .collect();
         machines.sort_by_key(|machine| machine.slot);
+        if request.is_overdue {
+            self.add_withheld_machines(request, &mut machines);
+        }
         (0..tasks).all(|_| {
             if !within_quota(&self.settings, &spec.team, &used, need) {
                 return false;
--- a/src/scheduler/rounds/machine_choice.rs
+++ b/src/scheduler/rounds/machine_choice.rs
@@ -20,8 +20,8 @@
 
 impl Scheduler {
     /// Chooses a machine for the next task of a job: the target of its migration, the best
-    /// machine with free capacity, a machine from which replicas are displaced, or a
-    /// machine whose capacity is reserved for forecast demand.
+    /// machine with free capacity, a machine from which replicas are displaced, a machine whose
+    /// capacity is reserved for forecast demand, or a cordoned machine for an overdue gang.
     pub(super) fn choose_machine(
         &mut self,
         now: Now,
@@ -41,15 +41,16 @@
         if let Some(slot) = best {
             return MachineChoice::Free(slot);
         }
-        if request.probing || self.settings.start_slo_ms(&request.spec).is_none() {
-            return MachineChoice::Unavailable;
-        }
+        let has_start_slo = self.settings.start_slo_ms(&request.spec).is_some();
         // Actual demand takes precedence over forecast demand.
-        match self.reserved_for_forecast(request) {
-            Some(slot) => {
+        if has_start_slo && !request.probing {
+            if let Some(slot) = self.reserved_for_forecast(request) {
                 self.capacity.release_forecast(slot);
-                MachineChoice::Free(slot)
+                return MachineChoice::Free(slot);
             }
+        }
+        match self.machine_for_gang_probe(request) {
+            Some(slot) => MachineChoice::Free(slot),
             None => MachineChoice::Unavailable,
         }
     }
--- a/src/scheduler/rounds/mod.rs
+++ b/src/scheduler/rounds/mod.rs
@@ -10,4 +10,5 @@
 
 mod gang;
 mod machine_choice;
+mod probes;
 mod queue_order;
--- a/src/scheduler/rounds/round.rs
+++ b/src/scheduler/rounds/round.rs
@@ -134,6 +134,7 @@
         self.capacity.begin_round();
         self.reserve_for_groups(now);
         self.remove_ended_migrations();
+        self.machines_to_probe = self.find_machines_to_probe(now);
         if full {
             self.demand_forecast = self.forecast_demand(now);
         }
@@ -229,7 +230,7 @@
                     *next += 1;
                     self.preempt(now, unplaced);
                 }
-                None => self.finish_preempting(round),
+                None => self.finish_preempting(now, round),
             },
             RoundStage::Compacting(compaction) => {
                 if self.compact_next(now, compaction) == Progress::Finished {
@@ -271,9 +272,10 @@
         }
     }
 
-    /// Selects the stage after preemption: compaction if the round is full and no work is
+    /// Probes cordoned machines and selects the stage after preemption: compaction if the round is full and no work is
     /// left without capacity, otherwise provisioning.
-    fn finish_preempting(&mut self, round: &mut Round) {
+    fn finish_preempting(&mut self, now: Now, round: &mut Round) {
+        self.probe_machines(now, round);
         round.unplaced.retain(|unplaced| unplaced.count > 0);
         round.stage = if round.unplaced.is_empty() && round.full {
             RoundStage::Compacting(self.begin_compaction())
--- a/src/scheduler/rounds/task_placement.rs
+++ b/src/scheduler/rounds/task_placement.rs
@@ -28,6 +28,9 @@
     /// Whether the job's circuit breaker is open. Only one task is then started, as a
     /// probe.
     pub(super) probing: bool,
+    /// Whether the job has waited for so long that cordoned machines are used for it if its tasks
+    /// start together.
+    pub(in crate::scheduler) is_overdue: bool,
     /// The number of the job's replicas on each machine; empty unless the job is a
     /// service.
     pub(in crate::scheduler) siblings: BTreeMap<MachineId, u32>,
@@ -77,6 +80,7 @@
             zones,
             deadline_wall_ms,
             probing: job.circuit_breaker.is_open(),
+            is_overdue: false,
             siblings,
             last_fit: None,
             displacement_failed: false,
@@ -91,6 +95,7 @@
             zones: ZoneCounts::default(),
             deadline_wall_ms: other.deadline_wall_ms,
             probing: other.probing,
+            is_overdue: other.is_overdue,
             siblings: BTreeMap::new(),
             last_fit: None,
             displacement_failed: false,
@@ -120,8 +125,8 @@
         deadline_wall_ms: u64,
         round: &mut Round,
     ) -> Option<Unplaced> {
+        let mut request = self.placement_request(now, id, deadline_wall_ms)?;
         let job = self.jobs.get(id)?;
-        let mut request = PlacementRequest::new(job, deadline_wall_ms);
         let assigned = job.assignments.len();
         if request.probing && assigned > 0 {
             return None;
@@ -151,6 +156,23 @@
         (unplaced > 0).then(|| request.into_unplaced(unplaced))
     }
 
+    /// Creates the request for a waiting job's pending tasks. `None` if the job is unknown.
+    pub(in crate::scheduler) fn placement_request(
+        &mut self,
+        now: Now,
+        id: &JobId,
+        deadline_wall_ms: u64,
+    ) -> Option<PlacementRequest> {
+        if self.jobs.get(id)?.waiting_since_ms.is_none() {
+            self.jobs.get_mut(id)?.begin_waiting(now);
+        }
+        let job = self.jobs.get(id)?;
+        Some(PlacementRequest {
+            is_overdue: job.is_overdue(now),
+            ..PlacementRequest::new(job, deadline_wall_ms)
+        })
+    }
+
     /// Places these tasks one by one until the quota or the capacity is exhausted.
     fn place_tasks(
         &mut self,
@@ -171,6 +193,9 @@
                 counts.over_quota = counts.remaining(tasks.len());
                 let count = counts.over_quota;
                 log::debug!("job waits for quota job={id} team={team} count={count}");
+                if let Some(job) = self.jobs.get_mut(id).filter(|_| request.is_overdue) {
+                    job.record_progress(now);
+                }
                 break;
             }
             let task = TaskRef {
@@ -237,13 +262,15 @@
     ) -> Option<()> {
         let id = self.capacity.get(slot)?.id.clone();
         let max_heartbeat_age_ms = self.max_heartbeat_age_ms();
+        let heartbeat_interval_ms = self.heartbeat_interval_ms();
         let job = self.jobs.get_mut(&task.job)?;
         let machine = self.fleet.get_mut(&id)?;
         // The job table and the fleet are authoritative; the capacity index is derived
         // from them.
         let possible = job.pending.contains(&task.index)
             && !job.has_open_dependencies
-            && machine.accepts_tasks(now.ms, max_heartbeat_age_ms)
+            && (machine.accepts_tasks(now.ms, max_heartbeat_age_ms)
+                || machine.accepts_probe(now.ms, max_heartbeat_age_ms))
             && machine.free().covers(&job.task_request);
         if !possible {
             log::error!("task placement invalid task={task} machine={id}");
@@ -270,7 +297,12 @@
         job.pending.remove(&task.index);
         job.assignments.insert(task.index, assignment);
         job.mark_dirty(task.index, now.ms, true);
+        job.record_progress(now);
         machine.assign(task.clone(), &job.task_request);
+        if machine.faults.is_suspect() {
+            log::info!("machine probed machine={id} task={task}");
+            machine.faults.record_probe(now.ms, heartbeat_interval_ms);
+        }
         if job.is_service() {
             *request.siblings.entry(id).or_insert(0) += 1;
         }
--- a/src/scheduler/state/job.rs
+++ b/src/scheduler/state/job.rs
@@ -3,6 +3,7 @@
 
 use crate::faults::CircuitBreaker;
 use crate::ids::{Attempt, TaskRef};
+use crate::messages::Now;
 use crate::placement::{Resources, ZoneCounts};
 use crate::records::jobs::{FinalState, JobRecord};
 use crate::records::placements::{
@@ -11,6 +12,7 @@
 use crate::scheduler::state::assignment::Assignment;
 use crate::scheduler::state::job_table::JobListing;
 use crate::scheduler::state::placement_ranges::PlacementRanges;
+use crate::waiting::MAX_WAIT_MS;
 use crate::wire::users::{JobKind, JobSpec, Priority};
 use crate::wire::workers::TaskPhase;
 use lilacfork_replica_groups::shape::Shape;
@@ -23,6 +25,9 @@
 /// A run that takes longer than this many times the job's average is attributed to the
 /// machine: healthy machines of one type differ by about 10 %.
 const SLOW_RUN_FACTOR: u64 = 3;
+/// Time without progress after which free capacity isn't kept from a job for other purposes. The
+/// rest of the limit is for storing the assignment, the image and the start.
+const OVERDUE_AFTER_MS: u64 = MAX_WAIT_MS * 2 / 3;
 
 /// An unfinished job with its tasks and their assignments.
 #[derive(Debug)]
@@ -73,6 +78,9 @@
     pub(in crate::scheduler) finishing: bool,
     /// Opens once tasks have failed on several machines and none has succeeded.
     pub(in crate::scheduler) circuit_breaker: CircuitBreaker,
+    /// Since when the job has waited without progress: none of its tasks was placed although its
+    /// team was under its limit. `None`: not determined since a task last became pending.
+    pub(in crate::scheduler) waiting_since_ms: Option<u64>,
     run_times: RunTimes,
     /// Whether another writer has changed the job record, which must then be read before
     /// the next write.
@@ -130,6 +138,7 @@
             unstored_ends: BTreeSet::new(),
             finishing: false,
             circuit_breaker: CircuitBreaker::default(),
+            waiting_since_ms: None,
             run_times: RunTimes::default(),
             stale: false,
             listed: JobListing::default(),
@@ -199,6 +208,32 @@
         Some(range.last_attempt)
     }
 
+    /// Returns whether the job has waited without progress for so long that free capacity must
+    /// not be kept from it any longer.
+    pub(in crate::scheduler) fn is_overdue(&self, now: Now) -> bool {
+        self.waiting_since_ms
+            .is_some_and(|since_ms| now.ms >= since_ms + OVERDUE_AFTER_MS)
+    }
+
+    /// Determines since when the job has been waiting, if it has only begun to or this leader
+    /// sees it for the first time.
+    pub(in crate::scheduler) fn begin_waiting(&mut self, now: Now) {
+        let mut ranges = self.placements.iter();
+        let was_never_tried = ranges.all(|range| range.last_attempt == Attempt(0));
+        // Such a job has waited since it became ready, under whichever leader.
+        let waited_ms = if was_never_tried {
+            now.wall_ms.saturating_sub(self.ready_wall_ms)
+        } else {
+            0
+        };
+        self.waiting_since_ms = Some(now.ms.saturating_sub(waited_ms));
+    }
+
+    /// Records that a task was placed, or that the job waits for its team's limit.
+    pub(in crate::scheduler) fn record_progress(&mut self, now: Now) {
+        self.waiting_since_ms = (!self.pending.is_empty()).then_some(now.ms);
+    }
+
     /// Records the run time of a task, unless it is an outlier, and returns whether it is
     /// one. The reference is the average of the job's other tasks, because users'
     /// estimates are often wrong.
--- a/src/scheduler/workers/reconciliation.rs
+++ b/src/scheduler/workers/reconciliation.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{AgentEpoch, Attempt, FencingToken, MachineId, TaskRef};
 use crate::messages::Now;
+use crate::scheduler::workers::failure_attribution::MachineSuccess;
 use crate::scheduler::{Scheduler, SchedulerEffects, StepDownReason};
 use crate::wire::workers::{ExitReason, TaskPhase, TaskStatus, WorkerHeartbeat};
 use std::collections::HashMap;
@@ -10,6 +11,9 @@
 /// Time after which a start command without effect is overdue, in heartbeat intervals. Tasks
 /// aren't assigned to a machine with an overdue start.
 const START_TIMEOUT_HEARTBEATS: u64 = 5;
+/// Time after which a running task shows that its machine executes tasks, in heartbeat
+/// intervals. A faulty machine fails its tasks as soon as they have their image.
+const RUNNING_PROOF_HEARTBEATS: u64 = 4;
 
 /// Proof that an assigned task isn't on its machine and can't be started there anymore.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -93,6 +97,7 @@
     /// Updates the assignment of a task that the worker has and that hasn't ended.
     fn update_present_task(&mut self, now: Now, id: &MachineId, task: &TaskRef, phase: TaskPhase) {
         let success_after_ms = self.success_after_ms();
+        let running_proof_ms = RUNNING_PROOF_HEARTBEATS * self.heartbeat_interval_ms();
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -123,6 +128,11 @@
             && assignment
                 .running_since_ms
                 .is_some_and(|since_ms| now.ms > since_ms + success_after_ms);
+        let runs_for_a_while = phase == TaskPhase::Running
+            && assignment
+                .running_since_ms
+                .is_some_and(|since_ms| now.ms > since_ms + running_proof_ms);
+        let started_ms = assignment.first_sent_ms;
         let (image, image_gb) = (job.spec.image.clone(), job.spec.image_gb);
         if let Some(machine) = self.fleet.get_mut(id) {
             if phase == TaskPhase::PullingImage {
@@ -134,6 +144,9 @@
         if counts_as_success {
             self.record_job_success(&task.job);
         }
+        if runs_for_a_while {
+            self.record_machine_success(id, &task.job, started_ms, MachineSuccess::Running);
+        }
     }
 
     /// Updates the assignment of a task that the worker doesn't have. The assignment is dropped
--- a/src/scheduler/workers/task_exits.rs
+++ b/src/scheduler/workers/task_exits.rs
@@ -1,8 +1,9 @@
 //! Processing of ended tasks: updates of the job, the machine and the online estimates.
 
-use crate::ids::{Attempt, MachineId, TaskRef};
+use crate::ids::{MachineId, TaskRef};
 use crate::messages::Now;
-use crate::scheduler::Scheduler;
+use crate::scheduler::workers::failure_attribution::MachineSuccess;
+use crate::scheduler::{Assignment, Scheduler};
 use crate::wire::workers::ExitReason;
 
 /// Backoff before a job's tasks are placed again after a worker has rejected a start.
@@ -33,16 +34,18 @@
             && run_ms.is_some_and(|took_ms| job.record_run_time(took_ms));
         if let Some(machine) = self.fleet.get_mut(id) {
             machine.unassign(task, &job.task_request, now.ms);
-            if slow {
-                log::info!("machine slow machine={id} task={task}");
-                machine.faults.record_failure(&task.job, true);
-            } else if reason == ExitReason::Done {
-                machine.faults.record_success();
-            }
+        }
+        let is_cancelled = job.cancelled_wall_ms.is_some();
+        let started_ms = assignment.first_sent_ms;
+        if slow {
+            log::info!("machine slow machine={id} task={task}");
+            self.record_machine_failure(now, id, &task.job, true, started_ms);
+        } else if reason == ExitReason::Done {
+            self.record_machine_success(id, &task.job, started_ms, MachineSuccess::Completed);
         }
         self.pacing.requested = true;
         self.commits.has_changes = true;
-        if job.cancelled_wall_ms.is_some() {
+        if is_cancelled {
             return;
         }
         log::info!(
@@ -50,10 +53,12 @@
             assignment.attempt
         );
         // The worker keeps the result until the end is stored and acknowledged.
-        job.unstored_ends.insert((task.index, assignment.attempt));
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.unstored_ends.insert((task.index, assignment.attempt));
+        }
         match reason {
             ExitReason::Done => self.record_task_completion(now, task, run_ms),
-            _ => self.requeue_incomplete_task(now, id, task, assignment.attempt, reason),
+            _ => self.requeue_incomplete_task(now, id, task, &assignment, reason),
         }
     }
 
@@ -81,7 +86,7 @@
         now: Now,
         id: &MachineId,
         task: &TaskRef,
-        attempt: Attempt,
+        assignment: &Assignment,
         reason: ExitReason,
     ) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -92,8 +97,8 @@
         let multi_host = job.shape.is_some();
         let retry_ms = now.ms + REJECTED_START_BACKOFF_MS;
         match reason {
-            ExitReason::Error if multi_host => self.record_part_failure(now, id, task, attempt),
-            ExitReason::Error => self.record_task_failure(now, id, task),
+            ExitReason::Error if multi_host => self.record_part_failure(now, id, task, assignment),
+            ExitReason::Error => self.record_task_failure(now, id, task, assignment),
             ExitReason::Stopped => {}
             _ if multi_host => self.defer_group(task, retry_ms),
             _ => job.circuit_breaker.defer_until(retry_ms),
--- a/tests/integration/failure_attribution.rs
+++ b/tests/integration/failure_attribution.rs
@@ -2,7 +2,7 @@
 
 use crate::simulation::fixtures::{released, running_cluster, task_starts};
 use crate::simulation::{array, service, Simulation};
-use lilacfork::faults::{CircuitBreaker, MachineFaults};
+use lilacfork::faults::{CircuitBreaker, MachineFaults, TaskFailure};
 use lilacfork::ids::{JobId, MachineId};
 
 const HEARTBEAT_INTERVAL_MS: u64 = 1000;
@@ -11,13 +11,24 @@
     MachineId::new(&format!("vm-{n}"))
 }
 
+/// Returns the failure of a task whose job is not known to succeed.
+fn failure_of(job: &JobId) -> TaskFailure<'_> {
+    TaskFailure {
+        job,
+        job_succeeds: false,
+        started_ms: Some(0),
+        now_ms: 1000,
+        heartbeat_interval_ms: HEARTBEAT_INTERVAL_MS,
+    }
+}
+
 #[test]
 fn machine_is_faulty_after_failures_of_two_jobs_or_of_one_that_succeeds_elsewhere() {
     let (first, second) = (JobId::new("run-1"), JobId::new("run-2"));
     let mut evidence = MachineFaults::default();
-    evidence.record_failure(&first, false);
+    evidence.record_failure(failure_of(&first));
     assert!(!evidence.is_suspect());
-    evidence.record_failure(&first, false);
+    evidence.record_failure(failure_of(&first));
     assert!(
         evidence.is_suspect() && !evidence.is_faulty(),
         "the machine must be suspect but not faulty: the failures may be the fault of the one job"
@@ -31,7 +42,7 @@
     confirmed_by_success.record_success_elsewhere(&first);
     assert!(confirmed_by_success.is_faulty());
     let mut failed_by_two_jobs = evidence.clone();
-    failed_by_two_jobs.record_failure(&second, false);
+    failed_by_two_jobs.record_failure(failure_of(&second));
     assert!(failed_by_two_jobs.is_faulty());
     failed_by_two_jobs.discard_failures_of(&first);
     assert!(!failed_by_two_jobs.is_suspect());
--- a/tests/integration/simulation/commands.rs
+++ b/tests/integration/simulation/commands.rs
@@ -73,6 +73,7 @@
             attempt: task.attempt,
             state,
             end_reason: None,
+            fails: self.fails(&task),
         };
         if let Some(worker) = self.workers.get_mut(&task.machine) {
             worker.tasks.insert(task.task.clone(), started);
@@ -180,13 +181,13 @@
 
     /// Ends a running task as failed or completed. Has no effect on a task in another state.
     pub(super) fn task_ends(&mut self, task: &TaskAttempt) {
-        let fails = self.fails(task);
         let running = self
             .task_mut(task)
             .filter(|running| running.state == "running");
         let Some(running) = running else {
             return;
         };
+        let fails = running.fails;
         running.end(if fails { "error" } else { "done" });
         if !fails {
             self.observer.record_completion(&task.task);
--- a/tests/integration/simulation/workers.rs
+++ b/tests/integration/simulation/workers.rs
@@ -19,6 +19,9 @@
     pub state: &'static str,
     /// Why the task ended, as named in the protocol; `None` until it ends.
     pub end_reason: Option<&'static str>,
+    /// Whether the task fails, because of its machine at the time of its start or because of
+    /// its job.
+    pub fails: bool,
 }
 
 /// A machine and its worker.
