A job that waits for 60 s takes capacity kept for expected work

Cause: each round reserves capacity for forecast demand, and only work with an objective on starts could take it. Where no machine can be provisioned, nothing ended the reservation while jobs of the class arrived.

Change: a job of which no task was placed for two thirds of the rule's 90 s, though its team was under its limit, uses the reserved capacity; gangs, replica groups and probes of open breakers included. A job that was never tried counts from when it became ready, also under a new leader.

Why it works: the time is measured at the job and needs no event at the machine.

--- a/src/scheduler/replica_groups/search.rs
+++ b/src/scheduler/replica_groups/search.rs
@@ -16,7 +16,8 @@
     Free,
     /// Free capacity and capacity that is reserved for forecast demand.
     WithForecast,
-    /// Free capacity and cordoned machines whose probe is due.
+    /// Free capacity, capacity that is reserved for forecast demand, and cordoned machines whose
+    /// probe is due.
     WithWithheld,
     /// Free capacity and the capacity of tasks that are being stopped.
     WithStopping,
@@ -197,8 +198,8 @@
             capacity
         };
         let found = match scope {
-            SearchScope::Free | SearchScope::WithWithheld => None,
-            SearchScope::WithForecast => {
+            SearchScope::Free => None,
+            SearchScope::WithForecast | SearchScope::WithWithheld => {
                 let mut reserving = self.capacity.with_forecast_reservation();
                 reserving.find(|(slot, machine)| {
                     is_allowed(*slot, machine)
@@ -214,7 +215,7 @@
             }
         };
         found.map(|(slot, _)| PartMachine {
-            uses_forecast_reservation: scope == SearchScope::WithForecast,
+            uses_forecast_reservation: scope != SearchScope::WithStopping,
             ..PartMachine::unranked(slot)
         })
     }
--- a/src/scheduler/rounds/gang.rs
+++ b/src/scheduler/rounds/gang.rs
@@ -2,7 +2,7 @@
 //! at all.
 
 use crate::capacity_index::{MachineCapacity, Slot};
-use crate::placement::Resources;
+use crate::placement::{offer_allowed, Resources};
 use crate::scheduler::rounds::round::Round;
 use crate::scheduler::rounds::task_placement::PlacementRequest;
 use crate::scheduler::state::quotas::within_quota;
@@ -27,8 +27,18 @@
 }
 
 impl Scheduler {
-    /// Adds the capacity that only an overdue gang may use: cordoned machines whose probe is due.
+    /// Adds the capacity that only an overdue gang may use: what is reserved for forecast demand,
+    /// and cordoned machines whose probe is due.
     fn add_withheld_machines(&self, request: &PlacementRequest, machines: &mut Vec<FreeMachine>) {
+        for (slot, machine) in self.capacity.with_forecast_reservation() {
+            if !offer_allowed(&request.spec, &machine.state.offer) {
+                continue;
+            }
+            let mut free = machine.free();
+            free.add(&machine.forecast_reserved());
+            machines.retain(|other| other.slot != slot);
+            machines.push(FreeMachine::new(slot, machine, free));
+        }
         for slot in self.probe_slots(request) {
             if let Some(machine) = self.capacity.get(slot) {
                 machines.push(FreeMachine::new(slot, machine, machine.free()));
--- a/src/scheduler/rounds/machine_choice.rs
+++ b/src/scheduler/rounds/machine_choice.rs
@@ -43,7 +43,7 @@
         }
         let has_start_slo = self.settings.start_slo_ms(&request.spec).is_some();
         // Actual demand takes precedence over forecast demand.
-        if has_start_slo && !request.probing {
+        if request.is_overdue || (has_start_slo && !request.probing) {
             if let Some(slot) = self.reserved_for_forecast(request) {
                 self.capacity.release_forecast(slot);
                 return MachineChoice::Free(slot);
--- a/src/scheduler/rounds/task_placement.rs
+++ b/src/scheduler/rounds/task_placement.rs
@@ -28,8 +28,8 @@
     /// Whether the job's circuit breaker is open. Only one task is then started, as a
     /// probe.
     pub(super) probing: bool,
-    /// Whether the job has waited for so long that cordoned machines are used for it if its tasks
-    /// start together.
+    /// Whether the job has waited for so long that capacity reserved for forecast demand is used
+    /// for it, and, if its tasks start together, cordoned machines.
     pub(in crate::scheduler) is_overdue: bool,
     /// The number of the job's replicas on each machine; empty unless the job is a
     /// service.
--- /dev/null
+++ b/tests/integration/unused_capacity/capacity.rs
@@ -0,0 +1,126 @@
+//! Free capacity that is kept for something else.
+
+use crate::simulation::replica_groups::{cluster_with_machines, whole_machine_service};
+use crate::simulation::{array, service, Simulation};
+use lilacfork::waiting::MAX_WAIT_MS;
+use serde_json::{json, Value};
+
+/// Time between two arrivals of urgent jobs, each of which is cancelled after a second.
+const ARRIVAL_INTERVAL_MS: u64 = 8000;
+
+/// Creates a cluster of one machine at which urgent jobs have arrived for a while, so that all
+/// its capacity is kept for the next ones. Nothing can be provisioned.
+fn expecting_cluster(nodes: usize) -> Simulation {
+    let mut sim = Simulation::new(nodes);
+    sim.add_machine("vm-a", "a", false, true);
+    sim.run_until(5000);
+    expect_urgent_work(sim)
+}
+
+fn expect_urgent_work(mut sim: Simulation) -> Simulation {
+    sim.capacity = 0;
+    sim.task_duration_ms = 600_000;
+    for _ in 0..4 {
+        urgent_job_comes_and_goes(&mut sim);
+    }
+    sim
+}
+
+/// Submits a job with an objective on starts, cancels it, and runs until the next one.
+fn urgent_job_comes_and_goes(sim: &mut Simulation) {
+    let id = format!("run-9{}", sim.now_ms);
+    let Some(leader) = sim.leader() else {
+        sim.run_for(ARRIVAL_INTERVAL_MS);
+        return;
+    };
+    assert_eq!(sim.submit(leader, &service(&id, 8)), 201);
+    sim.run_for(1000);
+    sim.cancel(leader, &id);
+    sim.run_for(ARRIVAL_INTERVAL_MS - 1000);
+}
+
+/// Returns the time at which the first task of a job was started.
+fn first_start_ms(sim: &Simulation, id: &str) -> Option<u64> {
+    let mark = format!(" {id}/");
+    let start = sim.start_log.iter().find(|start| start.contains(&mark))?;
+    start.split(' ').next()?.parse().ok()
+}
+
+/// Fails the test unless a job is started that was submitted at `submitted_ms`, while urgent jobs
+/// come and go, and after capacity was kept from it for a while.
+#[track_caller]
+fn assert_started_in_time(sim: &mut Simulation, id: &str, submitted_ms: u64) {
+    while sim.now_ms < submitted_ms + MAX_WAIT_MS {
+        urgent_job_comes_and_goes(sim);
+    }
+    let started_ms = first_start_ms(sim, id);
+    let waited_ms = started_ms.map(|started_ms| started_ms - submitted_ms);
+    assert!(
+        waited_ms.is_some_and(|waited_ms| (30_000..MAX_WAIT_MS).contains(&waited_ms)),
+        "{id} waited for {waited_ms:?} ms"
+    );
+}
+
+fn submit(sim: &mut Simulation, spec: &Value) -> u64 {
+    let leader = sim.leader().unwrap();
+    assert_eq!(sim.submit(leader, spec), 201);
+    sim.now_ms
+}
+
+/// Batch work waited beside capacity that was kept for expected urgent work, for as long as such
+/// work was expected.
+#[test]
+fn waiting_job_takes_capacity_kept_for_expected_work() {
+    for tasks in [1, 4, 8] {
+        let mut sim = expecting_cluster(1);
+        let submitted_ms = submit(&mut sim, &array("run-1", tasks));
+        assert_started_in_time(&mut sim, "run-1", submitted_ms);
+    }
+}
+
+/// The same for tasks that can only start together.
+#[test]
+fn waiting_gang_takes_capacity_kept_for_expected_work() {
+    for tasks in [2, 8] {
+        let mut sim = expecting_cluster(1);
+        let mut gang = array("run-1", tasks);
+        gang["genre"] = json!("group");
+        let submitted_ms = submit(&mut sim, &gang);
+        assert_started_in_time(&mut sim, "run-1", submitted_ms);
+    }
+}
+
+/// The same for a gang that forms a replica group.
+#[test]
+fn waiting_replica_group_takes_capacity_kept_for_expected_work() {
+    let sim = cluster_with_machines(1, &["vm-a", "vm-b"]);
+    let mut sim = expect_urgent_work(sim);
+    let mut gang = whole_machine_service("run-1", 2);
+    gang["genre"] = json!("group");
+    gang["gabarit"] = json!("batch");
+    gang["rang"] = json!("standard");
+    gang["prevuS"] = json!(3.0);
+    let submitted_ms = submit(&mut sim, &gang);
+    assert_started_in_time(&mut sim, "run-1", submitted_ms);
+}
+
+/// A job that was never tried has waited since its submission, whichever leader saw it.
+#[test]
+fn new_leader_remembers_how_long_a_job_has_waited() {
+    let mut sim = expecting_cluster(3);
+    let mut large_task = array("run-1", 1);
+    large_task["gpus"] = json!(8.0);
+    large_task["occasion"] = json!(false);
+    let submitted_ms = submit(&mut sim, &large_task);
+    sim.add_machine("vm-b", "b", true, true);
+    for n in 0..3 {
+        // A new leader learns from these jobs that urgent work is to be expected.
+        let mut urgent = service(&format!("run-80{n}"), 2);
+        urgent["occasion"] = json!(true);
+        urgent["secteur"] = json!("b");
+        submit(&mut sim, &urgent);
+        urgent_job_comes_and_goes(&mut sim);
+    }
+    sim.kill(sim.leader().unwrap());
+    assert_started_in_time(&mut sim, "run-1", submitted_ms);
+}
--- a/tests/integration/unused_capacity/mod.rs
+++ b/tests/integration/unused_capacity/mod.rs
@@ -1,6 +1,7 @@
 //! What the leader sets aside is used again or replaced in time, whatever happens to it
 //! meanwhile. Each test is a row of the table in `docs/UNUSED_CAPACITY.md`.
 
+mod capacity;
 mod cordons;
 mod draining;
 mod machines;
