A machine that ignores starts isn't trusted again because its lease ended

What callers saw: a machine whose heartbeats arrive and that receives nothing was assigned the same work again after every lease, for as long as it was deaf.

Cause: the machine is declared failed one lease after its starts were found without effect, but its own lease ends first. That frees the assignments, no start was overdue any more, and this was taken for starts that have an effect.

Change: when starts are found without effect, the machine's fencing token is raised. It is open again when a start has an effect or when it reports that token.

--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -22,6 +22,15 @@
     Releasing,
 }
 
+/// Start commands without effect on a machine whose worker sends heartbeats.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct IgnoredStarts {
+    /// When the leader noticed that a start command had no effect.
+    pub since_ms: u64,
+    /// A fencing token that was raised then. A worker that reports it receives commands again.
+    pub raised_token: FencingToken,
+}
+
 /// The leader's view of a machine. All `_ms` times are readings of this controller's
 /// monotonic clock.
 #[derive(Debug)]
@@ -56,9 +65,8 @@
     /// Whether the worker has acknowledged a fencing token of this term, so that it rejects
     /// commands of earlier leaders.
     pub token_acknowledged: bool,
-    /// The time since which the worker has ignored start commands; `None` if it executes
-    /// them.
-    pub starts_ignored_since_ms: Option<u64>,
+    /// Start commands that had no effect; `None` if the worker executes them.
+    pub ignored_starts: Option<IgnoredStarts>,
     /// The time at which the cloud reclaims the machine, according to its preemption notice;
     /// `None` if there is no notice.
     pub reclaim_at_ms: Option<u64>,
@@ -108,7 +116,7 @@
             heartbeat_sequence: 0,
             fencing_token: FencingToken::new(term, 1),
             token_acknowledged: false,
-            starts_ignored_since_ms: None,
+            ignored_starts: None,
             reclaim_at_ms: None,
             tasks: BTreeSet::new(),
             allocated: Resources::default(),
@@ -161,7 +169,7 @@
         self.phase == MachinePhase::Up
             && self.token_acknowledged
             && !self.has_unassigned_tasks
-            && self.starts_ignored_since_ms.is_none()
+            && self.ignored_starts.is_none()
             && self.reclaim_at_ms.is_none()
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,7 +3,7 @@
 mod image_cache;
 mod machine;
 
-pub use machine::{Machine, MachinePhase};
+pub use machine::{IgnoredStarts, Machine, MachinePhase};
 
 use crate::ids::MachineId;
 use std::collections::BTreeMap;
--- a/src/scheduler/replica_groups/observation.rs
+++ b/src/scheduler/replica_groups/observation.rs
@@ -53,7 +53,7 @@
         let unresponsive = now.ms >= machine.last_heartbeat_ms + self.max_heartbeat_age_ms();
         if machine.phase == MachinePhase::Releasing {
             MachineHealth::Lost
-        } else if unresponsive || machine.starts_ignored_since_ms.is_some() {
+        } else if unresponsive || machine.ignored_starts.is_some() {
             MachineHealth::Unresponsive
         } else if machine.reclaim_at_ms.is_some() || machine.phase == MachinePhase::Draining {
             MachineHealth::Leaving
--- a/src/scheduler/workers/failure_detection.rs
+++ b/src/scheduler/workers/failure_detection.rs
@@ -116,8 +116,8 @@
     /// Checks a machine whose worker is expected to send heartbeats.
     fn assess_machine(&self, now: Now, machine: &Machine, zone: &ZoneHealth) -> MachineAssessment {
         let starts_ignored = machine
-            .starts_ignored_since_ms
-            .is_some_and(|since_ms| now.ms > since_ms + self.lease_ms());
+            .ignored_starts
+            .is_some_and(|ignored| now.ms > ignored.since_ms + self.lease_ms());
         let worker_failure = if self.is_unresponsive(now, machine, zone) {
             Some(MachineFailure::Unresponsive)
         } else {
--- a/src/scheduler/workers/reconciliation.rs
+++ b/src/scheduler/workers/reconciliation.rs
@@ -1,5 +1,6 @@
 //! Reconciliation of the tasks that a worker reports with those that are assigned to its machine.
 
+use crate::fleet::IgnoredStarts;
 use crate::ids::{AgentEpoch, Attempt, FencingToken, MachineId, TaskRef};
 use crate::messages::Now;
 use crate::scheduler::workers::failure_attribution::MachineSuccess;
@@ -80,11 +81,42 @@
             .any(|status| status.phase != TaskPhase::Ended);
         if let Some(machine) = self.fleet.get_mut(id) {
             machine.has_unassigned_tasks = unassigned_tasks;
-            if start_overdue {
-                machine.starts_ignored_since_ms.get_or_insert(now.ms);
-            } else {
-                machine.starts_ignored_since_ms = None;
+        }
+        self.update_ignored_starts(now, id, heartbeat.fencing_token, start_overdue, effects);
+    }
+
+    /// Updates whether the worker ignores start commands. A worker that doesn't receive them loses
+    /// its lease, and with it the assignments that were overdue. So it counts as receiving commands
+    /// again only once a start has an effect, or once it reports a token that was raised since.
+    fn update_ignored_starts(
+        &mut self,
+        now: Now,
+        id: &MachineId,
+        reported_token: FencingToken,
+        start_overdue: bool,
+        effects: &mut SchedulerEffects,
+    ) {
+        let Some(machine) = self.fleet.get_mut(id) else {
+            return;
+        };
+        match machine.ignored_starts {
+            None if start_overdue => match machine.advance_fencing_token() {
+                Some(raised_token) => {
+                    machine.ignored_starts = Some(IgnoredStarts {
+                        since_ms: now.ms,
+                        raised_token,
+                    });
+                }
+                None => effects.step_down = Some(StepDownReason::FencingTokensExhausted),
+            },
+            Some(ignored) if !start_overdue => {
+                let has_started = !machine.tasks.is_empty();
+                if has_started || reported_token >= ignored.raised_token {
+                    machine.ignored_starts = None;
+                    self.pacing.requested = true;
+                }
             }
+            None | Some(_) => {}
         }
     }
 
--- a/tests/integration/simulation/mod.rs
+++ b/tests/integration/simulation/mod.rs
@@ -41,7 +41,7 @@
 pub use faults::{Delivery, FaultInjector};
 pub use jobs::{array, service};
 pub use settings::{settings, CANCEL_MS, LEASE_MS, SETTINGS};
-pub use workers::Worker;
+pub use workers::{Worker, WorkerTask};
 
 /// A cluster of controllers with the simulated services, workers and users around it.
 /// Controllers are identified by their index in [`Simulation::nodes`].
--- a/tests/integration/unused_capacity/capacity.rs
+++ b/tests/integration/unused_capacity/capacity.rs
@@ -1,7 +1,9 @@
 //! Free capacity that is kept for something else.
 
+use super::draining::{draining_cluster, TARGET};
+use super::{lose_machine, time_until, Loss, REPLACED_MS};
 use crate::simulation::replica_groups::{cluster_with_machines, whole_machine_service};
-use crate::simulation::{array, service, Simulation};
+use crate::simulation::{array, service, Simulation, LEASE_MS};
 use lilacfork::waiting::MAX_WAIT_MS;
 use serde_json::{json, Value};
 
@@ -124,3 +126,63 @@
     sim.kill(sim.leader().unwrap());
     assert_started_in_time(&mut sim, "run-1", submitted_ms);
 }
+
+/// A service waits for the capacity of tasks that were preempted for it, on a machine that doesn't
+/// receive the stops.
+#[test]
+fn capacity_of_a_stopping_task_is_used_after_its_machine_is_deaf() {
+    let mut sim = Simulation::new(1);
+    sim.add_machine("vm-a", "a", false, true);
+    sim.run_until(5000);
+    sim.task_duration_ms = 600_000;
+    submit(&mut sim, &array("run-1", 8));
+    sim.run_for(2000);
+    assert_eq!(sim.on_machines("run-1"), 8);
+    sim.workers.get_mut("vm-a").unwrap().inbound_blocked = true;
+    submit(&mut sim, &service("run-2", 1));
+    let limit_ms = LEASE_MS + sim.boot_ms + 5000;
+    time_until(&mut sim, limit_ms, "the service runs", |sim| {
+        sim.on_machines("run-2") == 1
+    });
+}
+
+/// The machine to which a replica migrates disappears while the replica saves. Where nothing can
+/// be provisioned, the only machine left is the one that was drained for the migration.
+#[test]
+fn migration_target_that_disappears_is_given_up() {
+    for capacity in [1, 2] {
+        for loss in [Loss::Silent, Loss::Taken] {
+            let mut sim = draining_cluster(1, 6.0);
+            lose_machine(&mut sim, TARGET, loss);
+            sim.capacity = capacity;
+            let limit_ms = 6000 + REPLACED_MS + sim.boot_ms;
+            time_until(&mut sim, limit_ms, "the replica runs", |sim| {
+                let machines = sim.workers.iter().filter(|(name, _)| *name != TARGET);
+                machines
+                    .filter_map(|(_, worker)| worker.tasks.get("run-1/0"))
+                    .any(|task| task.state == "running")
+            });
+        }
+    }
+}
+
+/// A replica that spans two machines has lost one, and no other can be had. The one that is kept
+/// for its next generation is free again in time.
+#[test]
+fn reservation_of_a_group_that_cannot_start_expires() {
+    let mut sim = cluster_with_machines(1, &["vm-a", "vm-b"]);
+    sim.task_duration_ms = 600_000;
+    let mut gang = array("run-1", 2);
+    gang["genre"] = json!("group");
+    gang["gpus"] = json!(8.0);
+    submit(&mut sim, &gang);
+    sim.run_for(3000);
+    assert_eq!(sim.on_machines("run-1"), 2);
+    sim.take_machine("vm-b");
+    submit(&mut sim, &array("run-2", 4));
+    // Failure detection, and a reservation of two leases.
+    let limit_ms = REPLACED_MS + 2 * LEASE_MS + 3000;
+    time_until(&mut sim, limit_ms, "the array runs", |sim| {
+        sim.on_machines("run-2") == 4
+    });
+}
--- a/tests/integration/unused_capacity/draining.rs
+++ b/tests/integration/unused_capacity/draining.rs
@@ -6,13 +6,13 @@
 use serde_json::json;
 
 /// The machine that is drained, and the one to which its replica migrates.
-const DRAINED: &str = "vm-b";
-const TARGET: &str = "vm-a";
+pub(super) const DRAINED: &str = "vm-b";
+pub(super) const TARGET: &str = "vm-a";
 
 /// Creates a cluster of two machines of which `DRAINED` runs a single replica that has been
 /// stopped and saves for `save_s`: an array on the other machine was cancelled, so that
 /// compaction migrates the replica there. Nothing can be provisioned.
-fn draining_cluster(nodes: usize, save_s: f64) -> Simulation {
+pub(super) fn draining_cluster(nodes: usize, save_s: f64) -> Simulation {
     let mut sim = compactable_cluster(nodes, save_s);
     sim.cancel(0, "run-2");
     if save_s > 0.0 {
--- a/tests/integration/unused_capacity/mod.rs
+++ b/tests/integration/unused_capacity/mod.rs
@@ -5,6 +5,7 @@
 mod cordons;
 mod draining;
 mod machines;
+mod tasks;
 
 use crate::simulation::Simulation;
 
