Probes: a step of a round each, and no verdict on slow machines by running alone

Read again: a round searched its unplaced work for up to 16 cordoned machines in one step, so that machines behind the first 16 were never probed, and a job that doesn't fit cost a walk over all its pending tasks. Each probe is a step of its own now, and the walk begins only if the machine fits. A success without evidence no longer marks the machine as changed.

A machine can also be cordoned because tasks ran far too slowly there. A task that has been running for a while says nothing about that; only one that is done in time does.

Tests: running_task_contradicts_failures_but_not_slow_tasks, pauses_between_probes_grow_to_a_sixth_of_the_limit.

--- a/common/src/faults/machine_faults.rs
+++ b/common/src/faults/machine_faults.rs
@@ -17,9 +17,20 @@
 /// The longest pause between two probes.
 const MAX_PAUSE_MS: u64 = MAX_WAIT_MS / 6;
 
-/// A task that failed on a machine or ran far too slowly.
+/// What is wrong with a task that is evidence against its machine.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum FailureKind {
+    /// It failed.
+    Failed,
+    /// It completed, but ran far too slowly.
+    Slow,
+}
+
+/// A task that is evidence against its machine.
 #[derive(Clone, Copy, Debug)]
 pub struct TaskFailure<'a> {
+    /// What is wrong with the task.
+    pub kind: FailureKind,
     /// The task's job.
     pub job: &'a JobId,
     /// Whether other tasks of the job have succeeded.
@@ -43,6 +54,8 @@
     /// Whether one of `failed_jobs` has succeeded elsewhere, which rules the job out as
     /// the cause.
     job_succeeded_elsewhere: bool,
+    /// Whether a task ran far too slowly, which a running task doesn't contradict.
+    has_slow_task: bool,
     last_failure_ms: Option<u64>,
     probes: ProbePauses,
 }
@@ -83,6 +96,7 @@
         let was_suspect = self.is_suspect();
         self.failed_jobs.push(failure.job.clone());
         self.job_succeeded_elsewhere |= failure.job_succeeds;
+        self.has_slow_task |= failure.kind == FailureKind::Slow;
         self.last_failure_ms = Some(failure.now_ms);
         let is_failed_probe = was_suspect && failure.started_ms > Some(self.probes.set_ms);
         let is_cordoned = self.is_suspect() && !was_suspect;
@@ -107,13 +121,19 @@
         };
     }
 
-    /// Returns whether there is evidence that a task contradicts by its success. `started_ms` is
-    /// when its start command was first sent.
-    pub fn is_contradicted_by(&self, started_ms: Option<u64>) -> bool {
+    /// Returns whether there is evidence that a task contradicts by its completion. `started_ms`
+    /// is when its start command was first sent.
+    pub fn is_contradicted_by_completion(&self, started_ms: Option<u64>) -> bool {
         self.last_failure_ms
             .is_some_and(|failed_ms| started_ms > Some(failed_ms))
     }
 
+    /// Returns whether there is evidence that a task contradicts because it has been running for a
+    /// while.
+    pub fn is_contradicted_by_running(&self, started_ms: Option<u64>) -> bool {
+        !self.has_slow_task && self.is_contradicted_by_completion(started_ms)
+    }
+
     /// Returns the jobs whose failures alone would have cordoned the machine.
     pub fn cordoning_jobs(&self) -> BTreeSet<JobId> {
         let failures = |job: &JobId| {
@@ -135,6 +155,7 @@
         self.failed_jobs.retain(|failed| failed != job);
         if self.failed_jobs.is_empty() {
             self.job_succeeded_elsewhere = false;
+            self.has_slow_task = false;
             self.last_failure_ms = None;
         }
     }
--- a/common/src/faults/mod.rs
+++ b/common/src/faults/mod.rs
@@ -10,4 +10,4 @@
 mod machine_faults;
 
 pub use circuit_breaker::CircuitBreaker;
-pub use machine_faults::{MachineFaults, TaskFailure};
+pub use machine_faults::{FailureKind, MachineFaults, TaskFailure};
--- a/src/scheduler/replica_groups/mod.rs
+++ b/src/scheduler/replica_groups/mod.rs
@@ -9,6 +9,7 @@
 mod reservations;
 mod search;
 
+use crate::faults::{FailureKind, TaskFailure};
 use crate::ids::{JobId, MachineId, TaskRef};
 use crate::messages::Now;
 use crate::scheduler::displacement::migration::success_after_ms;
@@ -129,9 +130,15 @@
                 }
             }
         } else {
-            let job_succeeds = breaker.has_succeeded();
-            let started_ms = assignment.first_sent_ms;
-            self.record_machine_failure(now, machine, &task.job, job_succeeds, started_ms);
+            let failure = TaskFailure {
+                kind: FailureKind::Failed,
+                job: &task.job,
+                job_succeeds: breaker.has_succeeded(),
+                started_ms: assignment.first_sent_ms,
+                now_ms: now.ms,
+                heartbeat_interval_ms: timing.heartbeat_ms,
+            };
+            self.record_machine_failure(machine, failure);
         }
     }
 
--- a/src/scheduler/rounds/probes.rs
+++ b/src/scheduler/rounds/probes.rs
@@ -11,9 +11,6 @@
 use crate::scheduler::Scheduler;
 use crate::wire::users::JobKind;
 
-/// The maximum number of cordoned machines that one round probes.
-const MAX_PROBED_PER_ROUND: usize = 16;
-
 /// Which unplaced work a machine may be probed with.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum ProbeWork {
@@ -34,26 +31,20 @@
                 let machine = self.fleet.get(id);
                 machine.is_some_and(|machine| machine.accepts_probe(now.ms, max_heartbeat_age_ms))
             })
-            .take(MAX_PROBED_PER_ROUND)
             .cloned()
             .collect()
     }
 
-    /// Places one task of unplaced work on each cordoned machine whose probe is due.
-    pub(super) fn probe_machines(&mut self, now: Now, round: &mut Round) {
-        if round.unplaced.is_empty() {
+    /// Places one task of unplaced work on a cordoned machine whose probe is due.
+    pub(super) fn probe_machine(&mut self, now: Now, id: &MachineId, round: &mut Round) {
+        let Some(slot) = self.capacity.slot(id) else {
             return;
-        }
-        for id in self.find_machines_to_probe(now) {
-            let Some(slot) = self.capacity.slot(&id) else {
-                continue;
-            };
-            let work = [ProbeWork::OfOtherJobs, ProbeWork::OfAnyJob]
-                .into_iter()
-                .find_map(|work| self.find_probe(slot, &id, work, round));
-            if let Some((index, task)) = work {
-                self.place_probe(now, slot, task, &mut round.unplaced[index]);
-            }
+        };
+        let work = [ProbeWork::OfOtherJobs, ProbeWork::OfAnyJob]
+            .into_iter()
+            .find_map(|work| self.find_probe(slot, id, work, round));
+        if let Some((index, task)) = work {
+            self.place_probe(now, slot, task, &mut round.unplaced[index]);
         }
     }
 
@@ -103,9 +94,12 @@
                 &self.team_usage(&spec.team, round),
                 &job.task_request,
             );
+        if !fits {
+            return None;
+        }
         // The first tasks may be those for which capacity is being freed elsewhere.
         let mut pending = job.pending.iter().rev().map(|index| job.task(*index));
-        pending.find(|task| fits && !self.migrations.targets.contains_key(task))
+        pending.find(|task| !self.migrations.targets.contains_key(task))
     }
 
     fn place_probe(&mut self, now: Now, slot: Slot, task: TaskRef, unplaced: &mut Unplaced) {
--- a/src/scheduler/rounds/round.rs
+++ b/src/scheduler/rounds/round.rs
@@ -5,7 +5,7 @@
 //! slices, and each slice starts from the updated state.
 
 use crate::cloud::CloudClient;
-use crate::ids::JobId;
+use crate::ids::{JobId, MachineId};
 use crate::messages::Now;
 use crate::placement::{Resources, ZoneCounts};
 use crate::scheduler::displacement::compaction::Compaction;
@@ -53,6 +53,8 @@
     Placing,
     /// Preempts tasks of lower priority for the unplaced work with this index.
     Preempting(usize),
+    /// Places single tasks of unplaced work on these cordoned machines.
+    Probing(Vec<MachineId>),
     /// Compacts replicas so that machines become empty.
     Compacting(Compaction),
     /// Provisions machines for the remaining unplaced work; `None` until the plan is
@@ -232,6 +234,10 @@
                 }
                 None => self.finish_preempting(now, round),
             },
+            RoundStage::Probing(machines) => match machines.pop() {
+                Some(id) => self.probe_machine(now, &id, round),
+                None => self.finish_probing(round),
+            },
             RoundStage::Compacting(compaction) => {
                 if self.compact_next(now, compaction) == Progress::Finished {
                     let cold_reservations = std::mem::take(&mut round.cold_reservations);
@@ -272,12 +278,22 @@
         }
     }
 
-    /// Uses machines that are drained or cordoned for work without other capacity, and selects the
-    /// stage after preemption: compaction if the round is full and no work is
-    /// left without capacity, otherwise provisioning.
+    /// Uses draining machines again for work without other capacity, and begins to probe cordoned
+    /// ones if any is left.
     fn finish_preempting(&mut self, now: Now, round: &mut Round) {
         self.cancel_drains(now, round);
-        self.probe_machines(now, round);
+        round.unplaced.retain(|unplaced| unplaced.count > 0);
+        let machines = if round.unplaced.is_empty() {
+            Vec::new()
+        } else {
+            self.find_machines_to_probe(now)
+        };
+        round.stage = RoundStage::Probing(machines);
+    }
+
+    /// Selects the stage after probing: compaction if the round is full and no work is left
+    /// without capacity, otherwise provisioning.
+    fn finish_probing(&mut self, round: &mut Round) {
         round.unplaced.retain(|unplaced| unplaced.count > 0);
         round.stage = if round.unplaced.is_empty() && round.full {
             RoundStage::Compacting(self.begin_compaction())
--- a/src/scheduler/workers/failure_attribution.rs
+++ b/src/scheduler/workers/failure_attribution.rs
@@ -1,6 +1,6 @@
 //! Failure attribution: whether a task failure is attributed to the machine or to the job.
 
-use crate::faults::TaskFailure;
+use crate::faults::{FailureKind, TaskFailure};
 use crate::ids::{JobId, MachineId, TaskRef};
 use crate::messages::Now;
 use crate::scheduler::{Assignment, Scheduler};
@@ -41,27 +41,23 @@
             self.discard_machine_faults(&task.job);
             return;
         }
-        let job_succeeds = job.circuit_breaker.has_succeeded();
-        self.record_machine_failure(now, id, &task.job, job_succeeds, assignment.first_sent_ms);
+        let failure = TaskFailure {
+            kind: FailureKind::Failed,
+            job: &task.job,
+            job_succeeds: job.circuit_breaker.has_succeeded(),
+            started_ms: assignment.first_sent_ms,
+            now_ms: now.ms,
+            heartbeat_interval_ms: heartbeat_ms,
+        };
+        self.record_machine_failure(id, failure);
     }
 
-    /// Records a failed or far too slow task as evidence against its machine. `started_ms` is
-    /// when the task's start command was first sent.
+    /// Records a failed or far too slow task as evidence against its machine.
     pub(in crate::scheduler) fn record_machine_failure(
         &mut self,
-        now: Now,
         id: &MachineId,
-        job: &JobId,
-        job_succeeds: bool,
-        started_ms: Option<u64>,
+        failure: TaskFailure,
     ) {
-        let failure = TaskFailure {
-            job,
-            job_succeeds,
-            started_ms,
-            now_ms: now.ms,
-            heartbeat_interval_ms: self.heartbeat_interval_ms(),
-        };
         if let Some(machine) = self.fleet.get_mut(id) {
             if machine.faults.record_failure(failure) {
                 log::info!("machine cordoned machine={id} reason=\"failed tasks\"");
@@ -79,12 +75,15 @@
         started_ms: Option<u64>,
         success: MachineSuccess,
     ) {
-        // Most successes meet no evidence, and modifying a machine has it indexed again.
-        let contradicts = self
-            .fleet
-            .get(id)
-            .is_some_and(|machine| machine.faults.is_contradicted_by(started_ms));
-        let Some(machine) = self.fleet.get_mut(id).filter(|_| contradicts) else {
+        let contradicts = self.fleet.get(id).is_some_and(|machine| match success {
+            MachineSuccess::Completed => machine.faults.is_contradicted_by_completion(started_ms),
+            MachineSuccess::Running => machine.faults.is_contradicted_by_running(started_ms),
+        });
+        // Most successes meet no evidence, and a modified machine is indexed again.
+        if !contradicts {
+            return;
+        }
+        let Some(machine) = self.fleet.get_mut(id) else {
             return;
         };
         if machine.faults.is_suspect() {
--- a/src/scheduler/workers/task_exits.rs
+++ b/src/scheduler/workers/task_exits.rs
@@ -1,5 +1,6 @@
 //! Processing of ended tasks: updates of the job, the machine and the online estimates.
 
+use crate::faults::{FailureKind, TaskFailure};
 use crate::ids::{MachineId, TaskRef};
 use crate::messages::Now;
 use crate::scheduler::workers::failure_attribution::MachineSuccess;
@@ -39,7 +40,15 @@
         let started_ms = assignment.first_sent_ms;
         if slow {
             log::info!("machine slow machine={id} task={task}");
-            self.record_machine_failure(now, id, &task.job, true, started_ms);
+            let failure = TaskFailure {
+                kind: FailureKind::Slow,
+                job: &task.job,
+                job_succeeds: true,
+                started_ms,
+                now_ms: now.ms,
+                heartbeat_interval_ms: self.heartbeat_interval_ms(),
+            };
+            self.record_machine_failure(id, failure);
         } else if reason == ExitReason::Done {
             self.record_machine_success(id, &task.job, started_ms, MachineSuccess::Completed);
         }
--- a/tests/integration/failure_attribution.rs
+++ b/tests/integration/failure_attribution.rs
@@ -2,7 +2,7 @@
 
 use crate::simulation::fixtures::{released, running_cluster, task_starts};
 use crate::simulation::{array, service, Simulation};
-use lilacfork::faults::{CircuitBreaker, MachineFaults, TaskFailure};
+use lilacfork::faults::{CircuitBreaker, FailureKind, MachineFaults, TaskFailure};
 use lilacfork::ids::{JobId, MachineId};
 
 const HEARTBEAT_INTERVAL_MS: u64 = 1000;
@@ -14,6 +14,7 @@
 /// Returns the failure of a task whose job is not known to succeed.
 fn failure_of(job: &JobId) -> TaskFailure<'_> {
     TaskFailure {
+        kind: FailureKind::Failed,
         job,
         job_succeeds: false,
         started_ms: Some(0),
@@ -186,3 +187,65 @@
         "{initial_starts} initial starts, then {restarts} restarts"
     );
 }
+
+/// A machine that was cordoned because tasks ran too slowly would be opened by the next slow one
+/// as soon as it had been running for a while.
+#[test]
+fn running_task_contradicts_failures_but_not_slow_tasks() {
+    let job = JobId::new("run-1");
+    let failure = failure_of(&job);
+    let (before, after) = (Some(failure.now_ms), Some(failure.now_ms + 1));
+    let mut failed = MachineFaults::default();
+    failed.record_failure(failure);
+    assert!(!failed.is_contradicted_by_running(None));
+    assert!(!failed.is_contradicted_by_running(before));
+    assert!(failed.is_contradicted_by_running(after));
+    let mut slow = MachineFaults::default();
+    slow.record_failure(TaskFailure {
+        kind: FailureKind::Slow,
+        ..failure
+    });
+    assert!(!slow.is_contradicted_by_running(after));
+    assert!(!slow.is_contradicted_by_completion(before));
+    assert!(slow.is_contradicted_by_completion(after));
+    assert!(!MachineFaults::default().is_contradicted_by_completion(after));
+}
+
+/// The pauses between probes grow, and go on from where they were after a probe that ran.
+#[test]
+fn pauses_between_probes_grow_to_a_sixth_of_the_limit() {
+    let job = JobId::new("run-1");
+    let mut faults = MachineFaults::default();
+    let mut now_ms = 1000;
+    let fail = |faults: &mut MachineFaults, now_ms: u64| {
+        faults.record_failure(TaskFailure {
+            started_ms: Some(now_ms - 1),
+            now_ms,
+            ..failure_of(&job)
+        })
+    };
+    assert!(!fail(&mut faults, now_ms));
+    assert!(fail(&mut faults, now_ms), "the second failure cordons it");
+    let mut pauses_ms = Vec::new();
+    for _ in 0..5 {
+        let due_ms = (now_ms..).find(|ms| faults.allows_probe(*ms)).unwrap();
+        pauses_ms.push(due_ms - now_ms);
+        faults.record_probe(due_ms, HEARTBEAT_INTERVAL_MS);
+        assert!(!faults.allows_probe(due_ms + 1), "one probe for each pause");
+        now_ms = due_ms + 100;
+        assert!(!fail(&mut faults, now_ms));
+    }
+    assert_eq!(pauses_ms, [2000, 4000, 8000, 15_000, 15_000]);
+    faults.record_running_probe();
+    assert!(!faults.is_suspect());
+    fail(&mut faults, now_ms);
+    fail(&mut faults, now_ms);
+    assert!(!faults.allows_probe(now_ms + 14_999) && faults.allows_probe(now_ms + 15_000));
+    faults.record_success();
+    fail(&mut faults, now_ms);
+    fail(&mut faults, now_ms);
+    assert!(
+        faults.allows_probe(now_ms + 2000),
+        "a completed task resets them"
+    );
+}
