Observer: no job is left waiting for 90 s beside room

The observer judged safety on every trace and this rule on none. It now checks once a second of virtual time that no accepted job has waited for 90 s beside a machine that fits, with its team under its limit, without a start of any of its tasks and without any trouble in that time.

Tests: job_waiting_beside_room_violates_left_waiting is a history that breaks it, job_without_room_or_during_troubles_is_not_left_waiting has those that don't.

The observer is a folder now: rules of waiting in a file of their own.

--- a/tests/integration/observer.rs
+++ b/tests/integration/observer.rs
@@ -2,7 +2,9 @@
 //! simulations can't reveal a violation that the observer misses.
 
 use crate::simulation::array;
-use crate::simulation::observer::{Observer, PlacedTask, RequestKind, UserRequest, Verdict};
+use crate::simulation::observer::{
+    MachineWithRoom, Observer, PlacedTask, RequestKind, Room, UserRequest, Verdict,
+};
 use serde_json::{json, Value};
 
 fn new_observer() -> Observer {
@@ -284,3 +286,100 @@
         observer.check_response(1200, &query, 200, "cancelled"),
     );
 }
+
+/// Returns a machine that fits one task of [`array`] if `gpus` is at least 1.
+fn machine_with_room(machine: &str, gpus: f64) -> MachineWithRoom<'_> {
+    MachineWithRoom {
+        machine,
+        zone: "a",
+        spot: false,
+        free: Room {
+            cpus: 96.0,
+            gpus,
+            memory_gb: 768.0,
+        },
+    }
+}
+
+/// Checks every second from `from_ms` until `until_ms` which jobs wait beside these machines.
+fn watch_waiting_jobs(
+    observer: &mut Observer,
+    from_ms: u64,
+    until_ms: u64,
+    placed: &[PlacedTask],
+    machines: &[MachineWithRoom],
+) -> Verdict {
+    for now_ms in (from_ms..=until_ms).step_by(1000) {
+        observer.check_waiting_jobs(now_ms, placed.iter().copied(), machines)?;
+    }
+    Ok(())
+}
+
+#[test]
+fn job_waiting_beside_room_violates_left_waiting() {
+    let machines = [machine_with_room("vm-a", 1.0)];
+    let mut observer = observer_of_accepted_job(array("run-1", 1));
+    let just_in_time = watch_waiting_jobs(&mut observer, 1000, 90_000, &[], &machines);
+    assert!(just_in_time.is_ok());
+    let too_late = watch_waiting_jobs(&mut observer, 91_000, 91_000, &[], &machines);
+    assert_violation("left_waiting", too_late);
+
+    // Some of its tasks run, and one waits.
+    let placed = [task_on("run-1/0", "vm-b", "b")];
+    let mut observer = observer_of_accepted_job(array("run-1", 2));
+    let verdict = watch_waiting_jobs(&mut observer, 1000, 91_000, &placed, &machines);
+    assert_violation("left_waiting", verdict);
+
+    // The tasks of a gang start together, each on its own machine.
+    let mut gang = array("run-1", 2);
+    gang["genre"] = json!("group");
+    let mut observer = observer_of_accepted_job(gang);
+    let verdict = watch_waiting_jobs(&mut observer, 1000, 200_000, &[], &machines);
+    assert!(verdict.is_ok());
+    let two = [machines[0], machine_with_room("vm-b", 1.0)];
+    let verdict = watch_waiting_jobs(&mut observer, 201_000, 300_000, &[], &two);
+    assert_violation("left_waiting", verdict);
+}
+
+#[test]
+fn job_without_room_or_during_troubles_is_not_left_waiting() {
+    let fits = [machine_with_room("vm-a", 1.0)];
+    let placed = [
+        task_on("run-1/0", "vm-b", "b"),
+        task_on("run-1/1", "vm-b", "b"),
+    ];
+    let mut zone_b = array("run-1", 1);
+    zone_b["secteur"] = json!("b");
+    let mut of_limited_team = array("run-1", 3);
+    of_limited_team["equipe"] = json!("blue");
+    let without_room = [
+        (
+            array("run-1", 1),
+            &placed[..0],
+            [machine_with_room("vm-a", 0.5)],
+        ),
+        (zone_b, &placed[..0], fits),
+        (of_limited_team, &placed[..], fits),
+        (array("run-1", 2), &placed[..], fits),
+    ];
+    for (spec, placed, machines) in without_room {
+        let mut observer = observer_of_accepted_job(spec.clone());
+        let verdict = watch_waiting_jobs(&mut observer, 1000, 200_000, placed, &machines);
+        assert!(verdict.is_ok(), "{spec}: {verdict:?}");
+    }
+
+    // Troubles, and the start of a task, begin the time anew.
+    let mut observer = observer_of_accepted_job(array("run-1", 2));
+    assert!(watch_waiting_jobs(&mut observer, 1000, 80_000, &[], &fits).is_ok());
+    observer.record_trouble();
+    assert!(watch_waiting_jobs(&mut observer, 81_000, 170_000, &[], &fits).is_ok());
+    let start = task_on("run-1/0", "vm-a", "a");
+    observer
+        .check_start(170_500, start, [].into_iter())
+        .unwrap();
+    assert!(watch_waiting_jobs(&mut observer, 171_000, 260_000, &[start], &fits).is_ok());
+
+    // Nobody waits for a job that was called off.
+    let mut observer = observer_of_cancelled_job(1000);
+    assert!(watch_waiting_jobs(&mut observer, 1000, 200_000, &[], &fits).is_ok());
+}
--- a/tests/integration/simulation/cloud.rs
+++ b/tests/integration/simulation/cloud.rs
@@ -10,6 +10,11 @@
 /// heartbeat.
 const FIRST_HEARTBEAT_MS: u64 = 10;
 
+/// Resources of each machine.
+pub(super) const MACHINE_CPUS: f64 = 96.0;
+pub(super) const MACHINE_GPUS: f64 = 8.0;
+pub(super) const MACHINE_MEMORY_GB: f64 = 768.0;
+
 /// The cloud's state beside the machines, which are in [`Simulation::workers`].
 #[derive(Default)]
 pub(super) struct Cloud {
@@ -131,7 +136,7 @@
 
 /// Returns a catalog with one machine type, `g8` with eight GPUs, which both zones offer.
 fn catalog() -> Value {
-    json!({"gammes": [{"sku": "g8", "cpus": 96, "gpus": 8, "memoryGb": 768,
-        "cacheGb": 200, "pullGbPerS": 1.0, "hourly": 12.0, "marketPrice": 4.5, "startupS": 5,
+    json!({"gammes": [{"sku": "g8", "cpus": MACHINE_CPUS, "gpus": MACHINE_GPUS,
+        "memoryGb": MACHINE_MEMORY_GB, "cacheGb": 200, "pullGbPerS": 1.0, "hourly": 12.0, "marketPrice": 4.5, "startupS": 5,
         "secteurs": ["a", "b"]}]})
 }
--- a/tests/integration/simulation/mod.rs
+++ b/tests/integration/simulation/mod.rs
@@ -78,6 +78,10 @@
     observed_requests: HashMap<u64, UserRequest>,
     pub observer: Observer,
     last_observation_ms: u64,
+    /// When the observer last checked which jobs wait.
+    last_waiting_check_ms: u64,
+    /// When a fault was last injected into a call.
+    last_injected_fault_ms: Option<u64>,
     /// Task starts that workers executed, as "time_ms machine task #attempt".
     pub start_log: Vec<String>,
     /// How long the first task of a job runs.
@@ -175,6 +179,8 @@
             observed_requests: HashMap::new(),
             observer: Observer::new(CANCEL_MS, &[("blue", 16.0)]),
             last_observation_ms: 0,
+            last_waiting_check_ms: 0,
+            last_injected_fault_ms: None,
             start_log: Vec::new(),
             task_duration_ms: 3000,
             stagger_ms: 0,
@@ -193,6 +199,12 @@
             replicas: BTreeMap::new(),
             digest: Digest::from_environment(),
         };
+        simulation.observer.replica_parts = simulation
+            .tuning
+            .replica_classes
+            .iter()
+            .map(|(class, parts)| (class.to_string(), parts as usize))
+            .collect();
         for node in 0..nodes {
             simulation.nodes.push(None);
             simulation.start(node);
--- a/tests/integration/simulation/network.rs
+++ b/tests/integration/simulation/network.rs
@@ -49,7 +49,11 @@
     fn send_call(&mut self, node: usize, id: CallId, call: Call) {
         let epoch = self.epochs[node];
         let origin = CallOrigin { node, epoch, id };
-        match (self.fault_injector)(self.now_ms, node, &call) {
+        let delivery = (self.fault_injector)(self.now_ms, node, &call);
+        if delivery != Delivery::Normal {
+            self.last_injected_fault_ms = Some(self.now_ms);
+        }
+        match delivery {
             Delivery::Normal => self.schedule_arrival(origin, call, LATENCY_MS, Response::Returned),
             Delivery::ResponseDelayed(delay_ms) => {
                 self.network.response_delays_ms.insert(origin, delay_ms);
--- a/tests/integration/simulation/observer.rs
+++ b/tests/integration/simulation/observer/mod.rs
@@ -3,9 +3,14 @@
 //! observer doesn't depend on how controllers work, and reports the first rule that a
 //! history violates.
 
+mod waiting;
+
+pub use waiting::{MachineWithRoom, Room};
+
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::fmt;
+use waiting::WaitingJobs;
 
 /// Returns the name of a task's job. Tasks are named `job/index`.
 pub(super) fn job_of(task: &str) -> &str {
@@ -68,6 +73,9 @@
     WrongPlace,
     /// A team uses at most the GPUs of its quota.
     Quota,
+    /// Once all troubles are over, no job is left waiting for 90 s while a machine that fits has
+    /// room and its team is under its limit.
+    LeftWaiting,
 }
 
 impl fmt::Display for Rule {
@@ -83,6 +91,7 @@
             Rule::TooEarly => "too_early",
             Rule::WrongPlace => "wrong_place",
             Rule::Quota => "quota",
+            Rule::LeftWaiting => "left_waiting",
         })
     }
 }
@@ -127,6 +136,9 @@
     /// Starts within the cancellation period after a confirmed cancellation. The protocol
     /// allows them; some tests limit their number.
     pub starts_after_cancel: Vec<String>,
+    /// How many tasks form one replica, for classes whose replicas span machines.
+    pub replica_parts: HashMap<String, usize>,
+    waiting: WaitingJobs,
 }
 
 impl Observer {
@@ -146,6 +158,8 @@
             final_states: BTreeMap::new(),
             completed_tasks: HashMap::new(),
             starts_after_cancel: Vec::new(),
+            replica_parts: HashMap::new(),
+            waiting: WaitingJobs::default(),
         }
     }
 
@@ -338,6 +352,8 @@
         others: impl Iterator<Item = PlacedTask<'a>> + Clone,
     ) -> Verdict {
         let PlacedTask { task, machine, .. } = start;
+        // A job that makes progress isn't left waiting.
+        self.waiting.remove(start.job());
         if let Some(other) = others.clone().find(|other| other.task == task) {
             let details = format!(
                 "{task} starts on {machine} while it is on {}",
--- a/tests/integration/simulation/workers.rs
+++ b/tests/integration/simulation/workers.rs
@@ -108,6 +108,19 @@
         !self.released && !self.taken
     }
 
+    /// Returns whether the machine exists and doesn't work as it should.
+    pub(super) fn has_trouble(&self) -> bool {
+        let is_slow = self.slowdown_factor > 1;
+        self.exists()
+            && (self.unresponsive
+                || self.outbound_blocked
+                || self.inbound_blocked
+                || self.faulty
+                || is_slow
+                || self.image_pull_stuck
+                || self.preemption_notice_s.is_some())
+    }
+
     /// Handles the expiry of the worker's lease: stops all tasks and starts a new agent epoch.
     pub(super) fn expire_lease(&mut self, now_ms: u64) {
         self.tasks.clear();
