A task that is done in time clears slow runs, whenever it was started

Since only a task that was started after the evidence cleared it. That is right for failures, which a faulty machine has at a task's start. A slow machine slows what already runs, too, so any task that is done in time shows that it isn't slow (any more).

--- a/common/src/faults/machine_faults.rs
+++ b/common/src/faults/machine_faults.rs
@@ -46,7 +46,8 @@
 /// The failed tasks that are evidence of a faulty machine. A machine with enough evidence is
 /// cordoned: it gets single probes, with growing pauses between them. A task that succeeds and
 /// was started after the last failure clears the evidence. One that was started before says
-/// nothing: a faulty machine fails the tasks that it starts.
+/// nothing about failures: a faulty machine fails the tasks that it starts. But it shows that the
+/// machine isn't too slow.
 #[derive(Clone, Debug, Default)]
 pub struct MachineFaults {
     /// The job of each task that failed on the machine.
@@ -56,6 +57,7 @@
     job_succeeded_elsewhere: bool,
     /// Whether a task ran far too slowly, which a running task doesn't contradict.
     has_slow_task: bool,
+    /// When a task last failed; tasks that ran too slowly don't count.
     last_failure_ms: Option<u64>,
     probes: ProbePauses,
 }
@@ -97,7 +99,9 @@
         self.failed_jobs.push(failure.job.clone());
         self.job_succeeded_elsewhere |= failure.job_succeeds;
         self.has_slow_task |= failure.kind == FailureKind::Slow;
-        self.last_failure_ms = Some(failure.now_ms);
+        if failure.kind == FailureKind::Failed {
+            self.last_failure_ms = Some(failure.now_ms);
+        }
         let is_failed_probe = was_suspect && failure.started_ms > Some(self.probes.set_ms);
         let is_cordoned = self.is_suspect() && !was_suspect;
         if is_cordoned || is_failed_probe {
@@ -124,8 +128,10 @@
     /// Returns whether there is evidence that a task contradicts by its completion. `started_ms`
     /// is when its start command was first sent.
     pub fn is_contradicted_by_completion(&self, started_ms: Option<u64>) -> bool {
-        self.last_failure_ms
-            .is_some_and(|failed_ms| started_ms > Some(failed_ms))
+        let started_after_failures = self
+            .last_failure_ms
+            .is_none_or(|failed_ms| started_ms > Some(failed_ms));
+        !self.failed_jobs.is_empty() && started_after_failures
     }
 
     /// Returns whether there is evidence that a task contradicts because it has been running for a
--- a/tests/integration/failure_attribution.rs
+++ b/tests/integration/failure_attribution.rs
@@ -206,6 +206,11 @@
         ..failure
     });
     assert!(!slow.is_contradicted_by_running(after));
+    assert!(
+        slow.is_contradicted_by_completion(before) && slow.is_contradicted_by_completion(after),
+        "a task that is done in time shows that the machine isn't slow, whenever it was started"
+    );
+    slow.record_failure(failure);
     assert!(!slow.is_contradicted_by_completion(before));
     assert!(slow.is_contradicted_by_completion(after));
     assert!(!MachineFaults::default().is_contradicted_by_completion(after));
